--- /dev/null
+++ b/crates/cj-fold/src/lib.rs
@@ -0,0 +1,5 @@
+//! The deterministic fold of a region's log into the shared state.
+
+pub mod state;
+
+pub use state::*;
--- /dev/null
+++ b/crates/cj-log/src/service.rs
@@ -0,0 +1,35 @@
+//! Interface to the platform's log service.
+
+use std::{future::Future, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use cj_types::{Offset, Result, StreamId};
+
+/// A page of records of one stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadPage {
+    /// Oldest offset still retained.
+    pub oldest: Offset,
+    /// Offset that the next appended record will get.
+    pub end: Offset,
+    /// Records with their offsets, in order.
+    pub records: Vec<(Offset, Vec<u8>)>,
+}
+
+/// The platform's log. Implementations: the HTTP client and the in-memory fake of the tests.
+pub trait LogService {
+    /// Appends one record. [`cj_types::ErrorKind::Unanswered`] means that it may still appear in the stream;
+    /// [`cj_types::ErrorKind::Refused`] means that it won't.
+    fn append(&self, stream: &StreamId, record: Vec<u8>) -> impl Future<Output = Result<Offset>>;
+
+    /// Reads records from `from` on, at most `max_bytes` of them but at least one when there is one; waits up to
+    /// `wait` for the first. Fails with [`cj_types::ErrorKind::Gap`] when `from` is no longer retained.
+    fn read(
+        &self,
+        stream: &StreamId,
+        from: Offset,
+        max_bytes: usize,
+        wait: Duration,
+    ) -> impl Future<Output = Result<ReadPage>>;
+}
--- /dev/null
+++ b/crates/cj-member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Part of copperjunction; see `docs/design.md`.
--- /dev/null
+++ b/crates/copperjunction/src/main.rs
@@ -0,0 +1,3 @@
+//! Operator command line of copperjunction.
+
+fn main() {}
