--- /dev/null
+++ b/crates/cj-node/src/http/request.rs
@@ -0,0 +1,140 @@
+//! Reads and checks requests of callers.
+
+use std::time::Duration;
+
+use actix_http::{HttpMessage, Method, Request, StatusCode, header::HeaderMap};
+use bytes::{Bytes, BytesMut};
+use futures::StreamExt;
+
+use cj_types::{CallerId, ClassId, IdempotencyKey, JobId, ServiceId, TeamId};
+
+use super::Answer;
+
+/// Largest accepted request body in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Largest body of recorded work; it has to fit into a log entry.
+pub const MAX_RECORDED_BYTES: usize = 4 * 1024;
+/// Time for a client to send its whole body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The checked head of a request for work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkRequest {
+    /// Service asked for.
+    pub service: ServiceId,
+    /// Class of work.
+    pub class: ClassId,
+    /// Who asks.
+    pub caller: CallerId,
+    /// Team whose quota is used.
+    pub team: TeamId,
+    /// Caller's key, needed for recorded work.
+    pub key: Option<IdempotencyKey>,
+    /// Caller's own limit, at most the deadline of the class.
+    pub deadline: Option<Duration>,
+    /// Declared run time of a task in milliseconds.
+    pub run_ms: Option<u32>,
+    /// Declared cores of a task, in thousandths.
+    pub millicores: Option<u32>,
+    /// Declared memory of a task in mebibytes.
+    pub memory_mib: Option<u32>,
+    /// Declared accelerators of a task.
+    pub accelerators: Option<u32>,
+}
+
+/// Path of one job in the caller API.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobPath(pub JobId);
+
+fn bad(reason: String) -> Answer {
+    Answer::bad_input(StatusCode::BAD_REQUEST, &reason)
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Answer> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let value = value.to_str().map_err(|_| bad(format!("header `{name}` is not plain text")))?;
+    Ok(Some(value.trim()))
+}
+
+fn parsed<T>(headers: &HeaderMap, name: &str) -> Result<Option<T>, Answer>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    let Some(value) = text(headers, name)? else { return Ok(None) };
+    value.parse().map(Some).map_err(|e| bad(format!("header `{name}`: {e}")))
+}
+
+fn required<T>(headers: &HeaderMap, name: &str) -> Result<T, Answer>
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Display,
+{
+    parsed(headers, name)?.ok_or_else(|| bad(format!("header `{name}` is missing; add it")))
+}
+
+impl TryFrom<&Request> for WorkRequest {
+    type Error = Answer;
+
+    fn try_from(request: &Request) -> Result<Self, Answer> {
+        let path = request.path();
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        let ["v1", service, class] = parts[..] else {
+            let reason = "unknown path; use POST /v1/SERVICE/CLASS or GET /v1/jobs/CALLER/KEY";
+            return Err(Answer::bad_input(StatusCode::NOT_FOUND, reason));
+        };
+        if request.method() != Method::POST {
+            return Err(Answer::bad_input(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "use POST to ask for work",
+            ));
+        }
+        let headers = request.headers();
+        let deadline: Option<u64> = parsed(headers, "x-deadline-ms")?;
+        Ok(WorkRequest {
+            service: service.parse().map_err(|e| bad(format!("{e}")))?,
+            class: class.parse().map_err(|e| bad(format!("{e}")))?,
+            caller: required(headers, "x-caller")?,
+            team: required(headers, "x-team")?,
+            key: parsed(headers, "idempotency-key")?,
+            deadline: deadline.map(Duration::from_millis),
+            run_ms: parsed(headers, "x-run-ms")?,
+            millicores: parsed(headers, "x-millicores")?,
+            memory_mib: parsed(headers, "x-memory-mib")?,
+            accelerators: parsed(headers, "x-accelerators")?,
+        })
+    }
+}
+
+impl JobPath {
+    /// Reads `/v1/jobs/CALLER/KEY`; `None` when the path is another one.
+    pub fn of(request: &Request) -> Option<Result<Self, Answer>> {
+        let rest = request.path().strip_prefix("/v1/jobs/")?;
+        Some(rest.parse().map(JobPath).map_err(|e| bad(format!("{e}"))))
+    }
+}
+
+/// Reads the whole body, within [`MAX_BODY_BYTES`] and the time limit.
+pub async fn read_body(request: &mut Request) -> Result<Bytes, Answer> {
+    let too_large = || {
+        Answer::bad_input(StatusCode::PAYLOAD_TOO_LARGE, "body is larger than 64 KiB; send less")
+    };
+    let declared = text(request.headers(), "content-length")?.and_then(|v| v.parse::<usize>().ok());
+    if declared.is_some_and(|n| n > MAX_BODY_BYTES) {
+        return Err(too_large());
+    }
+    let mut payload = request.take_payload();
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|e| bad(format!("body is incomplete: {e}")))?;
+            if body.len() + chunk.len() > MAX_BODY_BYTES {
+                return Err(too_large());
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    let late = || Answer::bad_input(StatusCode::REQUEST_TIMEOUT, "body did not arrive within 5 s");
+    tokio::time::timeout(BODY_TIMEOUT, read).await.unwrap_or_else(|_| Err(late()))
+}
--- /dev/null
+++ b/crates/cj-node/src/platform.rs
@@ -0,0 +1,326 @@
+//! Clients of the platform's VM control and of the workers.
+
+use std::time::Duration;
+
+use awc::Client;
+use compact_str::{CompactString, format_compact};
+use serde::{Deserialize, Serialize};
+
+use cj_record::{VmFacts, VmKind};
+use cj_types::{
+    Accelerators, BootId, DataCentreId, Error, ErrorKind, Mebibytes, Millicores, OpId, PoolId,
+    RackId, Resources, Result, Token, VmId,
+};
+
+/// Time limit of one call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest list accepted, in bytes.
+const MAX_LIST_BYTES: usize = 4 * 1024 * 1024;
+
+/// State of a VM as the platform lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedState {
+    /// In service.
+    Live,
+    /// About to stop.
+    Leaving,
+    /// Not running.
+    Down,
+}
+
+/// A VM as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedVm {
+    /// The VM.
+    pub vm: VmId,
+    /// `ip:port` of its service.
+    pub address: CompactString,
+    /// Pool label.
+    pub pool: PoolId,
+    /// Rack.
+    pub rack: RackId,
+    /// Data centre.
+    pub zone: DataCentreId,
+    /// State.
+    pub state: ListedState,
+    /// Boot id.
+    pub boot: BootId,
+    /// Whole cores.
+    pub cores: u32,
+    /// Memory in mebibytes.
+    pub memory: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+    /// Minion or worker.
+    pub kind: ListedKind,
+}
+
+/// Kind of a listed VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ListedKind {
+    /// Serves requests.
+    Minion,
+    /// Runs tasks.
+    Worker,
+}
+
+impl From<&ListedVm> for VmFacts {
+    fn from(listed: &ListedVm) -> Self {
+        VmFacts {
+            vm: listed.vm.clone(),
+            address: listed.address.clone(),
+            pool: listed.pool.clone(),
+            rack: listed.rack.clone(),
+            centre: listed.zone.clone(),
+            kind: match listed.kind {
+                ListedKind::Minion => VmKind::Minion,
+                ListedKind::Worker => VmKind::Worker,
+            },
+            capacity: Resources {
+                cores: Millicores(listed.cores * 1000),
+                memory: Mebibytes(listed.memory),
+                accelerators: Accelerators(listed.accelerators),
+            },
+            boot: listed.boot,
+        }
+    }
+}
+
+/// State of a task as its worker lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskState {
+    /// Accepted, not started.
+    NotStarted,
+    /// Running under its lease.
+    Running,
+    /// Ended well.
+    Done,
+    /// Stopped, or its lease lapsed.
+    Stopped,
+    /// Ended with an error.
+    Failed,
+}
+
+/// A task as its worker lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedTask {
+    /// Name of the task: the job id.
+    pub task: CompactString,
+    /// Fencing token of the attempt.
+    pub token: Token,
+    /// State.
+    pub state: TaskState,
+}
+
+/// Start of a task on a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartTask {
+    /// Name of the task: the job id.
+    pub task: CompactString,
+    /// Fencing token of the attempt.
+    pub token: Token,
+    /// Length of the lease in milliseconds.
+    pub lease_ms: u32,
+    /// Cores, in thousandths.
+    pub cores: u32,
+    /// Memory in mebibytes.
+    pub memory: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+    /// Declared run time in milliseconds.
+    pub run_ms: u32,
+    /// What to run.
+    pub spec: String,
+}
+
+/// Client of VM control.
+#[derive(Clone)]
+pub struct VmControl {
+    client: Client,
+    base: CompactString,
+}
+
+#[derive(Serialize)]
+struct Operation<'a> {
+    op: CompactString,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pool: Option<&'a PoolId>,
+}
+
+impl VmControl {
+    /// A client of the service at `address` (`ip:port`).
+    pub fn new(address: &str) -> Self {
+        VmControl { client: platform_client(), base: format_compact!("http://{address}/v1/vms") }
+    }
+
+    /// The platform's list of VMs; it lags.
+    pub async fn list(&self) -> Result<Vec<ListedVm>> {
+        get(&self.client, &self.base, "VM control").await
+    }
+
+    /// State of one VM right now.
+    pub async fn probe(&self, vm: &VmId) -> Result<ListedVm> {
+        get(&self.client, &format!("{}/{vm}", self.base), "VM control").await
+    }
+
+    /// Tells the platform that the VM is draining.
+    pub async fn drain(&self, vm: &VmId, op: OpId) -> Result<()> {
+        self.operate(vm, "drain", &Operation { op: format_compact!("drain-{op}"), pool: None })
+            .await
+    }
+
+    /// Reboots the VM; the same `op` reboots it once.
+    pub async fn reboot(&self, vm: &VmId, op: OpId) -> Result<()> {
+        self.operate(vm, "reboot", &Operation { op: format_compact!("reboot-{op}"), pool: None })
+            .await
+    }
+
+    /// Sets the pool label of the VM; `change` counts its moves.
+    pub async fn assign(&self, vm: &VmId, change: u64, pool: &PoolId) -> Result<()> {
+        self.operate(
+            vm,
+            "assign",
+            &Operation { op: format_compact!("assign-{change}"), pool: Some(pool) },
+        )
+        .await
+    }
+
+    async fn operate(&self, vm: &VmId, verb: &str, operation: &Operation<'_>) -> Result<()> {
+        post(&self.client, &format!("{}/{vm}/{verb}", self.base), operation, "VM control")
+            .await
+            .map(drop)
+    }
+}
+
+/// Client of the workers.
+#[derive(Clone)]
+pub struct Workers {
+    client: Client,
+}
+
+impl Default for Workers {
+    fn default() -> Self {
+        Workers { client: platform_client() }
+    }
+}
+
+/// What a worker said to a start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Started {
+    /// It runs.
+    Running,
+    /// The worker knows this attempt already, or a later one.
+    Known,
+    /// There is no room; the task did not start.
+    NoRoom,
+}
+
+impl Workers {
+    /// Starts a task.
+    pub async fn start(&self, address: &str, task: &StartTask) -> Result<Started> {
+        let status =
+            post(&self.client, &format!("http://{address}/v1/tasks"), task, "worker").await;
+        match status {
+            Ok(_) => Ok(Started::Running),
+            Err(e) => match e.kind {
+                ErrorKind::Refused { ref reason, .. } if reason.starts_with("409") => {
+                    Ok(Started::Known)
+                }
+                ErrorKind::Refused { .. } => Ok(Started::NoRoom),
+                _ => Err(e),
+            },
+        }
+    }
+
+    /// All tasks that the worker knows.
+    pub async fn tasks(&self, address: &str) -> Result<Vec<ListedTask>> {
+        get(&self.client, &format!("http://{address}/v1/tasks"), "worker").await
+    }
+
+    /// Extends the lease of a task.
+    pub async fn renew(
+        &self,
+        address: &str,
+        task: &str,
+        token: Token,
+        lease_ms: u32,
+    ) -> Result<()> {
+        let body = serde_json::json!({ "token": token, "lease_ms": lease_ms });
+        self.act(address, task, "renew", &body).await
+    }
+
+    /// Stops a task.
+    pub async fn stop(&self, address: &str, task: &str, token: Token) -> Result<()> {
+        self.act(address, task, "stop", &serde_json::json!({ "token": token })).await
+    }
+
+    async fn act(
+        &self,
+        address: &str,
+        task: &str,
+        verb: &str,
+        body: &serde_json::Value,
+    ) -> Result<()> {
+        let task = task.replace('/', "%2F");
+        post(&self.client, &format!("http://{address}/v1/tasks/{task}/{verb}"), body, "worker")
+            .await
+            .map(drop)
+    }
+}
+
+fn platform_client() -> Client {
+    crate::upstream::client(Duration::from_millis(500))
+}
+
+fn unanswered(service: &'static str, reason: impl std::fmt::Display) -> Error {
+    let reason = format_compact!("{reason}");
+    Error::new(
+        ErrorKind::Unanswered { service, reason },
+        "the call is repeated; check that the service is reachable",
+    )
+}
+
+fn refused(service: &'static str, reason: CompactString) -> Error {
+    Error::new(ErrorKind::Refused { service, reason }, "see the reason; the call had no effect")
+}
+
+async fn get<T>(client: &Client, url: &str, service: &'static str) -> Result<T>
+where
+    T: serde::de::DeserializeOwned,
+{
+    let call = async {
+        let mut response = client.get(url).send().await.map_err(|e| unanswered(service, e))?;
+        let body =
+            response.body().limit(MAX_LIST_BYTES).await.map_err(|e| unanswered(service, e))?;
+        if !response.status().is_success() {
+            return Err(refused(service, format_compact!("{}", response.status())));
+        }
+        serde_json::from_slice(&body).map_err(|e| unanswered(service, e))
+    };
+    tokio::time::timeout(CALL_TIMEOUT, call).await.map_err(|e| unanswered(service, e))?
+}
+
+async fn post<T>(client: &Client, url: &str, body: &T, service: &'static str) -> Result<u16>
+where
+    T: Serialize,
+{
+    let call = async {
+        let mut response =
+            client.post(url).send_json(body).await.map_err(|e| unanswered(service, e))?;
+        let answer =
+            response.body().limit(MAX_LIST_BYTES).await.map_err(|e| unanswered(service, e))?;
+        let status = response.status();
+        if status.is_server_error() {
+            return Err(unanswered(service, status));
+        }
+        if !status.is_success() {
+            let reason = format_compact!("{status}: {}", String::from_utf8_lossy(&answer));
+            return Err(refused(service, reason));
+        }
+        Ok(status.as_u16())
+    };
+    tokio::time::timeout(CALL_TIMEOUT, call).await.map_err(|e| unanswered(service, e))?
+}
