Add the interfaces of routing and placement

Cause: the entry daemon builds on the signatures of section 11 before the decisions are complete.

Change: cj-route offers Router with its request, ticket, completion and action types.

--- a/crates/cj-place/src/lib.rs
+++ b/crates/cj-place/src/lib.rs
@@ -1,1 +1,7 @@
-//! Part of copperjunction; see `docs/design.md`.
+//! Placement decisions: the worker for a job, and relief for overloaded workers.
+
+mod placer;
+mod types;
+
+pub use placer::Placer;
+pub use types::*;
--- /dev/null
+++ b/crates/cj-route/src/types.rs
@@ -0,0 +1,135 @@
+//! Requests, tickets and what becomes of them.
+
+use std::time::{Duration, Instant};
+
+use compact_str::CompactString;
+use derive_more::Display;
+
+use cj_types::{ClassId, DataCentreId, ServiceId, TeamId, VmId};
+
+slotmap::new_key_type! {
+    /// Identifies one admitted request. The key carries a generation, so a late answer never meets another request.
+    pub struct Ticket;
+}
+
+/// A request at its arrival.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Request id, for the decision log.
+    pub id: CompactString,
+    /// Service that answers it.
+    pub service: ServiceId,
+    /// Class of work.
+    pub class: ClassId,
+    /// Team whose quota it uses.
+    pub team: TeamId,
+    /// Latest useful time of the answer.
+    pub deadline: Instant,
+    /// True when it may safely run more than once.
+    pub idempotent: bool,
+    /// Data centre of the entry node; nearer upstreams win ties.
+    pub centre: DataCentreId,
+    /// Upstream that failed this request before.
+    pub avoid: Option<VmId>,
+}
+
+/// Answer to an offered request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Send it now.
+    Dispatch {
+        /// Ticket to complete or cancel.
+        ticket: Ticket,
+        /// Where to send it.
+        upstream: VmId,
+    },
+    /// It waits; [`crate::Router::poll`] or another call returns its action later.
+    Queued {
+        /// Ticket to cancel.
+        ticket: Ticket,
+    },
+    /// Refused; it did not run.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// When a retry is useful.
+        retry_after: Duration,
+    },
+}
+
+/// Why a request is refused or given up on.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Refusal {
+    /// No pool serves the service.
+    #[display("no pool serves this service")]
+    UnknownService,
+    /// The pool doesn't accept the class.
+    #[display("the pool does not accept this class")]
+    ClassNotAccepted,
+    /// The pool has no upstream that accepts work.
+    #[display("no upstream accepts new work")]
+    NoUpstream,
+    /// The deadline has passed or can't be met.
+    #[display("cannot finish before its deadline")]
+    Deadline,
+    /// Too many requests wait.
+    #[display("too many requests are waiting")]
+    QueueFull,
+    /// The upstream failed and the request can't be retried.
+    #[display("the upstream failed")]
+    Failed,
+    /// The upstream refused or failed, and the retry budget is used up.
+    #[display("the retry budget is used up")]
+    RetryBudget,
+}
+
+/// How an attempt ended, as seen by the caller of the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Completion {
+    /// A complete answer.
+    Done {
+        /// Busy slots of the upstream (`x-load`).
+        load: Option<u32>,
+    },
+    /// The attempt certainly did not run: an explicit refusal, or the connection could not be opened.
+    NotRun {
+        /// Busy slots of the upstream (`x-load`).
+        load: Option<u32>,
+    },
+    /// The attempt failed and may have run: no answer, a short body or an error answer.
+    Failed,
+}
+
+/// What the caller has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a queued request for the first time.
+    Dispatch {
+        /// The request.
+        ticket: Ticket,
+        /// Where to send it.
+        upstream: VmId,
+        /// Time left until its deadline, to be handed on.
+        remaining: Duration,
+    },
+    /// Send a request again after a failed attempt.
+    Retry {
+        /// The request.
+        ticket: Ticket,
+        /// Where to send it.
+        upstream: VmId,
+        /// Time left until its deadline, to be handed on.
+        remaining: Duration,
+    },
+    /// Answer the caller finally; the ticket has ended.
+    GiveUp {
+        /// The request.
+        ticket: Ticket,
+        /// Why.
+        reason: Refusal,
+        /// False when no attempt can have run.
+        may_have_run: bool,
+        /// When a retry is useful.
+        retry_after: Duration,
+    },
+}
