--- /dev/null
+++ b/crates/cj-member/src/view.rs
@@ -0,0 +1,129 @@
+//! View of the live peers, built from heartbeats. No I/O.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use cj_types::{NodeId, rendezvous};
+
+use crate::report::{PROTOCOL_VERSION, Report};
+
+/// Options of a view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ViewOptions {
+    /// Interval between heartbeats.
+    pub interval: Duration,
+    /// Missed heartbeats after which a peer is suspected and owns nothing.
+    pub missed: u32,
+    /// Time after which a silent peer is forgotten.
+    pub forget: Duration,
+}
+
+impl Default for ViewOptions {
+    fn default() -> Self {
+        ViewOptions {
+            interval: Duration::from_millis(500),
+            missed: 4,
+            forget: Duration::from_secs(600),
+        }
+    }
+}
+
+/// A peer as last heard of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Its newest report.
+    pub report: Report,
+    /// When the newest report came.
+    pub heard: Instant,
+}
+
+/// What a view made of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// A node or process start that wasn't known.
+    Joined,
+    /// A newer report of a known process start.
+    Updated,
+    /// An older report or one of an earlier process start.
+    Stale,
+    /// Another cluster, another protocol version or this node itself.
+    Foreign,
+}
+
+/// Live peers and what they report.
+#[derive(Clone, Debug)]
+pub struct PeerView {
+    own: Report,
+    options: ViewOptions,
+    peers: BTreeMap<NodeId, Peer>,
+}
+
+impl PeerView {
+    /// Creates a view that knows only this node.
+    pub fn new(own: Report, options: ViewOptions) -> Self {
+        PeerView { own, options, peers: BTreeMap::new() }
+    }
+
+    /// This node's own report.
+    pub fn own(&self) -> &Report {
+        &self.own
+    }
+
+    /// This node's own report, to be updated before it is sent.
+    pub fn own_mut(&mut self) -> &mut Report {
+        &mut self.own
+    }
+
+    /// Takes a report in.
+    pub fn receive(&mut self, report: Report, now: Instant) -> Received {
+        let own = &self.own;
+        let foreign = report.protocol != PROTOCOL_VERSION
+            || report.cluster != own.cluster
+            || report.node.node == own.node.node;
+        if foreign {
+            return Received::Foreign;
+        }
+        let node = report.node.node.clone();
+        let known = self.peers.get(&node).map(|p| (p.report.node.incarnation, p.report.counter));
+        let received = match known {
+            Some((incarnation, counter)) if incarnation == report.node.incarnation => {
+                if report.counter <= counter {
+                    return Received::Stale;
+                }
+                Received::Updated
+            }
+            _ => Received::Joined,
+        };
+        self.peers.insert(node, Peer { report, heard: now });
+        received
+    }
+
+    /// Peers heard of recently that aren't leaving, by node id; this node isn't among them.
+    pub fn live(&self, now: Instant) -> Vec<&Peer> {
+        self.peers.values().filter(|p| !p.report.leaving && !self.is_suspect(p, now)).collect()
+    }
+
+    /// Rendezvous owner of a key among the live peers and this node.
+    pub fn owner(&self, key: &[u8], now: Instant) -> NodeId {
+        let live = self.live(now);
+        let own = (!self.own.leaving || live.is_empty()).then_some(&self.own);
+        let nodes: Vec<&NodeId> =
+            live.iter().map(|p| &p.report).chain(own).map(|r| &r.node.node).collect();
+        let owner = rendezvous::owner(key, nodes.iter().map(|n| n.as_str()));
+        let found = nodes.iter().find(|n| Some(n.as_str()) == owner);
+        found.map_or_else(|| self.own.node.node.clone(), |n| (*n).clone())
+    }
+
+    /// True when too many heartbeats of the peer were missed.
+    pub fn is_suspect(&self, peer: &Peer, now: Instant) -> bool {
+        now.saturating_duration_since(peer.heard) > self.options.interval * self.options.missed
+    }
+
+    /// Forgets peers that were silent for the whole forget time.
+    pub fn expire(&mut self, now: Instant) {
+        let forget = self.options.forget;
+        self.peers.retain(|_, p| now.saturating_duration_since(p.heard) <= forget);
+    }
+}
