Plan repairs, the spare pool and waves by budgets and windows

`plan_all` adds the notices, `wanted_probes` names the VMs to probe, and `UsageLog` sums up spare VM time and moves per team.

--- a/crates/cj-fleet/src/lib.rs
+++ b/crates/cj-fleet/src/lib.rs
@@ -5,9 +5,18 @@
 //! preconditions of the fold decide.
 
 mod evidence;
+mod health;
+mod limits;
+mod notice;
+mod ops;
 mod plan;
+mod repair;
+mod spare;
+mod usage;
 mod view;
 mod wave;
 
 pub use evidence::{Evidence, PROBE_MAX_AGE, Probe};
-pub use plan::{Proposal, plan};
+pub use notice::Notice;
+pub use plan::{Plan, Proposal, plan, plan_all, wanted_probes};
+pub use usage::{TeamUsage, UsageLog, UsageSample};
--- /dev/null
+++ b/crates/cj-fleet/src/notice.rs
@@ -0,0 +1,78 @@
+//! Situations that the planner reports and leaves to operators.
+
+use std::time::Duration;
+
+use derive_more::Display;
+
+use cj_types::{OpId, PoolId, VmId};
+
+/// Something that needs attention but must not be forced.
+#[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Notice {
+    /// A drain takes longer than its limit.
+    #[display("{vm}: drain {op} has taken {} s, limit {} s", taken.as_secs(), limit.as_secs())]
+    DrainOverLimit {
+        /// The VM.
+        vm: VmId,
+        /// The operation.
+        op: OpId,
+        /// Time since the drain started.
+        taken: Duration,
+        /// Limit of the wave.
+        limit: Duration,
+    },
+    /// A reboot takes longer than its limit.
+    #[display("{vm}: reboot {op} has taken {} s, limit {} s", taken.as_secs(), limit.as_secs())]
+    RebootOverLimit {
+        /// The VM.
+        vm: VmId,
+        /// The operation.
+        op: OpId,
+        /// Time since the permission.
+        taken: Duration,
+        /// Limit of the wave.
+        limit: Duration,
+    },
+    /// Many VMs of a pool are missing from the list, and no probe confirms it.
+    #[display("pool {pool}: {missing} of {size} VMs are missing from the list; waiting for probes")]
+    ListDoubted {
+        /// The pool.
+        pool: PoolId,
+        /// VMs missing from the list without a probe.
+        missing: u32,
+        /// VMs of the pool.
+        size: u32,
+    },
+    /// A rack or data centre is down; repairs of its VMs wait for one trial.
+    #[display("{domain}: all VMs failed; one of them is repaired first")]
+    DomainDown {
+        /// Rack or data centre.
+        domain: String,
+    },
+    /// A VM fails repeatedly, but too many VMs of its pool are out of rotation already.
+    #[display("{vm}: failed repeatedly, but pool {pool} has {out} VMs out of rotation already")]
+    TakeOutLimit {
+        /// The VM.
+        vm: VmId,
+        /// Its pool.
+        pool: PoolId,
+        /// VMs out of rotation.
+        out: u32,
+    },
+    /// A pool lacks VMs that the spare pool can't provide.
+    #[display("pool {pool}: {missing} VMs missing and no suitable spare VM")]
+    DeficitOpen {
+        /// The pool.
+        pool: PoolId,
+        /// VMs that remain missing.
+        missing: u32,
+    },
+    /// The platform lists a VM under a pool that no setting names.
+    #[display("{vm}: pool {pool} isn't set up")]
+    PoolUnknown {
+        /// The VM.
+        vm: VmId,
+        /// The pool.
+        pool: PoolId,
+    },
+}
--- a/crates/cj-fleet/src/plan.rs
+++ b/crates/cj-fleet/src/plan.rs
@@ -1,12 +1,14 @@
 //! The entry point of the planner.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use compact_str::CompactString;
 
 use cj_fold::State;
 use cj_record::Entry;
-use cj_types::UnixMillis;
+use cj_types::{PoolId, UnixMillis, VmId};
 
-use crate::{Evidence, view, wave};
+use crate::{Evidence, Notice, health, ops, repair, spare, view::Fleet, wave};
 
 /// An entry to propose, with the reason in words.
 #[derive(Clone, Debug, PartialEq)]
@@ -17,19 +19,86 @@
     pub reason: CompactString,
 }
 
-impl Proposal {
-    pub(crate) fn new(entry: Entry, reason: impl Into<CompactString>) -> Self {
-        Proposal { entry, reason: reason.into() }
+/// Proposals and notices of one planning round.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Entries to propose, in order of importance.
+    pub proposals: Vec<Proposal>,
+    /// Situations for operators.
+    pub notices: Vec<Notice>,
+    concerned: BTreeSet<VmId>,
+    kept: BTreeMap<PoolId, u32>,
+}
+
+impl Plan {
+    /// Adds a proposal. At most one proposal per VM is made in a round.
+    pub(crate) fn push(&mut self, entry: Entry, reason: impl Into<CompactString>) {
+        if let Some(vm) = subject(&entry) {
+            debug_assert!(!self.concerned.contains(vm), "two proposals for {vm}");
+            self.concerned.insert(vm.clone());
+        }
+        self.proposals.push(Proposal { entry, reason: reason.into() });
+    }
+
+    /// True when a proposal of this round concerns the VM.
+    pub(crate) fn concerns(&self, vm: &VmId) -> bool {
+        self.concerned.contains(vm)
+    }
+
+    /// Notes that a VM that was leaving the pool stays.
+    pub(crate) fn keep(&mut self, pool: &PoolId) {
+        *self.kept.entry(pool.clone()).or_default() += 1;
+    }
+
+    /// VMs that were leaving the pool and stay.
+    pub(crate) fn kept(&self, pool: &PoolId) -> u32 {
+        self.kept.get(pool).copied().unwrap_or(0)
+    }
+}
+
+/// VM that a fleet entry concerns.
+pub(crate) fn subject(entry: &Entry) -> Option<&VmId> {
+    match entry {
+        Entry::Register(facts) => Some(&facts.vm),
+        Entry::Drain { vm, .. }
+        | Entry::Drained { vm, .. }
+        | Entry::Reboot { vm, .. }
+        | Entry::Rebooted { vm, .. }
+        | Entry::Move { vm, .. }
+        | Entry::Undrain { vm, .. }
+        | Entry::Health { vm, .. }
+        | Entry::TakeOut { vm, .. }
+        | Entry::PutBack { vm, .. } => Some(vm),
+        _ => None,
     }
 }
 
 /// Plans the next acts for the fleet. The result depends only on the arguments.
 pub fn plan(state: &State, evidence: &Evidence, now: UnixMillis) -> Vec<Proposal> {
+    plan_all(state, evidence, now).proposals
+}
+
+/// Like [`plan`], with the notices for operators.
+///
+/// The order of the rules is their precedence: unplanned failures consume the availability budgets first, then
+/// operations under way go on, failed VMs are repaired, deficits are covered, and only what is left goes to waves.
+pub fn plan_all(state: &State, evidence: &Evidence, now: UnixMillis) -> Plan {
+    let mut plan = Plan::default();
     if state.behind {
-        return Vec::new();
+        return plan;
     }
-    let pools = view::pools(state);
-    let mut proposals = wave::continue_ops(state, evidence, now);
-    proposals.extend(wave::start_drains(state, &pools, now));
-    proposals
+    let mut fleet = Fleet::new(state, evidence, now);
+    health::report(&fleet, &mut plan);
+    ops::advance(&fleet, &mut plan);
+    repair::repair(&fleet, &mut plan);
+    spare::lend(&mut fleet, &mut plan);
+    spare::give_back(&mut fleet, &mut plan);
+    wave::start_drains(&mut fleet, &mut plan);
+    health::register(&fleet, &mut plan);
+    plan
+}
+
+/// Names the VMs that have to be probed before the next plan.
+pub fn wanted_probes(state: &State, evidence: &Evidence, now: UnixMillis) -> Vec<VmId> {
+    health::wanted_probes(&Fleet::new(state, evidence, now))
 }
--- a/crates/cj-fleet/src/view.rs
+++ b/crates/cj-fleet/src/view.rs
@@ -1,38 +1,282 @@
-//! The state of the fleet summed up per pool.
+//! The state of the fleet summed up per pool, with the failures that one node's evidence shows.
 
-use std::collections::BTreeMap;
+use std::{
+    cell::OnceCell,
+    collections::{BTreeMap, BTreeSet},
+};
 
-use cj_fold::{State, Vm, VmPhase};
-use cj_settings::PoolSettings;
-use cj_types::{PoolId, VmId};
+use cj_fold::{JobPhase, State, Vm, VmPhase};
+use cj_record::{Purpose, VmFacts};
+use cj_settings::{DailyWindow, PoolSettings, WaveSettings};
+use cj_types::{DataCentreId, PoolId, RackId, UnixMillis, VmId, WaveId};
+
+use crate::{Evidence, limits};
+
+/// A VM with its id.
+pub(crate) type Member<'a> = (&'a VmId, &'a Vm);
+
+/// Number of a pool's VMs per role.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Counts {
+    /// In service and not suspected to have failed.
+    pub(crate) active: u32,
+    /// Draining or drained for a wave.
+    pub(crate) draining: u32,
+    /// Rebooting for a wave.
+    pub(crate) rebooting: u32,
+    /// Failed, expected back from a repair in place.
+    pub(crate) repairing: u32,
+    /// Taken out of rotation.
+    pub(crate) out: u32,
+}
 
 /// One pool with its settings and members.
 pub(crate) struct PoolView<'a> {
+    pub(crate) id: &'a PoolId,
     pub(crate) settings: &'a PoolSettings,
-    pub(crate) vms: Vec<(&'a VmId, &'a Vm)>,
-    pub(crate) active: u32,
+    pub(crate) vms: Vec<Member<'a>>,
+    pub(crate) counts: Counts,
+    /// Active VMs that planned acts may still take; each proposed act lowers it.
+    pub(crate) free: u32,
+    /// Demand for VMs, at least the pool's target.
+    pub(crate) wanted: u32,
 }
 
 impl PoolView<'_> {
-    /// Number of active VMs that planned acts may still take.
-    pub(crate) fn slack(&self) -> u32 {
-        self.active.saturating_sub(self.settings.min_available)
-    }
-}
-
-/// Pools by name. Pools without settings are left out: nothing may be planned for them.
-pub(crate) fn pools(state: &State) -> BTreeMap<&PoolId, PoolView<'_>> {
-    let mut pools: BTreeMap<&PoolId, PoolView<'_>> = state
-        .fleet
-        .pools
-        .iter()
-        .map(|(id, settings)| (id, PoolView { settings, vms: Vec::new(), active: 0 }))
-        .collect();
-    for (id, vm) in &state.vms {
-        if let Some(pool) = pools.get_mut(&vm.pool) {
-            pool.active += u32::from(matches!(vm.phase, VmPhase::Active));
-            pool.vms.push((id, vm));
+    /// Active VMs missing to the availability budget.
+    pub(crate) fn breach(&self) -> u32 {
+        self.settings.min_available.saturating_sub(self.counts.active)
+    }
+
+    /// VMs that the pool lacks. VMs in a wave and failed VMs that a repair in place is expected to return don't count
+    /// as lacking while the availability budget holds.
+    pub(crate) fn deficit(&self) -> u32 {
+        let Counts { active, draining, rebooting, repairing, .. } = self.counts;
+        let lacking = self.wanted.saturating_sub(active + draining + rebooting + repairing);
+        lacking.max(self.breach().saturating_sub(draining))
+    }
+
+    /// VMs beyond the demand, without those that are expected back from a repair.
+    pub(crate) fn surplus(&self) -> u32 {
+        let Counts { active, draining, rebooting, .. } = self.counts;
+        (active + draining + rebooting).saturating_sub(self.wanted)
+    }
+
+    /// Distance of the active VMs from the availability budget; negative when it's broken.
+    pub(crate) fn margin(&self) -> i64 {
+        i64::from(self.counts.active) - i64::from(self.settings.min_available)
+    }
+}
+
+/// Everything that the rules of the planner read.
+pub(crate) struct Fleet<'a> {
+    pub(crate) state: &'a State,
+    pub(crate) evidence: &'a Evidence,
+    pub(crate) now: UnixMillis,
+    pub(crate) pools: BTreeMap<&'a PoolId, PoolView<'a>>,
+    pub(crate) listed: BTreeMap<&'a VmId, &'a VmFacts>,
+    /// VMs in service that a probe or the list shows as failed.
+    pub(crate) suspects: BTreeMap<&'a VmId, Suspicion>,
+    /// Racks and data centres whose VMs all failed.
+    pub(crate) down: Down<'a>,
+    /// VMs on which a recorded job may be running; looked up on first use, since there can be many jobs.
+    claimed: OnceCell<BTreeSet<&'a VmId>>,
+}
+
+/// Why a VM is thought to have failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Suspicion {
+    /// A direct probe failed.
+    Probe,
+    /// It's missing from the platform's list.
+    List,
+}
+
+/// Failure domains whose VMs all failed.
+#[derive(Debug, Default)]
+pub(crate) struct Down<'a> {
+    racks: BTreeSet<&'a RackId>,
+    centres: BTreeSet<&'a DataCentreId>,
+}
+
+impl<'a> Down<'a> {
+    fn new(state: &'a State, suspects: &BTreeMap<&VmId, Suspicion>) -> Self {
+        let mut racks: BTreeMap<&RackId, (u32, u32)> = BTreeMap::new();
+        let mut centres: BTreeMap<&DataCentreId, (u32, u32)> = BTreeMap::new();
+        let present = state.vms.iter().filter(|(_, vm)| !is_out(vm));
+        for (id, vm) in present {
+            let failed = is_failed(vm) || suspects.get(id) == Some(&Suspicion::Probe);
+            for (all, lost) in
+                [racks.entry(&vm.rack).or_default(), centres.entry(&vm.centre).or_default()]
+            {
+                *all += 1;
+                *lost += u32::from(failed);
+            }
+        }
+        Down { racks: all_lost(racks), centres: all_lost(centres) }
+    }
+
+    /// The failure domain of the VM that is down, if any.
+    pub(crate) fn domain(&self, vm: &'a Vm) -> Option<&'a str> {
+        let centre = self.centres.get(&vm.centre).map(|c| c.as_str());
+        centre.or_else(|| self.racks.get(&vm.rack).map(|r| r.as_str()))
+    }
+}
+
+/// Domains with several VMs, all of which failed.
+fn all_lost<D>(counts: BTreeMap<&D, (u32, u32)>) -> BTreeSet<&D>
+where
+    D: Ord,
+{
+    let lost = counts.into_iter().filter(|(_, (all, lost))| *all > 1 && all == lost);
+    lost.map(|(domain, _)| domain).collect()
+}
+
+/// True for a failed VM, also while it's repaired.
+pub(crate) fn is_failed(vm: &Vm) -> bool {
+    let repair = matches!(
+        &vm.phase,
+        VmPhase::Draining { purpose: Purpose::Repair, .. }
+            | VmPhase::Drained { purpose: Purpose::Repair, .. }
+            | VmPhase::Rebooting { purpose: Purpose::Repair, .. }
+    );
+    repair || matches!(vm.phase, VmPhase::Failed { .. })
+}
+
+fn is_out(vm: &Vm) -> bool {
+    matches!(vm.phase, VmPhase::OutOfRotation { .. })
+}
+
+impl<'a> Fleet<'a> {
+    pub(crate) fn new(state: &'a State, evidence: &'a Evidence, now: UnixMillis) -> Self {
+        let listed: BTreeMap<_, _> = evidence.listed.iter().map(|f| (&f.vm, f)).collect();
+        let suspects: BTreeMap<_, _> = state
+            .vms
+            .iter()
+            .filter_map(|(id, vm)| Some((id, suspicion(id, vm, evidence, &listed, now)?)))
+            .collect();
+        let down = Down::new(state, &suspects);
+        let mut fleet = Fleet {
+            state,
+            evidence,
+            now,
+            pools: BTreeMap::new(),
+            listed,
+            suspects,
+            down,
+            claimed: OnceCell::new(),
+        };
+        fleet.pools = fleet.summarise();
+        fleet
+    }
+
+    fn summarise(&self) -> BTreeMap<&'a PoolId, PoolView<'a>> {
+        let empty = |(id, settings): (&'a PoolId, &'a PoolSettings)| {
+            let demand = self.evidence.demand.get(id).copied().unwrap_or(0);
+            let wanted = settings.target.max(demand);
+            let counts = Counts::default();
+            (id, PoolView { id, settings, vms: Vec::new(), counts, free: 0, wanted })
+        };
+        let mut pools: BTreeMap<_, _> = self.state.fleet.pools.iter().map(empty).collect();
+        for (id, vm) in &self.state.vms {
+            if let Some(pool) = pools.get_mut(&vm.pool) {
+                pool.vms.push((id, vm));
+                self.count(&mut pool.counts, id, vm);
+            }
+        }
+        for pool in pools.values_mut() {
+            pool.free = pool.counts.active.saturating_sub(pool.settings.min_available);
+        }
+        pools
+    }
+
+    fn count(&self, counts: &mut Counts, id: &VmId, vm: &'a Vm) {
+        let field = match &vm.phase {
+            VmPhase::Active if !self.suspects.contains_key(id) => &mut counts.active,
+            VmPhase::Draining { purpose: Purpose::Wave(_), .. }
+            | VmPhase::Drained { purpose: Purpose::Wave(_), .. } => &mut counts.draining,
+            VmPhase::Rebooting { purpose: Purpose::Wave(_), .. } => &mut counts.rebooting,
+            VmPhase::OutOfRotation { .. } => &mut counts.out,
+            _ if is_failed(vm) && self.returns_soon(vm) => &mut counts.repairing,
+            _ => return,
+        };
+        *field += 1;
+    }
+
+    /// True when a repair in place is expected to return a failed VM soon.
+    fn returns_soon(&self, vm: &'a Vm) -> bool {
+        let last = vm.failures.last().copied().unwrap_or_default();
+        let recent = self.now.since(last) <= limits::REPAIR_TIME;
+        recent && self.recent_failures(vm) < 2 && self.down.domain(vm).is_none()
+    }
+
+    /// Failures of a VM within the period that counts for taking it out.
+    pub(crate) fn recent_failures(&self, vm: &Vm) -> usize {
+        let recent = |at: &&UnixMillis| self.now.since(**at) <= limits::FAILURE_PERIOD;
+        vm.failures.iter().filter(recent).count()
+    }
+
+    /// True when nothing is in flight on the VM on any live node and no recorded job is claimed on it.
+    pub(crate) fn is_idle(&self, id: &VmId) -> bool {
+        self.evidence.in_flight.get(id) == Some(&0) && !self.is_claimed(id)
+    }
+
+    /// True when no work is known on the VM; enough for a VM of a spare pool, which gets none.
+    pub(crate) fn is_unused(&self, id: &VmId) -> bool {
+        self.evidence.in_flight.get(id).is_none_or(|n| *n == 0) && !self.is_claimed(id)
+    }
+
+    fn is_claimed(&self, id: &VmId) -> bool {
+        let targets = || {
+            let claims = self.state.jobs.values().filter_map(|job| match &job.phase {
+                JobPhase::Claimed(claim) => Some(&claim.target),
+                _ => None,
+            });
+            claims.collect()
+        };
+        self.claimed.get_or_init(targets).contains(id)
+    }
+
+    /// Waves that have started and include the pool.
+    pub(crate) fn waves(
+        &self,
+        pool: &PoolId,
+    ) -> impl Iterator<Item = (&'a WaveId, &'a WaveSettings)> {
+        let (state, now, pool) = (self.state, self.now, pool.clone());
+        state.fleet.waves.iter().filter(move |(_, w)| w.start <= now && w.pools.contains(&pool))
+    }
+
+    /// Forbidden windows of every wave that includes the pool, started or not.
+    pub(crate) fn windows(&self, pool: &PoolId) -> impl Iterator<Item = DailyWindow> {
+        let waves = self.state.fleet.waves.values().filter(|w| w.pools.contains(pool));
+        waves.flat_map(|w| w.forbidden.iter().copied())
+    }
+}
+
+fn suspicion(
+    id: &VmId,
+    vm: &Vm,
+    evidence: &Evidence,
+    listed: &BTreeMap<&VmId, &VmFacts>,
+    now: UnixMillis,
+) -> Option<Suspicion> {
+    let in_service = match &vm.phase {
+        VmPhase::Active => true,
+        VmPhase::Draining { purpose, .. } | VmPhase::Drained { purpose, .. } => {
+            *purpose != Purpose::Repair
+        }
+        _ => false,
+    };
+    if !in_service {
+        return None;
+    }
+    let changed = vm.maintained.max(vm.moved);
+    match evidence.probe(id, changed, now) {
+        Some(probe) => (!probe.healthy).then_some(Suspicion::Probe),
+        None => {
+            let settled = now.since(changed) > limits::LIST_LAG;
+            let missing = !listed.is_empty() && !listed.contains_key(id);
+            (settled && missing).then_some(Suspicion::List)
         }
     }
-    pools
 }
