--- /dev/null
+++ b/crates/cj-fold/src/apply/jobs.rs
@@ -0,0 +1,322 @@
+//! The state machine of jobs.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use compact_str::{CompactString, format_compact};
+
+use cj_record::{Evidence, Outcome, Submit};
+use cj_types::{JobId, PoolId, Token, VmId};
+
+use super::{Ruling, Source, bounded, reject};
+use crate::{
+    rules::{MAX_FAILED_ATTEMPTS, MAX_FAILED_TARGETS, MAX_PAYLOAD_BYTES},
+    state::{Claim, Job, JobPhase, State, Verdict},
+};
+
+impl State {
+    pub(super) fn submit(&mut self, source: Source<'_>, submit: Submit) -> Ruling {
+        if let Some(job) = self.jobs.get(&submit.job) {
+            if job.body_hash != submit.body_hash {
+                return reject("conflict: the key was used with another body");
+            }
+            return Ok(Verdict::Existing { job: submit.job });
+        }
+        self.check_submit(&submit)?;
+        let phase = match &submit.claim {
+            Some((target, lease_ms)) => {
+                self.check_target(target, &submit.pool)?;
+                JobPhase::Claimed(self.grant(source, 1, target.clone(), *lease_ms))
+            }
+            None => JobPhase::Queued,
+        };
+        self.index.add_claim(&phase);
+        self.index.open.insert(submit.job.clone());
+        let text = match &phase {
+            JobPhase::Claimed(claim) => format_compact!("submitted, claimed on {}", claim.target),
+            _ => "submitted".into(),
+        };
+        self.record(source, &submit.job, text);
+        let job = Job {
+            service: submit.service,
+            class: submit.class,
+            team: submit.team,
+            pool: submit.pool,
+            body_hash: submit.body_hash,
+            payload: submit.payload,
+            idempotent: submit.idempotent,
+            task: submit.task,
+            deadline: submit.deadline,
+            demand: submit.demand,
+            run_ms: submit.run_ms,
+            submitted: self.now,
+            attempts: u32::from(submit.claim.is_some()),
+            failures: Vec::new(),
+            phase,
+        };
+        self.jobs.insert(submit.job, job);
+        source.accepted()
+    }
+
+    fn check_submit(&self, submit: &Submit) -> Result<(), CompactString> {
+        let Some(class) = self.fleet.classes.get(&submit.class) else {
+            return reject(format_compact!("class `{}` does not exist", submit.class));
+        };
+        let pool = self.fleet.pools.get(&submit.pool);
+        if !pool.is_some_and(|p| p.classes.contains(&submit.class)) {
+            let (pool, class) = (&submit.pool, &submit.class);
+            return reject(format_compact!("pool `{pool}` does not accept class `{class}`"));
+        }
+        if submit.idempotent && !class.idempotent {
+            return reject(format_compact!("class `{}` is not idempotent", submit.class));
+        }
+        if submit.payload.len() > MAX_PAYLOAD_BYTES {
+            return reject("the payload is larger than 4 KiB");
+        }
+        Ok(())
+    }
+
+    /// A target must be in service in the job's pool; a leaving VM gets no new work.
+    fn check_target(&self, target: &VmId, pool: &PoolId) -> Result<(), CompactString> {
+        let Some(vm) = self.vms.get(target) else {
+            return reject(format_compact!("VM `{target}` does not exist"));
+        };
+        if vm.pool != *pool {
+            return reject(format_compact!("VM `{target}` is in pool `{}`", vm.pool));
+        }
+        if !vm.phase.is_active() {
+            return reject(format_compact!("VM `{target}` is not active"));
+        }
+        Ok(())
+    }
+
+    fn grant(&self, source: Source<'_>, attempt: u32, target: VmId, lease_ms: u32) -> Claim {
+        Claim {
+            holder: source.writer.clone(),
+            token: Token(source.offset.0),
+            attempt,
+            target,
+            until: self.now + Duration::from_millis(lease_ms.into()),
+            cancel: false,
+        }
+    }
+
+    pub(super) fn claim(
+        &mut self,
+        source: Source<'_>,
+        id: JobId,
+        attempt: u32,
+        target: VmId,
+        lease_ms: u32,
+    ) -> Ruling {
+        let job = self.job(&id)?;
+        if job.phase != JobPhase::Queued {
+            return reject("the job is not queued");
+        }
+        let next = job.attempts.saturating_add(1);
+        if attempt != next {
+            return reject(format_compact!("the next attempt is {next}"));
+        }
+        self.check_target(&target, &job.pool)?;
+        let text = format_compact!("attempt {attempt} claimed on {target}");
+        let claim = self.grant(source, attempt, target, lease_ms);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.attempts = attempt;
+        }
+        self.set_phase(&id, JobPhase::Claimed(claim));
+        self.record(source, &id, text);
+        source.accepted()
+    }
+
+    pub(super) fn renew(
+        &mut self,
+        source: Source<'_>,
+        id: &JobId,
+        token: Token,
+        lease_ms: u32,
+    ) -> Ruling {
+        self.held_claim(source, id, token)?;
+        let until = self.now + Duration::from_millis(lease_ms.into());
+        if let Some(Job { phase: JobPhase::Claimed(claim), .. }) = self.jobs.get_mut(id) {
+            claim.until = claim.until.max(until);
+        }
+        source.accepted()
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        source: Source<'_>,
+        id: &JobId,
+        token: Token,
+        outcome: Outcome,
+    ) -> Ruling {
+        let claim = self.held_claim(source, id, token)?.clone();
+        self.settle(source, id, claim, outcome)
+    }
+
+    pub(super) fn expire(&mut self, source: Source<'_>, id: &JobId, token: Token) -> Ruling {
+        let claim = self.current_claim(source, id, token)?.clone();
+        if claim.until > self.now {
+            return reject("the lease has not ended");
+        }
+        let reason = CompactString::from("the lease ended without an outcome");
+        self.record(source, id, "outcome unknown: the lease ended".into());
+        self.set_phase(id, JobPhase::OutcomeUnknown { claim, reason });
+        source.accepted()
+    }
+
+    pub(super) fn resolve(
+        &mut self,
+        source: Source<'_>,
+        id: &JobId,
+        token: Token,
+        outcome: Outcome,
+        evidence: &Evidence,
+    ) -> Ruling {
+        let claim = match &self.job(id)?.phase {
+            JobPhase::OutcomeUnknown { claim, .. } if claim.token == token => claim.clone(),
+            JobPhase::OutcomeUnknown { .. } => return reject("the token is of another claim"),
+            _ => return reject("the outcome of the job is not unknown"),
+        };
+        match (evidence, &outcome) {
+            (_, Outcome::Unknown { .. }) => reject("the evidence settles nothing"),
+            (Evidence::TaskList, _) if claim.until > self.now => {
+                reject("the task list counts only after the lease has ended")
+            }
+            _ => self.settle(source, id, claim, outcome),
+        }
+    }
+
+    pub(super) fn cancel(&mut self, source: Source<'_>, id: &JobId) -> Ruling {
+        self.job(id)?;
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return reject("the job does not exist");
+        };
+        match &mut job.phase {
+            JobPhase::Queued => {
+                self.set_phase(id, JobPhase::Cancelled { at: now });
+                self.record(source, id, "cancelled, not run".into());
+                source.accepted()
+            }
+            JobPhase::Claimed(claim) => {
+                claim.cancel = true;
+                self.record(source, id, "stop requested".into());
+                source.accepted()
+            }
+            JobPhase::OutcomeUnknown { .. } => reject("the outcome of the job is unknown"),
+            _ => reject("the job has ended"),
+        }
+    }
+
+    /// Ends an attempt with a known or unknown outcome.
+    fn settle(&mut self, source: Source<'_>, id: &JobId, claim: Claim, outcome: Outcome) -> Ruling {
+        let at = self.now;
+        let (phase, text) = match outcome {
+            Outcome::Done { answer, .. } if answer.len() > MAX_PAYLOAD_BYTES => {
+                return reject("the answer is larger than 4 KiB");
+            }
+            Outcome::Done { status, answer } => {
+                (JobPhase::Done { at, status, answer }, format_compact!("done, status {status}"))
+            }
+            Outcome::NotRun { reason } if claim.cancel => {
+                (JobPhase::Cancelled { at }, format_compact!("cancelled, not run: {reason}"))
+            }
+            Outcome::NotRun { reason } => {
+                (JobPhase::Queued, format_compact!("queued again, not run: {reason}"))
+            }
+            Outcome::Failed { reason } => self.fail_attempt(id, &claim, bounded(reason)),
+            Outcome::Unknown { reason } => {
+                let text = format_compact!("outcome unknown: {reason}");
+                (JobPhase::OutcomeUnknown { claim, reason: bounded(reason) }, text)
+            }
+        };
+        self.set_phase(id, phase);
+        self.record(source, id, bounded(text));
+        source.accepted()
+    }
+
+    /// Records a failed attempt and decides whether the job may run again.
+    fn fail_attempt(
+        &mut self,
+        id: &JobId,
+        claim: &Claim,
+        reason: CompactString,
+    ) -> (JobPhase, CompactString) {
+        let at = self.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return (JobPhase::Parked { at, reason: reason.clone() }, reason);
+        };
+        job.failures.push((claim.target.clone(), reason.clone()));
+        let targets: BTreeSet<&VmId> = job.failures.iter().map(|(target, _)| target).collect();
+        let limit = if !job.idempotent {
+            Some("it may have had effect")
+        } else if claim.cancel {
+            Some("a stop was requested")
+        } else if targets.len() >= MAX_FAILED_TARGETS {
+            Some("it failed on several targets")
+        } else if job.failures.len() >= MAX_FAILED_ATTEMPTS {
+            Some("it failed in many attempts")
+        } else {
+            None
+        };
+        match limit {
+            Some(why) => {
+                let reason = bounded(format_compact!("{why}: {reason}"));
+                let text = format_compact!("parked: {reason}");
+                (JobPhase::Parked { at, reason }, text)
+            }
+            None => (JobPhase::Queued, format_compact!("queued again, failed on {}", claim.target)),
+        }
+    }
+
+    fn job(&self, id: &JobId) -> Result<&Job, CompactString> {
+        self.jobs.get(id).ok_or_else(|| "the job does not exist".into())
+    }
+
+    /// The claim of a claimed job, when the token is its own.
+    fn current_claim(
+        &self,
+        source: Source<'_>,
+        id: &JobId,
+        token: Token,
+    ) -> Result<&Claim, CompactString> {
+        let JobPhase::Claimed(claim) = &self.job(id)?.phase else {
+            return reject("the job is not claimed");
+        };
+        if claim.token != token {
+            return reject("the token is of another claim");
+        }
+        // Otherwise one batch could claim a job twice under the same token.
+        if token.0 == source.offset.0 {
+            return reject("the claim has not been read back yet");
+        }
+        Ok(claim)
+    }
+
+    fn held_claim(
+        &self,
+        source: Source<'_>,
+        id: &JobId,
+        token: Token,
+    ) -> Result<&Claim, CompactString> {
+        let claim = self.current_claim(source, id, token)?;
+        if claim.holder != *source.writer {
+            return reject(format_compact!("the claim is held by {}", claim.holder));
+        }
+        Ok(claim)
+    }
+
+    fn set_phase(&mut self, id: &JobId, phase: JobPhase) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        debug_assert!(!job.is_ended(), "an ended job must not change");
+        self.index.remove_claim(&job.phase);
+        self.index.add_claim(&phase);
+        job.phase = phase;
+        if let Some(at) = job.ended_at() {
+            self.index.open.remove(id);
+            self.index.ended.push_back((at, id.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cj-fold/src/check.rs
@@ -0,0 +1,84 @@
+//! Full check of the invariants of a state, for tests and diagnosis.
+
+use cj_types::{Error, ErrorKind, Result};
+
+use crate::{
+    index::Index,
+    rules::{JOB_RETENTION, MAX_HISTORY, MAX_PAYLOAD_BYTES, MAX_VERDICTS},
+    state::{Job, JobPhase, State},
+};
+
+impl State {
+    /// Checks every invariant that a state must satisfy by itself. Fails with the first violation. It takes time in
+    /// proportion to the size of the state.
+    pub fn check_invariants(&self) -> Result<()> {
+        self.check_index()?;
+        self.check_jobs()?;
+        self.check_vms()?;
+        ensure(self.fleet == self.rebuild_fleet(), || "checked settings differ".into())?;
+        ensure(self.history.len() <= MAX_HISTORY, || "too many decisions kept".into())?;
+        ensure(self.verdicts.len() <= MAX_VERDICTS, || "too many verdicts kept".into())?;
+        ensure(self.settings.values().all(|s| s.offset < self.settings_next), || {
+            "a setting comes from an offset that was not copied".into()
+        })
+    }
+
+    fn check_index(&self) -> Result<()> {
+        let fresh = Index::build(self);
+        ensure(self.index.pools == fresh.pools, || "derived pools differ".into())?;
+        ensure(self.index.claims == fresh.claims, || "derived claims differ".into())?;
+        ensure(self.index.open == fresh.open, || "derived open jobs differ".into())?;
+        let ordered = self.index.ended.iter().zip(self.index.ended.iter().skip(1));
+        ensure(ordered.into_iter().all(|(a, b)| a.0 <= b.0), || "ends are unordered".into())?;
+        let mut ended: Vec<_> = self.index.ended.iter().cloned().collect();
+        ended.sort();
+        ensure(fresh.ended.iter().eq(&ended), || "derived ended jobs differ".into())
+    }
+
+    fn check_jobs(&self) -> Result<()> {
+        for (id, job) in &self.jobs {
+            ensure(job.payload.len() <= MAX_PAYLOAD_BYTES, || format!("{id}: payload too large"))?;
+            ensure(job.submitted <= self.now, || format!("{id}: submitted after fold time"))?;
+            if let Some(at) = job.ended_at() {
+                ensure(at + JOB_RETENTION > self.now, || format!("{id}: kept for too long"))?;
+            }
+            self.check_claim(job).map_err(|e| failed(format!("{id}: {}", e.kind)))?;
+        }
+        Ok(())
+    }
+
+    fn check_claim(&self, job: &Job) -> Result<()> {
+        let (JobPhase::Claimed(claim) | JobPhase::OutcomeUnknown { claim, .. }) = &job.phase else {
+            return Ok(());
+        };
+        ensure(claim.attempt == job.attempts, || "claim of another attempt".into())?;
+        ensure(claim.token.0 < self.next.0, || "token from the future".into())?;
+        // A non-idempotent job that failed once is parked, so a claimed one has never failed.
+        ensure(job.idempotent || job.failures.is_empty(), || "claimed after a failure".into())
+    }
+
+    fn check_vms(&self) -> Result<()> {
+        for (id, vm) in &self.vms {
+            ensure(vm.home.as_ref() != Some(&vm.pool), || format!("{id}: lent to its own pool"))?;
+            ensure(vm.moved <= self.now, || format!("{id}: moved after fold time"))?;
+            ensure(vm.billed <= self.now, || format!("{id}: billed after fold time"))?;
+            if let Some(op) = vm.phase.op() {
+                ensure(op.0 < self.next.0, || format!("{id}: operation from the future"))?;
+            }
+        }
+        let listed: usize = self.index.pools.values().map(|p| p.members.len()).sum();
+        ensure(listed == self.vms.len(), || "a VM is in no pool or in several".into())
+    }
+}
+
+fn failed(problem: String) -> Error {
+    let help = "stop deciding and compare state hashes between nodes; this is a programming error";
+    Error::new(ErrorKind::Failed(problem.into()), help)
+}
+
+fn ensure<F>(holds: bool, problem: F) -> Result<()>
+where
+    F: FnOnce() -> String,
+{
+    if holds { Ok(()) } else { Err(failed(problem())) }
+}
--- a/crates/cj-fold/src/lib.rs
+++ b/crates/cj-fold/src/lib.rs
@@ -1,5 +1,10 @@
 //! The deterministic fold of a region's log into the shared state.
 
+pub mod apply;
+pub mod check;
+mod index;
+pub mod rules;
+pub mod snapshot;
 pub mod state;
 
 pub use state::*;
--- /dev/null
+++ b/crates/cj-fold/src/snapshot.rs
@@ -0,0 +1,144 @@
+//! Snapshots of the state as pieces that fit into records of the log.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use cj_types::{Error, Offset, Result};
+
+use crate::{index::Index, state::State};
+
+/// Largest encoded piece in bytes.
+pub const MAX_PIECE_BYTES: usize = 48 * 1024;
+
+/// Bytes of the state in one piece; the rest is for the piece's header.
+const CHUNK_BYTES: usize = MAX_PIECE_BYTES - 256;
+
+/// Largest number of pieces that an assembler accepts, to bound its memory (about 384 MiB).
+const MAX_PIECES: u32 = 8192;
+
+/// Number of incomplete snapshots that an assembler keeps.
+const MAX_PARTIAL: usize = 4;
+
+const MAGIC: [u8; 4] = *b"cjs1";
+
+#[derive(Serialize, Deserialize)]
+struct Piece {
+    magic: [u8; 4],
+    /// Offset of the next record after the covered ones.
+    covered: Offset,
+    number: u32,
+    count: u32,
+    /// Hash of the whole encoded state.
+    whole: [u8; 32],
+    /// Checksum of the chunk.
+    sum: u32,
+    chunk: Vec<u8>,
+}
+
+/// Encodes the state as pieces of at most [`MAX_PIECE_BYTES`], in order. A state that met an entry of a later version
+/// gives no pieces, because it lacks that entry's effect.
+pub fn encode(state: &State) -> Vec<Vec<u8>> {
+    if state.behind {
+        return Vec::new();
+    }
+    // Encoding into memory fails only for types that postcard does not support, and the state has none.
+    let Ok(bytes) = postcard::to_stdvec(state) else {
+        return Vec::new();
+    };
+    let whole = *blake3::hash(&bytes).as_bytes();
+    let chunks = bytes.chunks(CHUNK_BYTES);
+    let count = chunks.len() as u32;
+    let pieces = chunks.zip(0..).map(|(chunk, number)| Piece {
+        magic: MAGIC,
+        covered: state.next,
+        number,
+        count,
+        whole,
+        sum: crc32fast::hash(chunk),
+        chunk: chunk.to_vec(),
+    });
+    pieces.filter_map(|piece| postcard::to_stdvec(&piece).ok()).collect()
+}
+
+/// Collects pieces from the snapshot stream, possibly of several writers, torn or corrupt.
+#[derive(Default)]
+pub struct Assembler {
+    partial: BTreeMap<Key, Partial>,
+    /// Next offset of the newest complete snapshot.
+    newest: Option<Offset>,
+}
+
+type Key = (Offset, [u8; 32]);
+
+struct Partial {
+    count: u32,
+    chunks: BTreeMap<u32, Vec<u8>>,
+}
+
+impl Assembler {
+    /// Takes one piece in any order. Returns the state when a snapshot newer than all earlier complete ones has become
+    /// complete and valid. Invalid pieces are skipped.
+    pub fn push(&mut self, piece: &[u8]) -> Option<State> {
+        let piece = decode(piece).ok()?;
+        if self.newest.is_some_and(|newest| piece.covered <= newest) {
+            return None;
+        }
+        let key = (piece.covered, piece.whole);
+        let count = piece.count;
+        let partial =
+            self.partial.entry(key).or_insert_with(|| Partial { count, chunks: BTreeMap::new() });
+        if partial.count != count {
+            return None;
+        }
+        partial.chunks.insert(piece.number, piece.chunk);
+        if partial.chunks.len() < count as usize {
+            self.forget_oldest();
+            return None;
+        }
+        let complete = self.partial.remove(&key)?;
+        let state = assemble(key, complete).ok()?;
+        self.newest = Some(state.next);
+        self.partial.retain(|(covered, _), _| *covered > state.next);
+        Some(state)
+    }
+
+    /// Drops the oldest incomplete snapshots beyond the limit; a torn one would stay for ever.
+    fn forget_oldest(&mut self) {
+        while self.partial.len() > MAX_PARTIAL {
+            self.partial.pop_first();
+        }
+    }
+}
+
+fn decode(bytes: &[u8]) -> Result<Piece> {
+    let invalid = |problem: &str| Error::decode("snapshot piece", problem);
+    if bytes.len() > MAX_PIECE_BYTES {
+        return Err(invalid("larger than 48 KiB"));
+    }
+    let piece: Piece = postcard::from_bytes(bytes).map_err(|e| invalid(&e.to_string()))?;
+    if piece.magic != MAGIC {
+        return Err(invalid("foreign record"));
+    }
+    if piece.number >= piece.count || piece.count > MAX_PIECES {
+        return Err(invalid("wrong piece number"));
+    }
+    if crc32fast::hash(&piece.chunk) != piece.sum {
+        return Err(invalid("checksum mismatch"));
+    }
+    Ok(piece)
+}
+
+fn assemble((covered, whole): Key, partial: Partial) -> Result<State> {
+    let invalid = |problem: &str| Error::decode("snapshot", problem);
+    let bytes = partial.chunks.into_values().collect::<Vec<_>>().concat();
+    if blake3::hash(&bytes) != whole {
+        return Err(invalid("hash mismatch"));
+    }
+    let mut state: State = postcard::from_bytes(&bytes).map_err(|e| invalid(&e.to_string()))?;
+    if state.next != covered || state.behind {
+        return Err(invalid("not usable"));
+    }
+    state.index = Index::build(&state);
+    Ok(state)
+}
--- a/crates/cj-fold/src/state.rs
+++ b/crates/cj-fold/src/state.rs
@@ -8,6 +8,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
+use crate::index::Index;
 use cj_record::{Outcome, Purpose, SettingPath, VmKind};
 use cj_settings::FleetSettings;
 use cj_types::{
@@ -42,12 +43,18 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// VMs.
     pub vms: BTreeMap<VmId, Vm>,
-    /// Spare VM time used, by borrowing team.
+    /// Spare VM time used by loans that were returned or billed so far, by borrowing team. [`State::lent_total`] adds
+    /// the running ones.
     pub lent: BTreeMap<TeamId, Duration>,
+    /// Moves of spare VMs to and from a borrower, by borrowing team.
+    pub lent_moves: BTreeMap<TeamId, u64>,
     /// Recent decisions, oldest first, for `explain`.
     pub history: VecDeque<Decision>,
     /// Counters of folded and skipped records.
     pub counters: Counters,
+    /// Data derived from the fields above.
+    #[serde(skip)]
+    pub(crate) index: Index,
 }
 
 /// A settings value in force.
@@ -77,7 +84,8 @@
 pub struct Writer {
     /// Highest sequence number folded.
     pub last_seq: Sequence,
-    /// Fold time of that batch.
+    /// Latest fold time or batch time of the writer. Batch times count too, so that a writer with a fast clock is
+    /// forgotten only when every copy of its first batch is too old to be taken for a new one.
     pub last_at: UnixMillis,
 }
 
@@ -197,6 +205,10 @@
     pub maintained: UnixMillis,
     /// Fold time of the last move.
     pub moved: UnixMillis,
+    /// Pool that it left at the last move.
+    pub previous: Option<PoolId>,
+    /// Fold time up to which its loan is billed, while it's borrowed.
+    pub billed: UnixMillis,
     /// Fold times of recent failures.
     pub failures: Vec<UnixMillis>,
 }
@@ -340,7 +352,6 @@
     },
 }
 
-/// Shorthand for outcomes that end a claim.
 impl Job {
     /// True when nothing more will happen to the job without an operator or new evidence.
     pub fn is_ended(&self) -> bool {
--- a/crates/cj-settings/src/lib.rs
+++ b/crates/cj-settings/src/lib.rs
@@ -1,5 +1,14 @@
 //! Checked settings: the node's own INI file and the published settings of the fleet.
 
+pub mod fields;
 pub mod fleet;
+pub mod ini;
+pub mod node;
+pub mod object;
+mod values;
 
+pub use fields::{FieldError, Values};
 pub use fleet::*;
+pub use ini::read_fleet_ini;
+pub use node::{NodeSettings, read_node_ini};
+pub use object::{KINDS, Object};
--- /dev/null
+++ b/crates/cj-settings/src/object.rs
@@ -0,0 +1,319 @@
+//! One settings object (a pool, class, team, service, wave or key) as a checked value.
+
+use std::time::Duration;
+
+use compact_str::{CompactString, format_compact};
+
+use cj_types::{ClassId, OfficeId, PoolId, ServiceId, TeamId, WaveId};
+
+use crate::{
+    fields::*,
+    fleet::{
+        ClassSettings, DailyWindow, DomainRule, FleetSettings, PoolSettings, ServiceSettings,
+        TeamSettings, WaveSettings,
+    },
+};
+
+/// Kinds of objects with their keys. Every kind lists a required key last in alphabetical order, so that an object
+/// published key by key in that order comes into force complete.
+pub const KINDS: &[(&str, &[&str])] = &[
+    ("class", &["cap", "deadline", "idempotent", "must_not_drop", "share", "task", "urgency"]),
+    ("key", &["public"]),
+    (
+        "pool",
+        &[
+            "borrows",
+            "classes",
+            "hysteresis",
+            "min_available",
+            "owner",
+            "precedence",
+            "spare",
+            "target",
+        ],
+    ),
+    ("service", &["connections", "pool", "slots"]),
+    ("team", &["quota", "weight"]),
+    ("wave", &["domain", "drain_limit", "forbidden", "pools", "reboot_limit", "start"]),
+];
+
+/// Hysteresis of a pool that states none.
+pub const DEFAULT_HYSTERESIS: Duration = Duration::from_secs(600);
+
+const DAY_SECS: u64 = 86_400;
+
+/// A checked object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Object {
+    /// A class of work.
+    Class(ClassId, ClassSettings),
+    /// A public key of the office.
+    Key([u8; 32]),
+    /// A pool.
+    Pool(PoolId, PoolSettings),
+    /// A service.
+    Service(ServiceId, ServiceSettings),
+    /// A team.
+    Team(TeamId, TeamSettings),
+    /// A maintenance wave.
+    Wave(WaveId, WaveSettings),
+}
+
+impl Object {
+    /// Parses and checks one object. `Ok(None)` means that required keys are still missing; all present keys are valid.
+    pub fn parse(
+        office: &OfficeId,
+        kind: &str,
+        name: &str,
+        values: &Values<'_>,
+    ) -> Result<Option<Object>, Vec<FieldError>> {
+        match Self::parse_strict(office, kind, name, values) {
+            Ok(object) => Ok(Some(object)),
+            Err(errors) if errors.iter().all(|e| e.missing) => Ok(None),
+            Err(errors) => Err(errors.into_iter().filter(|e| !e.missing).collect()),
+        }
+    }
+
+    /// Like [`Object::parse`], but a missing required key is an error.
+    pub fn parse_strict(
+        office: &OfficeId,
+        kind: &str,
+        name: &str,
+        values: &Values<'_>,
+    ) -> Result<Object, Vec<FieldError>> {
+        let mut fields = Fields::new(values);
+        check_keys(&mut fields, kind, values);
+        let object = parse_kind(&mut fields, office, kind, name);
+        match object {
+            Some(object) if fields.errors.is_empty() => Ok(object),
+            _ => Err(fields.errors),
+        }
+    }
+}
+
+/// The candidate most similar to `word`, when one is similar enough to be a likely misspelling.
+pub(crate) fn nearest<'a, I>(word: &str, candidates: I) -> Option<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    let score = |c: &str| strsim::jaro_winkler(word, c);
+    let best = candidates.into_iter().max_by(|a, b| score(a).total_cmp(&score(b)))?;
+    (score(best) > 0.7).then_some(best)
+}
+
+pub(crate) fn suggest<'a, I>(word: &str, candidates: I) -> CompactString
+where
+    I: IntoIterator<Item = &'a str> + Clone,
+{
+    match nearest(word, candidates.clone()) {
+        Some(name) => format_compact!("did you mean `{name}`?"),
+        None => {
+            let known: Vec<&str> = candidates.into_iter().collect();
+            format_compact!("use one of {}", known.join(", "))
+        }
+    }
+}
+
+/// Keys of a kind, or the remedy when the kind is unknown.
+pub(crate) fn keys_of(kind: &str) -> Result<&'static [&'static str], CompactString> {
+    let found = KINDS.iter().find(|(known, _)| *known == kind);
+    found.map(|(_, keys)| *keys).ok_or_else(|| suggest(kind, KINDS.iter().map(|(k, _)| *k)))
+}
+
+fn check_keys(fields: &mut Fields<'_>, kind: &str, values: &Values<'_>) {
+    match keys_of(kind) {
+        Ok(known) => {
+            for key in values.keys().filter(|key| !known.contains(*key)) {
+                fields.fail(key, "unknown key", suggest(key, known.iter().copied()));
+            }
+        }
+        Err(help) => {
+            fields.fail(kind, format_compact!("unknown kind of section `{kind}`"), help);
+        }
+    }
+}
+
+fn parse_kind(f: &mut Fields<'_>, office: &OfficeId, kind: &str, name: &str) -> Option<Object> {
+    let office = office.clone();
+    match kind {
+        "class" => Some(Object::Class(id(f, name)?, class(f, office)?)),
+        "key" => Some(Object::Key(f.required("public", public_key)?)),
+        "pool" => Some(Object::Pool(id(f, name)?, pool(f, office)?)),
+        "service" => Some(Object::Service(id(f, name)?, service(f, office)?)),
+        "team" => Some(Object::Team(id(f, name)?, team(f, office)?)),
+        "wave" => Some(Object::Wave(id(f, name)?, wave(f, office)?)),
+        _ => None,
+    }
+}
+
+fn id<T>(f: &mut Fields<'_>, name: &str) -> Option<T>
+where
+    T: std::str::FromStr<Err = cj_types::Error>,
+{
+    let problem = || format_compact!("invalid section name `{name}`");
+    typed(name).map_err(|help| f.fail("name", problem(), help)).ok()
+}
+
+fn class(f: &mut Fields<'_>, office: OfficeId) -> Option<ClassSettings> {
+    let cap = f.required("cap", percent);
+    let deadline = f.required("deadline", duration);
+    let idempotent = f.required("idempotent", boolean);
+    let must_not_drop = f.required("must_not_drop", boolean);
+    let share = f.required("share", percent);
+    let task = f.required("task", boolean);
+    let urgency = f.required("urgency", number);
+    if let (Some(share), Some(cap)) = (share, cap)
+        && share > cap
+    {
+        let problem = format_compact!("guaranteed share {share} is larger than the cap {cap}");
+        f.fail("share", problem, "lower `share` or raise `cap`");
+    }
+    Some(ClassSettings {
+        office,
+        urgency: urgency?,
+        deadline: deadline?,
+        idempotent: idempotent?,
+        must_not_drop: must_not_drop?,
+        task: task?,
+        share: share?,
+        cap: cap?,
+    })
+}
+
+fn pool(f: &mut Fields<'_>, office: OfficeId) -> Option<PoolSettings> {
+    let borrows = f.optional("borrows", typed);
+    let classes = f.optional("classes", list).unwrap_or_default();
+    let hysteresis = f.optional("hysteresis", duration).unwrap_or(DEFAULT_HYSTERESIS);
+    let min_available = f.required("min_available", number);
+    let owner = f.required("owner", typed);
+    let precedence = f.optional("precedence", number).unwrap_or(0);
+    let spare = f.optional("spare", boolean).unwrap_or(false);
+    let target = f.required("target", number);
+    if spare && borrows.is_some() {
+        f.fail("borrows", "a spare pool can't borrow", "remove `borrows` or `spare`");
+    }
+    if let (Some(min), Some(target)) = (min_available, target)
+        && min > target
+    {
+        let problem = format_compact!("{min} is larger than the pool's target {target}");
+        f.fail("min_available", problem, "lower `min_available` or raise `target`");
+    }
+    Some(PoolSettings {
+        office,
+        min_available: min_available?,
+        target: target?,
+        classes,
+        spare,
+        borrows,
+        precedence,
+        hysteresis,
+        owner: owner?,
+    })
+}
+
+fn service(f: &mut Fields<'_>, office: OfficeId) -> Option<ServiceSettings> {
+    let connections = f.required("connections", positive);
+    let pool = f.required("pool", typed);
+    let slots = f.required("slots", positive);
+    Some(ServiceSettings { office, pool: pool?, slots: slots?, connections: connections? })
+}
+
+fn team(f: &mut Fields<'_>, office: OfficeId) -> Option<TeamSettings> {
+    let quota = f.required("quota", percent);
+    let weight = f.required("weight", positive);
+    Some(TeamSettings { office, quota: quota?, weight: weight? })
+}
+
+fn wave(f: &mut Fields<'_>, office: OfficeId) -> Option<WaveSettings> {
+    let domain = f.optional("domain", domain_rule).unwrap_or_default();
+    let drain_limit = f.required("drain_limit", duration);
+    let forbidden = f.optional("forbidden", windows).unwrap_or_default();
+    let pools = f.required("pools", list);
+    let reboot_limit = f.required("reboot_limit", duration);
+    let start = f.required("start", time);
+    if let (Some(drain), Some(reboot)) = (drain_limit, reboot_limit)
+        && longest_gap(&forbidden) <= (drain + reboot).as_secs()
+    {
+        let help = "shorten the windows, `drain_limit` or `reboot_limit`";
+        f.fail("forbidden", "no gap is long enough for a drain and a reboot", help);
+    }
+    Some(WaveSettings {
+        office,
+        pools: pools?,
+        start: start?,
+        forbidden,
+        drain_limit: drain_limit?,
+        reboot_limit: reboot_limit?,
+        domain,
+    })
+}
+
+fn domain_rule(text: &str) -> Result<DomainRule, CompactString> {
+    match text.trim() {
+        "any" => Ok(DomainRule::Any),
+        "rack" => Ok(DomainRule::Rack),
+        "data-centre" => Ok(DomainRule::DataCentre),
+        _ => Err("use `any`, `rack` or `data-centre`".into()),
+    }
+}
+
+/// Longest time between two windows of the daily cycle, in seconds.
+fn longest_gap(windows: &[DailyWindow]) -> u64 {
+    let mut spans: Vec<(u64, u64)> = Vec::new();
+    for window in windows {
+        let (from, mut to) = (u64::from(window.from), u64::from(window.to));
+        if to <= from {
+            to += DAY_SECS;
+        }
+        // Two further copies make every gap of the cycle visible in a linear scan.
+        spans.extend([0, 1, 2].map(|day| (from + day * DAY_SECS, to + day * DAY_SECS)));
+    }
+    spans.sort_unstable();
+    let Some(&(_, mut end)) = spans.first() else {
+        return u64::MAX;
+    };
+    let mut gap = 0;
+    for (from, to) in spans {
+        gap = gap.max(from.saturating_sub(end));
+        end = end.max(to);
+    }
+    gap
+}
+
+impl FleetSettings {
+    /// Puts an object into force, in place of an earlier one of the same name. A key object changes nothing here.
+    pub fn put(&mut self, object: Object) {
+        match object {
+            Object::Class(id, class) => drop(self.classes.insert(id, class)),
+            Object::Key(_) => {}
+            Object::Pool(id, pool) => drop(self.pools.insert(id, pool)),
+            Object::Service(id, service) => drop(self.services.insert(id, service)),
+            Object::Team(id, team) => drop(self.teams.insert(id, team)),
+            Object::Wave(id, wave) => drop(self.waves.insert(id, wave)),
+        }
+    }
+
+    /// Removes an object that is no longer complete.
+    pub fn remove(&mut self, kind: &str, name: &str) {
+        match kind {
+            "class" => drop(name.parse().map(|id: ClassId| self.classes.remove(&id))),
+            "pool" => drop(name.parse().map(|id: PoolId| self.pools.remove(&id))),
+            "service" => drop(name.parse().map(|id: ServiceId| self.services.remove(&id))),
+            "team" => drop(name.parse().map(|id: TeamId| self.teams.remove(&id))),
+            "wave" => drop(name.parse().map(|id: WaveId| self.waves.remove(&id))),
+            _ => {}
+        }
+    }
+
+    /// Office that owns the object of this kind and name, when it is in force. Names are shared by both offices.
+    pub fn owner(&self, kind: &str, name: &str) -> Option<&OfficeId> {
+        match kind {
+            "class" => self.classes.get(&name.parse().ok()?).map(|c| &c.office),
+            "pool" => self.pools.get(&name.parse().ok()?).map(|p| &p.office),
+            "service" => self.services.get(&name.parse().ok()?).map(|s| &s.office),
+            "team" => self.teams.get(&name.parse().ok()?).map(|t| &t.office),
+            "wave" => self.waves.get(&name.parse().ok()?).map(|w| &w.office),
+            _ => None,
+        }
+    }
+}
