Route by shares, fair queues, deadlines and a retry budget

Cause: the first router had one FIFO queue per pool and neither guarantees nor retries.

Change: a class has a guaranteed share and a cap and lends what it doesn't use; an overloaded class yields what is left to the others. Within a class, teams are served by start-time fair queueing with quotas. Admission refuses what can't finish before its deadline by the observed quantiles of the service time, with a retry time; a class that loses slots gives up at once what no longer fits. Retries need a safe request, a token of the budget and time before the deadline, and go to another failure domain first. Upstreams that fail or slow down against their peers are ejected, up to a third of a pool. Slots are divided among entry nodes without a shared counter in four ways, chosen by Options. Every decision is one log line of target `decision`.

The randomised run found that a ticket stayed in its queue while it ran and so waited twice after a retry; it is now removed when it is sent. It also found a negative estimate of the wait from rounding.

--- /dev/null
+++ b/crates/cj-route/src/budget.rs
@@ -0,0 +1,32 @@
+//! Retry budget: retries are a bounded fraction of fresh requests, so that an outage doesn't multiply the load.
+
+/// Retries that may be saved up. Covers the requests in flight on one failing upstream.
+const MAX_TOKENS: f64 = 20.0;
+
+pub(crate) struct RetryBudget {
+    ratio: Option<f64>,
+    tokens: f64,
+}
+
+impl RetryBudget {
+    pub(crate) fn new(ratio: Option<f64>) -> Self {
+        RetryBudget { ratio, tokens: MAX_TOKENS }
+    }
+
+    /// Counts a fresh request.
+    pub(crate) fn earn(&mut self) {
+        self.tokens = (self.tokens + self.ratio.unwrap_or_default()).min(MAX_TOKENS);
+    }
+
+    /// Takes one retry, or returns false when none is left.
+    pub(crate) fn spend(&mut self) -> bool {
+        if self.ratio.is_none() {
+            return true;
+        }
+        let allowed = self.tokens >= 1.0;
+        if allowed {
+            self.tokens -= 1.0;
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/crates/cj-route/src/queue.rs
@@ -0,0 +1,269 @@
+//! Waiting requests of one class: weighted fair queueing over teams.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::{Duration, Instant},
+};
+
+use cj_types::{ClassId, TeamId};
+
+use crate::types::Ticket;
+
+/// Queue delay counts as overload once it has stayed above its target for this long; shorter bursts are normal.
+const OVERLOAD_INTERVAL: Duration = Duration::from_millis(100);
+/// Removed tickets that a queue may hold beyond the number of waiting ones before it is compacted.
+const STALE_SLACK: usize = 32;
+
+/// Requests of one team in one class.
+pub(crate) struct TeamQueue {
+    pub(crate) id: TeamId,
+    pub(crate) weight: f64,
+    /// Largest part of the class that the team may use while others wait.
+    pub(crate) quota: f64,
+    pub(crate) in_use: usize,
+    /// Virtual start time of the next request.
+    tag: f64,
+    /// Tickets in order; cancelled ones are removed lazily.
+    queue: VecDeque<Ticket>,
+    /// Waiting tickets in `queue`.
+    live: usize,
+    /// Expected service time of the waiting tickets in seconds.
+    pub(crate) backlog: f64,
+    above_since: Option<Instant>,
+}
+
+impl TeamQueue {
+    pub(crate) fn tickets(&self) -> impl Iterator<Item = Ticket> {
+        self.queue.iter().copied()
+    }
+
+    fn overloaded(&self, now: Instant) -> bool {
+        self.above_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= OVERLOAD_INTERVAL)
+    }
+}
+
+/// One class of a pool.
+pub(crate) struct ClassQueue {
+    pub(crate) id: ClassId,
+    pub(crate) urgency: u32,
+    /// False once the pool no longer accepts the class.
+    pub(crate) accepted: bool,
+    /// Guaranteed part of the pool's slots, from 0 to 1.
+    pub(crate) share: f64,
+    /// Largest part of the pool's slots, from 0 to 1.
+    pub(crate) cap: f64,
+    /// Queue delay above which the class counts as overloaded.
+    pub(crate) target: Duration,
+    pub(crate) in_use: usize,
+    pub(crate) waiting: usize,
+    /// Expected service time of all waiting tickets in seconds.
+    pub(crate) backlog: f64,
+    /// Slots that the last review of the queue assumed.
+    pub(crate) reviewed: f64,
+    pub(crate) teams: Vec<TeamQueue>,
+    index: HashMap<TeamId, usize>,
+    /// Teams with waiting tickets.
+    active: Vec<usize>,
+    /// Virtual time: tag of the last dispatched request.
+    now: f64,
+}
+
+impl ClassQueue {
+    pub(crate) fn new(id: ClassId) -> Self {
+        ClassQueue {
+            id,
+            urgency: 0,
+            accepted: false,
+            share: 0.0,
+            cap: 1.0,
+            target: Duration::ZERO,
+            in_use: 0,
+            waiting: 0,
+            backlog: 0.0,
+            reviewed: 0.0,
+            teams: Vec::new(),
+            index: HashMap::new(),
+            active: Vec::new(),
+            now: 0.0,
+        }
+    }
+
+    /// Index of a team, which is added with the given weight and quota when it is new.
+    pub(crate) fn team(&mut self, id: &TeamId, terms: impl FnOnce() -> (f64, f64)) -> usize {
+        if let Some(&team) = self.index.get(id) {
+            return team;
+        }
+        let (weight, quota) = terms();
+        self.teams.push(TeamQueue {
+            id: id.clone(),
+            weight,
+            quota,
+            in_use: 0,
+            tag: self.now,
+            queue: VecDeque::new(),
+            live: 0,
+            backlog: 0.0,
+            above_since: None,
+        });
+        self.index.insert(id.clone(), self.teams.len() - 1);
+        self.teams.len() - 1
+    }
+
+    /// Teams with waiting tickets.
+    pub(crate) fn active(&self) -> &[usize] {
+        &self.active
+    }
+
+    /// Adds a ticket. A retry goes to the front: it has waited before.
+    pub(crate) fn push(&mut self, team: usize, ticket: Ticket, cost: f64, front: bool) {
+        let queue = &mut self.teams[team];
+        if queue.live == 0 {
+            queue.tag = queue.tag.max(self.now);
+            self.active.push(team);
+        }
+        if front {
+            queue.queue.push_front(ticket);
+        } else {
+            queue.queue.push_back(ticket);
+        }
+        queue.live += 1;
+        queue.backlog += cost;
+        self.waiting += 1;
+        self.backlog += cost;
+    }
+
+    /// Takes a waiting ticket out of the accounts. Its entry in the queue is removed later, so this is O(1) amortised.
+    pub(crate) fn forget<F>(&mut self, team: usize, cost: f64, waits: F)
+    where
+        F: Fn(Ticket) -> bool,
+    {
+        let queue = &mut self.teams[team];
+        queue.live -= 1;
+        queue.backlog = (queue.backlog - cost).max(0.0);
+        self.waiting -= 1;
+        self.backlog = (self.backlog - cost).max(0.0);
+        if queue.live == 0 {
+            queue.queue.clear();
+            queue.backlog = 0.0;
+            queue.above_since = None;
+            self.active.retain(|&t| t != team);
+        } else if queue.queue.len() > 2 * queue.live + STALE_SLACK {
+            queue.queue.retain(|&t| waits(t));
+        }
+        if self.waiting == 0 {
+            self.backlog = 0.0;
+        }
+    }
+
+    /// Team whose request is next: the lowest virtual time among the teams within their quota, or among all waiting
+    /// teams when none is. `slots` is the number of slots that the class may count on.
+    pub(crate) fn next_team(&self, slots: f64) -> Option<usize> {
+        let usable = slots.max(self.in_use as f64 + 1.0);
+        let within = |t: &TeamQueue| (t.in_use as f64) < (t.quota * usable).max(1.0);
+        let best = |only_within: bool| {
+            self.active
+                .iter()
+                .copied()
+                .filter(|&t| !only_within || within(&self.teams[t]))
+                .min_by(|&a, &b| self.teams[a].tag.total_cmp(&self.teams[b].tag))
+        };
+        if self.active.len() == 1 { best(false) } else { best(true).or_else(|| best(false)) }
+    }
+
+    /// First waiting ticket of a team. Drops cancelled ones before it.
+    pub(crate) fn front<F>(&mut self, team: usize, waits: F) -> Option<Ticket>
+    where
+        F: Fn(Ticket) -> bool,
+    {
+        let queue = &mut self.teams[team].queue;
+        while let Some(&ticket) = queue.front() {
+            if waits(ticket) {
+                return Some(ticket);
+            }
+            queue.pop_front();
+        }
+        None
+    }
+
+    /// Removes the first waiting ticket, which [`ClassQueue::front`] has returned. A ticket that stayed in the queue
+    /// while it runs would wait twice after a retry.
+    pub(crate) fn pop(&mut self, team: usize) {
+        self.teams[team].queue.pop_front();
+    }
+
+    /// Charges a team for a request that is dispatched with the expected cost in seconds.
+    pub(crate) fn charge(&mut self, team: usize, cost: f64) {
+        let queue = &mut self.teams[team];
+        queue.tag = queue.tag.max(self.now);
+        self.now = queue.tag;
+        queue.tag += cost / queue.weight;
+        queue.in_use += 1;
+        self.in_use += 1;
+    }
+
+    /// Ends the use of a slot and corrects the charge by the time that was really used.
+    pub(crate) fn release(&mut self, team: usize, cost: f64, used: f64) {
+        let queue = &mut self.teams[team];
+        queue.tag += (used - cost) / queue.weight;
+        queue.in_use -= 1;
+        self.in_use -= 1;
+    }
+
+    /// Takes the queue delay of a request that leaves the queue for an upstream.
+    pub(crate) fn note_delay(&mut self, team: usize, delay: Duration, now: Instant) {
+        let above = delay > self.target;
+        let queue = &mut self.teams[team];
+        queue.above_since = if above { queue.above_since.or(Some(now)) } else { None };
+    }
+
+    /// True while the queue delay of a waiting team has been above the target for some time.
+    pub(crate) fn overloaded(&self, now: Instant) -> bool {
+        self.active.iter().any(|&t| self.teams[t].overloaded(now))
+    }
+
+    /// True while the queue delay of this team has been above the target for some time.
+    pub(crate) fn team_overloaded(&self, team: usize, now: Instant) -> bool {
+        self.teams[team].overloaded(now)
+    }
+
+    /// Expected work ahead of a new request of a team in seconds: its own team's backlog scaled by its weight among
+    /// the waiting teams, and at most the backlog of the class.
+    pub(crate) fn work_ahead(&self, team: usize) -> f64 {
+        self.scale(team, self.teams[team].backlog)
+    }
+
+    /// Work of the class that is served while a team gets `own` seconds of work.
+    pub(crate) fn scale(&self, team: usize, own: f64) -> f64 {
+        let weight = self.teams[team].weight;
+        let others: f64 =
+            self.active.iter().filter(|&&t| t != team).map(|&t| self.teams[t].weight).sum();
+        // Rounding may leave the sums of the teams slightly above the sum of the class.
+        let of_others = (self.backlog - self.teams[team].backlog).max(0.0);
+        (own * (weight + others) / weight).min(of_others + own)
+    }
+
+    /// Recounts the accounts from the queues.
+    pub(crate) fn check<F>(&self, waits: F)
+    where
+        F: Fn(Ticket) -> bool,
+    {
+        let live = |t: &TeamQueue| t.tickets().filter(|&ticket| waits(ticket)).count();
+        for (index, team) in self.teams.iter().enumerate() {
+            assert_eq!(live(team), team.live, "waiting of {}/{}", self.id, team.id);
+            assert_eq!(
+                self.active.contains(&index),
+                team.live > 0,
+                "active {}/{}",
+                self.id,
+                team.id
+            );
+            assert!(
+                team.queue.len() <= 2 * team.live + STALE_SLACK + 1,
+                "stale tickets are bounded"
+            );
+        }
+        assert_eq!(self.waiting, self.teams.iter().map(|t| t.live).sum::<usize>());
+        assert_eq!(self.in_use, self.teams.iter().map(|t| t.in_use).sum::<usize>());
+    }
+}
--- /dev/null
+++ b/crates/cj-route/src/times.rs
@@ -0,0 +1,60 @@
+//! Observed service times per service and class.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Longest recorded service time in microseconds (1 hour); longer ones count as this.
+const MAX_MICROS: u64 = 3_600_000_000;
+/// Samples per window. Two windows are kept, so that quantiles follow a change within this many requests.
+const WINDOW: u64 = 512;
+/// Samples between two computations of the quantiles.
+const REFRESH: u64 = 16;
+/// Service time assumed before the first answer; short, so that nothing is refused without evidence.
+const PRIOR: Duration = Duration::from_millis(1);
+
+/// Quantiles and mean over the last one to two windows of samples.
+pub(crate) struct ServiceTimes {
+    current: Histogram<u32>,
+    previous: Histogram<u32>,
+    pub(crate) mean: Duration,
+    pub(crate) p50: Duration,
+    pub(crate) p90: Duration,
+    pub(crate) p99: Duration,
+}
+
+impl ServiceTimes {
+    pub(crate) fn new() -> Self {
+        let empty = || Histogram::new_with_bounds(1, MAX_MICROS, 2).expect("constant bounds");
+        ServiceTimes {
+            current: empty(),
+            previous: empty(),
+            mean: PRIOR,
+            p50: PRIOR,
+            p90: PRIOR,
+            p99: PRIOR,
+        }
+    }
+
+    pub(crate) fn record(&mut self, time: Duration) {
+        self.current.saturating_record((time.as_micros() as u64).clamp(1, MAX_MICROS));
+        let samples = self.current.len();
+        if samples.is_multiple_of(REFRESH) || (self.previous.is_empty() && samples < REFRESH) {
+            self.refresh();
+        }
+        if samples >= WINDOW {
+            std::mem::swap(&mut self.current, &mut self.previous);
+            self.current.reset();
+        }
+    }
+
+    fn refresh(&mut self) {
+        let mut all = self.previous.clone();
+        if all.add(&self.current).is_err() {
+            return;
+        }
+        let at = |q| Duration::from_micros(all.value_at_quantile(q));
+        (self.p50, self.p90, self.p99) = (at(0.5), at(0.9), at(0.99));
+        self.mean = Duration::from_micros(all.mean() as u64).max(Duration::from_micros(1));
+    }
+}
--- a/crates/cj-route/src/types.rs
+++ b/crates/cj-route/src/types.rs
@@ -133,3 +133,30 @@
         retry_after: Duration,
     },
 }
+
+/// Counters of a router since its start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Requests that had to wait.
+    pub queued: u64,
+    /// Attempts sent, retries included.
+    pub dispatched: u64,
+    /// Attempts beyond the node's share.
+    pub borrowed: u64,
+    /// Attempts after the first one.
+    pub retries: u64,
+    /// Requests with a complete answer.
+    pub done: u64,
+    /// Requests refused on arrival.
+    pub refused: u64,
+    /// Admitted requests that were given up.
+    pub given_up: u64,
+    /// Requests cancelled by their callers.
+    pub cancelled: u64,
+    /// Attempts that an upstream refused for lack of room.
+    pub overruns: u64,
+    /// Completions and cancellations of tickets that have ended or are not at an upstream.
+    pub late: u64,
+    /// Ejections of upstreams.
+    pub ejections: u64,
+}
--- /dev/null
+++ b/crates/cj-route/src/upstreams.rs
@@ -0,0 +1,499 @@
+//! Upstreams: slots in use, reported load, outlier ejection and the choice between them.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use slotmap::SlotMap;
+
+use cj_types::{DataCentreId, RackId, VmId};
+
+use crate::{
+    options::Selection,
+    slots,
+    view::{PoolEntry, PoolView},
+};
+
+/// Age up to which a reported load is believed.
+const REPORT_LIFETIME: Duration = Duration::from_millis(500);
+/// Slots that a borrower leaves free for the owners of the slots.
+const BORROW_HEADROOM: u32 = 1;
+/// Samples from the free list for a request that avoids an upstream, so that another failure domain is likely found.
+const AVOID_SAMPLES: usize = 8;
+/// Failures in a row that make an upstream an outlier.
+const CONSECUTIVE_FAILURES: u32 = 5;
+/// Smoothing factor of the failure rate per attempt.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Failure rate at which an upstream is compared with its peers.
+const FAILURE_RATE: f64 = 0.3;
+/// Failure rate beyond the peers' median, as a factor and an absolute distance, at which an upstream is ejected.
+const PEER_FACTOR: f64 = 2.0;
+const PEER_DISTANCE: f64 = 0.2;
+/// Slowdown against the peers' median at which an upstream is ejected, and attempts needed to judge it.
+const SLOW_FACTOR: f64 = 4.0;
+const SLOW_SAMPLES: u32 = 30;
+/// Shortest ejection; doubles with each further one up to the longest.
+const EJECTION: Duration = Duration::from_secs(5);
+const MAX_EJECTION: Duration = Duration::from_secs(80);
+/// Successes in a row that end the probation after an ejection; until then the upstream gets one request at a time.
+const PROBATION: u32 = 3;
+/// Age at which the peers' medians are computed again.
+const MEDIAN_LIFETIME: Duration = Duration::from_millis(10);
+/// Attempts after which a peer counts in the medians. Four failures in a row exceed [`FAILURE_RATE`], so peers that all
+/// fail are seen to fail.
+const PEER_SAMPLES: u32 = 4;
+/// Peers that are needed for a comparison.
+const MIN_PEERS: usize = 2;
+
+slotmap::new_key_type! {
+    pub(crate) struct UpstreamKey;
+}
+
+pub(crate) struct Upstream {
+    pub(crate) vm: VmId,
+    pub(crate) centre: DataCentreId,
+    rack: RackId,
+    pub(crate) leaving: bool,
+    pub(crate) in_flight: usize,
+    /// Slots that this node may use.
+    limit: usize,
+    /// Position in the free list.
+    free_at: Option<usize>,
+    reported: u32,
+    reported_at: Option<Instant>,
+    /// Attempts started since the last report.
+    sent: u32,
+    failure_rate: f64,
+    /// Smoothed ratio of its service times to the usual ones.
+    slowness: f64,
+    samples: u32,
+    failures: u32,
+    ejected_until: Option<Instant>,
+    ejections: u32,
+    probation: u32,
+}
+
+impl Upstream {
+    /// Slots that this node may use now.
+    fn usable(&self) -> usize {
+        if self.leaving || self.ejected_until.is_some() {
+            0
+        } else if self.probation > 0 {
+            self.limit.min(1)
+        } else {
+            self.limit
+        }
+    }
+
+    /// Busy slots by the last report, or `None` when it is too old.
+    fn reported_load(&self, now: Instant) -> Option<u32> {
+        let age = now.saturating_duration_since(self.reported_at?);
+        (age <= REPORT_LIFETIME).then_some(self.reported + self.sent)
+    }
+
+    fn load(&self, now: Instant) -> f64 {
+        let own = self.in_flight as f64;
+        self.reported_load(now).map_or(own, |load| own.max(f64::from(load)))
+    }
+
+    /// Preference for a request that avoids `avoid`: another data centre, another rack, another VM, then itself.
+    fn domain_rank(&self, avoid: Option<&Upstream>) -> u32 {
+        match avoid {
+            None => 0,
+            Some(avoid) if avoid.vm == self.vm => 3,
+            Some(avoid) if avoid.rack == self.rack => 2,
+            Some(avoid) if avoid.centre == self.centre => 1,
+            Some(_) => 0,
+        }
+    }
+}
+
+/// Result of an attempt as far as it concerns the health of an upstream.
+pub(crate) enum Sample {
+    /// Complete answer; holds the ratio of its service time to the usual one.
+    Success(f64),
+    /// Explicit refusal for lack of room: neither healthy nor failing.
+    Busy,
+    /// No connection, no answer or an error.
+    Failure,
+}
+
+/// A chosen upstream and the ones it was compared with.
+pub(crate) struct Chosen {
+    pub(crate) key: UpstreamKey,
+    pub(crate) candidates: Vec<UpstreamKey>,
+    pub(crate) borrowed: bool,
+}
+
+/// What the choice of an upstream takes into account.
+pub(crate) struct Wish<'a> {
+    pub(crate) avoid: Option<&'a VmId>,
+    pub(crate) centre: &'a DataCentreId,
+}
+
+/// Upstreams of one pool.
+pub(crate) struct Upstreams {
+    selection: Selection,
+    slots: usize,
+    /// Connections that this node may open to one upstream.
+    connections: usize,
+    all: SlotMap<UpstreamKey, Upstream>,
+    index: HashMap<VmId, UpstreamKey>,
+    /// Upstreams that are not leaving.
+    members: Vec<UpstreamKey>,
+    /// Upstreams with room in this node's share.
+    free: Vec<UpstreamKey>,
+    capacity: usize,
+    ejected: usize,
+    medians: Option<(Instant, Option<(f64, f64)>)>,
+}
+
+impl Upstreams {
+    pub(crate) fn new(selection: Selection) -> Self {
+        Upstreams {
+            selection,
+            slots: 0,
+            connections: 0,
+            all: SlotMap::with_key(),
+            index: HashMap::new(),
+            members: Vec::new(),
+            free: Vec::new(),
+            capacity: 0,
+            ejected: 0,
+            medians: None,
+        }
+    }
+
+    /// Slots that this node may count on: its share of the upstreams that accept work.
+    pub(crate) fn capacity(&self) -> usize {
+        self.capacity
+    }
+
+    /// True when an upstream accepts new work, now or after its ejection.
+    pub(crate) fn any(&self) -> bool {
+        !self.members.is_empty()
+    }
+
+    pub(crate) fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
+        self.all.get(key)
+    }
+
+    pub(crate) fn find(&self, vm: &VmId) -> Option<&Upstream> {
+        self.index.get(vm).and_then(|&key| self.all.get(key))
+    }
+
+    pub(crate) fn ejected(&self) -> usize {
+        self.ejected
+    }
+
+    /// Takes over a new view. Upstreams that it doesn't name leave.
+    pub(crate) fn update(&mut self, view: &PoolView, entry: Option<&PoolEntry>) {
+        for upstream in self.all.values_mut() {
+            upstream.leaving = true;
+        }
+        if let Some(entry) = entry {
+            self.slots = entry.slots as usize;
+            let nodes = view.nodes.max(1);
+            self.connections = (entry.connections / nodes).max(1) as usize;
+            let mut sorted: Vec<_> = entry.upstreams.iter().collect();
+            sorted.sort_by(|a, b| a.vm.cmp(&b.vm));
+            let node = (u64::from(view.index % nodes), u64::from(nodes));
+            let count = sorted.len() as u64;
+            for (rank, facts) in sorted.iter().enumerate() {
+                let key = self.insert(&facts.vm, &facts.centre, &facts.rack);
+                let share =
+                    slots::limit(self.selection, entry.slots.into(), (rank as u64, count), node);
+                let upstream = &mut self.all[key];
+                upstream.centre = facts.centre.clone();
+                upstream.rack = facts.rack.clone();
+                upstream.leaving = facts.leaving;
+                upstream.limit = (share as usize).min(self.connections);
+            }
+            self.ensure_share(node.0 as usize);
+        }
+        self.all.retain(|_, u| !u.leaving || u.in_flight > 0);
+        self.index.retain(|_, key| self.all.contains_key(*key));
+        let mut members: Vec<_> =
+            self.all.iter().filter(|(_, u)| !u.leaving).map(|(k, _)| k).collect();
+        members.sort_by(|a, b| self.all[*a].vm.cmp(&self.all[*b].vm));
+        self.members = members;
+        self.medians = None;
+        self.recount();
+    }
+
+    /// A pool with fewer slots than nodes leaves some nodes without a share. Such a node uses one slot all the same;
+    /// the upstream refuses what it can't take.
+    fn ensure_share(&mut self, index: usize) {
+        let active: Vec<_> = self.all.iter().filter(|(_, u)| !u.leaving).map(|(k, _)| k).collect();
+        if !active.is_empty() && active.iter().all(|&k| self.all[k].limit == 0) {
+            self.all[active[index % active.len()]].limit = 1;
+        }
+    }
+
+    fn insert(&mut self, vm: &VmId, centre: &DataCentreId, rack: &RackId) -> UpstreamKey {
+        if let Some(&key) = self.index.get(vm) {
+            return key;
+        }
+        let key = self.all.insert(Upstream {
+            vm: vm.clone(),
+            centre: centre.clone(),
+            rack: rack.clone(),
+            leaving: false,
+            in_flight: 0,
+            limit: 0,
+            free_at: None,
+            reported: 0,
+            reported_at: None,
+            sent: 0,
+            failure_rate: 0.0,
+            slowness: 1.0,
+            samples: 0,
+            failures: 0,
+            ejected_until: None,
+            ejections: 0,
+            probation: 0,
+        });
+        self.index.insert(vm.clone(), key);
+        key
+    }
+
+    /// Rebuilds the free list and the capacity.
+    fn recount(&mut self) {
+        self.free.clear();
+        self.capacity = 0;
+        self.ejected = 0;
+        for (key, upstream) in &mut self.all {
+            self.capacity += upstream.usable();
+            self.ejected += usize::from(!upstream.leaving && upstream.ejected_until.is_some());
+            upstream.free_at = None;
+            if upstream.in_flight < upstream.usable() {
+                upstream.free_at = Some(self.free.len());
+                self.free.push(key);
+            }
+        }
+    }
+
+    /// Puts an upstream into the free list or takes it out, after its use has changed.
+    fn refresh(&mut self, key: UpstreamKey) {
+        let Some(upstream) = self.all.get_mut(key) else {
+            return;
+        };
+        let has_room = upstream.in_flight < upstream.usable();
+        match (has_room, upstream.free_at) {
+            (true, None) => {
+                upstream.free_at = Some(self.free.len());
+                self.free.push(key);
+            }
+            (false, Some(at)) => {
+                upstream.free_at = None;
+                self.free.swap_remove(at);
+                if let Some(&moved) = self.free.get(at) {
+                    self.all[moved].free_at = Some(at);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Chooses an upstream with room, or returns `None`.
+    pub(crate) fn choose(
+        &self,
+        wish: &Wish<'_>,
+        rng: &mut Pcg64Mcg,
+        now: Instant,
+    ) -> Option<Chosen> {
+        if !self.free.is_empty() {
+            return Some(self.sample(wish, rng, now));
+        }
+        (self.selection == Selection::Borrowing).then(|| self.borrow(rng, now)).flatten()
+    }
+
+    fn sample(&self, wish: &Wish<'_>, rng: &mut Pcg64Mcg, now: Instant) -> Chosen {
+        let avoid = wish.avoid.and_then(|vm| self.find(vm));
+        let draws = if avoid.is_some() { AVOID_SAMPLES } else { 2 };
+        let mut candidates: Vec<UpstreamKey> = if self.free.len() <= draws {
+            self.free.clone()
+        } else {
+            (0..draws).map(|_| self.free[rng.random_range(0..self.free.len())]).collect()
+        };
+        candidates.dedup();
+        let rate = |key: &UpstreamKey| {
+            let upstream = &self.all[*key];
+            let far = upstream.centre != *wish.centre;
+            (upstream.domain_rank(avoid), upstream.load(now), far)
+        };
+        let key = *candidates
+            .iter()
+            .min_by(|a, b| rate(a).partial_cmp(&rate(b)).expect("loads are finite"))
+            .expect("the free list is not empty");
+        Chosen { key, candidates, borrowed: false }
+    }
+
+    /// Chooses a slot beyond this node's share that recent answers report as free. A wrong guess costs one refusal,
+    /// which proves that the request did not run.
+    fn borrow(&self, rng: &mut Pcg64Mcg, now: Instant) -> Option<Chosen> {
+        if self.members.is_empty() {
+            return None;
+        }
+        let slots = self.slots as u32;
+        let draw = |rng: &mut Pcg64Mcg| self.members[rng.random_range(0..self.members.len())];
+        let candidates = vec![draw(rng), draw(rng)];
+        let room = |key: &UpstreamKey| {
+            let upstream = &self.all[*key];
+            let healthy = upstream.ejected_until.is_none() && upstream.probation == 0;
+            let load = upstream.reported_load(now)?;
+            let fits = load + BORROW_HEADROOM < slots
+                && upstream.in_flight < self.connections.min(self.slots);
+            (healthy && fits).then_some(load)
+        };
+        let best = candidates.iter().filter_map(|k| room(k).map(|load| (load, *k)));
+        let (_, key) = best.min_by_key(|(load, _)| *load)?;
+        Some(Chosen { key, candidates, borrowed: true })
+    }
+
+    /// Counts an attempt that is sent to an upstream.
+    pub(crate) fn start(&mut self, key: UpstreamKey) {
+        let upstream = &mut self.all[key];
+        assert!(!upstream.leaving, "a leaving upstream gets nothing new");
+        upstream.in_flight += 1;
+        upstream.sent += 1;
+        assert!(upstream.in_flight <= self.slots, "an upstream gets at most its slots");
+        self.refresh(key);
+    }
+
+    /// Counts the end of an attempt.
+    pub(crate) fn finish(&mut self, key: UpstreamKey) {
+        let Some(upstream) = self.all.get_mut(key) else {
+            return;
+        };
+        upstream.in_flight -= 1;
+        if upstream.leaving && upstream.in_flight == 0 {
+            self.index.remove(&upstream.vm);
+            self.all.remove(key);
+            return;
+        }
+        self.refresh(key);
+    }
+
+    /// Takes the busy slots that an answer reports.
+    pub(crate) fn report(&mut self, key: UpstreamKey, load: u32, now: Instant) {
+        if let Some(upstream) = self.all.get_mut(key) {
+            (upstream.reported, upstream.reported_at, upstream.sent) = (load, Some(now), 0);
+        }
+    }
+
+    /// Takes the health of an attempt. Returns true when the upstream is ejected.
+    pub(crate) fn judge(&mut self, key: UpstreamKey, sample: Sample, now: Instant) -> bool {
+        let Some(upstream) = self.all.get_mut(key) else {
+            return false;
+        };
+        let on_probation = upstream.probation > 0;
+        if !matches!(sample, Sample::Busy) {
+            upstream.samples = upstream.samples.saturating_add(1);
+        }
+        match sample {
+            Sample::Busy => return false,
+            Sample::Success(slowness) => {
+                upstream.failures = 0;
+                upstream.failure_rate *= 1.0 - FAILURE_WEIGHT;
+                upstream.slowness += FAILURE_WEIGHT * (slowness - upstream.slowness);
+                upstream.probation = upstream.probation.saturating_sub(1);
+                if upstream.probation == 0 && on_probation {
+                    self.recount();
+                }
+            }
+            Sample::Failure => {
+                upstream.failures += 1;
+                let weight = if on_probation { 1.0 } else { FAILURE_WEIGHT };
+                upstream.failure_rate += weight * (1.0 - upstream.failure_rate);
+            }
+        }
+        self.is_outlier(key, now) && self.eject(key, now)
+    }
+
+    fn is_outlier(&mut self, key: UpstreamKey, now: Instant) -> bool {
+        let upstream = &self.all[key];
+        if upstream.leaving || upstream.ejected_until.is_some() {
+            return false;
+        }
+        let (rate, slowness, samples) =
+            (upstream.failure_rate, upstream.slowness, upstream.samples);
+        let failing = upstream.failures >= CONSECUTIVE_FAILURES
+            || (upstream.failures > 0 && upstream.probation > 0)
+            || rate >= FAILURE_RATE;
+        let slow = samples >= SLOW_SAMPLES && slowness >= SLOW_FACTOR;
+        if !failing && !slow {
+            return false;
+        }
+        let Some((peer_rate, peer_slowness)) = self.peer_medians(now) else {
+            return false;
+        };
+        let worse = peer_rate < FAILURE_RATE && rate > PEER_FACTOR * peer_rate + PEER_DISTANCE;
+        (failing && worse) || (slow && slowness > SLOW_FACTOR * peer_slowness)
+    }
+
+    /// Median failure rate and slowness of the upstreams with enough attempts, or `None` when they are too few.
+    fn peer_medians(&mut self, now: Instant) -> Option<(f64, f64)> {
+        if let Some((at, medians)) = self.medians
+            && now.saturating_duration_since(at) < MEDIAN_LIFETIME
+        {
+            return medians;
+        }
+        let peers = self.members.iter().map(|&k| &self.all[k]);
+        let peers: Vec<_> = peers.filter(|u| u.samples >= PEER_SAMPLES).collect();
+        let median = |value: fn(&Upstream) -> f64| {
+            let mut values: Vec<f64> = peers.iter().map(|u| value(u)).collect();
+            let middle = values.len() / 2;
+            *values.select_nth_unstable_by(middle, f64::total_cmp).1
+        };
+        let medians =
+            (peers.len() > MIN_PEERS).then(|| (median(|u| u.failure_rate), median(|u| u.slowness)));
+        self.medians = Some((now, medians));
+        medians
+    }
+
+    /// Ejects an upstream unless a third of the pool is ejected already.
+    fn eject(&mut self, key: UpstreamKey, now: Instant) -> bool {
+        if self.ejected >= self.members.len() / 3 {
+            return false;
+        }
+        let upstream = &mut self.all[key];
+        let length = EJECTION.saturating_mul(1 << upstream.ejections.min(4)).min(MAX_EJECTION);
+        upstream.ejected_until = Some(now + length);
+        upstream.ejections += 1;
+        self.recount();
+        true
+    }
+
+    /// Returns upstreams whose ejection is over, on probation.
+    pub(crate) fn readmit(&mut self, now: Instant) {
+        if self.ejected == 0 {
+            return;
+        }
+        for upstream in self.all.values_mut() {
+            if upstream.ejected_until.is_some_and(|until| until <= now) {
+                upstream.ejected_until = None;
+                upstream.probation = PROBATION;
+                (upstream.failures, upstream.failure_rate) = (0, 0.0);
+                (upstream.samples, upstream.slowness) = (0, 1.0);
+            }
+        }
+        self.medians = None;
+        self.recount();
+    }
+
+    /// Recounts everything that is kept incrementally.
+    pub(crate) fn check(&self) {
+        let capacity: usize = self.all.values().map(Upstream::usable).sum();
+        assert_eq!(capacity, self.capacity, "capacity");
+        for (key, upstream) in &self.all {
+            let listed = upstream.free_at.is_some_and(|at| self.free[at] == key);
+            assert_eq!(listed, upstream.in_flight < upstream.usable(), "free list");
+            assert!(!upstream.leaving || upstream.in_flight > 0, "idle leaving upstream is gone");
+        }
+        assert_eq!(self.free.len(), self.all.values().filter(|u| u.free_at.is_some()).count());
+    }
+}
--- /dev/null
+++ b/crates/cj-route/tests/router/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the router under a virtual clock.
+
+mod cases;
+mod random;
+mod support;
