--- /dev/null
+++ b/crates/cj-standin/src/http.rs
@@ -0,0 +1,275 @@
+//! A small HTTP/1.1 server on one loopback port whose connections can be closed at any moment.
+
+use std::{
+    collections::HashMap,
+    convert::Infallible,
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use actix_http::{
+    HttpMessage, HttpService, KeepAlive, Method, Request, Response, StatusCode,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
+use actix_rt::{ArbiterHandle, net::TcpStream};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures::{StreamExt, future::LocalBoxFuture};
+use serde::Serialize;
+use tokio::task::AbortHandle;
+
+use cj_types::{Error, ErrorKind, Result};
+
+/// Idle connections are kept this long; closing them earlier races with clients that reuse a pooled connection.
+const KEEP_ALIVE: Duration = Duration::from_secs(600);
+
+/// Largest accepted request body in bytes; larger ones are cut here and refused by the handler.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// Locks a mutex. A panicking holder leaves counters and maps usable, so poisoning is ignored.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub struct Call {
+    /// Request method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Query pairs in order.
+    pub query: Vec<(String, String)>,
+    /// Request headers.
+    pub headers: HeaderMap,
+    /// Request body.
+    pub body: Bytes,
+}
+
+impl Call {
+    /// First value of a query parameter, parsed; the default when it's missing or malformed.
+    pub fn number(&self, name: &str, default: u64) -> u64 {
+        let found = self.query.iter().find(|(key, _)| key == name);
+        found.and_then(|(_, value)| value.parse().ok()).unwrap_or(default)
+    }
+
+    /// A header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Path segments, percent-decoded.
+    pub fn segments(&self) -> Vec<String> {
+        self.path.split('/').skip(1).map(decode_segment).collect()
+    }
+}
+
+fn decode_segment(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let code = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3).and_then(|hex| u8::from_str_radix(hex, 16).ok()))
+            .flatten();
+        decoded.push(code.unwrap_or(bytes[at]));
+        at += if code.is_some() { 3 } else { 1 };
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
+/// An answer.
+#[derive(Debug)]
+pub struct Reply {
+    status: StatusCode,
+    headers: Vec<(&'static str, String)>,
+    body: Bytes,
+}
+
+impl Reply {
+    /// An answer with a binary or text body.
+    pub fn new(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Reply { status, headers: Vec::new(), body: body.into() }
+    }
+
+    /// An answer with a JSON body.
+    pub fn json<T>(status: StatusCode, value: &T) -> Self
+    where
+        T: Serialize + ?Sized,
+    {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        Reply::new(status, body).with("content-type", "application/json")
+    }
+
+    /// A JSON error `{"error": reason}`.
+    pub fn error(status: StatusCode, reason: &str) -> Self {
+        Reply::json(status, &serde_json::json!({ "error": reason }))
+    }
+
+    /// Adds a header.
+    pub fn with(mut self, name: &'static str, value: impl ToString) -> Self {
+        self.headers.push((name, value.to_string()));
+        self
+    }
+
+    fn into_response(self) -> Response<Bytes> {
+        let mut response = Response::with_body(self.status, self.body);
+        for (name, value) in self.headers {
+            if let Ok(value) = HeaderValue::from_str(&value) {
+                response.headers_mut().insert(HeaderName::from_static(name), value);
+            }
+        }
+        response
+    }
+}
+
+/// Answers calls; `None` closes the connection without an answer.
+pub type Handler = Arc<dyn Fn(Call) -> LocalBoxFuture<'static, Option<Reply>> + Send + Sync>;
+
+#[derive(Default)]
+struct Tasks {
+    accept: Option<AbortHandle>,
+    connections: HashMap<SocketAddr, AbortHandle>,
+}
+
+/// One HTTP server. It serves on the thread of the given arbiter; the handle may be used from any thread.
+pub struct Server {
+    address: SocketAddr,
+    arbiter: ArbiterHandle,
+    handler: Handler,
+    tasks: Arc<Mutex<Tasks>>,
+}
+
+impl Server {
+    /// Binds to a free loopback port, or to the given one, and serves. Fails when the port can't be bound.
+    pub fn start(arbiter: ArbiterHandle, port: u16, handler: Handler) -> Result<Self> {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], port)))?;
+        let address = listener.local_addr().map_err(io_error)?;
+        let server = Server { address, arbiter, handler, tasks: Arc::default() };
+        server.serve(listener);
+        Ok(server)
+    }
+
+    /// Address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections at once, as a crash would.
+    pub fn kill(&self) {
+        let mut tasks = lock(&self.tasks);
+        tasks.accept.take().iter().for_each(AbortHandle::abort);
+        tasks.connections.drain().for_each(|(_, task)| task.abort());
+    }
+
+    /// Closes all connections and keeps listening.
+    pub fn reset_connections(&self) {
+        lock(&self.tasks).connections.drain().for_each(|(_, task)| task.abort());
+    }
+
+    /// Listens again on the same address after [`Server::kill`]. Fails when the port was taken meanwhile.
+    pub fn restart(&self) -> Result<()> {
+        if lock(&self.tasks).accept.is_some() {
+            return Ok(());
+        }
+        self.serve(bind(self.address)?);
+        Ok(())
+    }
+
+    fn serve(&self, listener: TcpListener) {
+        let (handler, tasks) = (self.handler.clone(), self.tasks.clone());
+        self.arbiter.spawn_fn(move || {
+            let accept = actix_rt::spawn(accept_loop(listener, handler, tasks.clone()));
+            lock(&tasks).accept = Some(accept.abort_handle());
+        });
+    }
+}
+
+fn io_error(error: std::io::Error) -> Error {
+    let help =
+        "check that the loopback port is free and that the limit on open files is sufficient";
+    Error::new(ErrorKind::Io(error.to_string().into()), help)
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    let listener = TcpListener::bind(address).map_err(io_error)?;
+    listener.set_nonblocking(true).map_err(io_error)?;
+    Ok(listener)
+}
+
+async fn accept_loop(listener: TcpListener, handler: Handler, tasks: Arc<Mutex<Tasks>>) {
+    let service = service(handler, tasks.clone());
+    let (Ok(service), Ok(listener)) = (service.await, tokio::net::TcpListener::from_std(listener))
+    else {
+        log::error!("stand-in server did not start");
+        return;
+    };
+    let service = std::rc::Rc::new(service);
+    loop {
+        let Ok((stream, peer)) = listener.accept().await else {
+            // Accepting fails when the limit on open files is reached; connections end meanwhile.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let (service, ended) = (service.clone(), tasks.clone());
+        let connection = actix_rt::spawn(async move {
+            let _ = service.call(stream).await;
+            lock(&ended).connections.remove(&peer);
+        });
+        lock(&tasks).connections.insert(peer, connection.abort_handle());
+    }
+}
+
+async fn service(
+    handler: Handler,
+    tasks: Arc<Mutex<Tasks>>,
+) -> Result<impl Service<TcpStream, Response = (), Error = actix_http::error::DispatchError>, ()> {
+    HttpService::build()
+        .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+        .client_request_timeout(Duration::ZERO)
+        .finish(fn_service(move |request: Request| {
+            let (handler, tasks) = (handler.clone(), tasks.clone());
+            async move {
+                let peer = request.peer_addr();
+                let reply = handler(read_call(request).await).await;
+                let Some(reply) = reply else {
+                    return Ok::<_, Infallible>(close(peer, &tasks).await);
+                };
+                Ok(reply.into_response())
+            }
+        }))
+        .tcp()
+        .new_service(())
+        .await
+}
+
+async fn read_call(mut request: Request) -> Call {
+    let mut body = BytesMut::new();
+    let mut payload = request.take_payload();
+    while let Some(Ok(chunk)) = payload.next().await {
+        if body.len() + chunk.len() > MAX_BODY_BYTES {
+            break;
+        }
+        body.extend_from_slice(&chunk);
+    }
+    let query = request.uri().query().unwrap_or_default();
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    Call {
+        method: request.method().clone(),
+        path: request.path().to_owned(),
+        query: pairs.map(|(key, value)| (key.to_owned(), decode_segment(value))).collect(),
+        headers: request.headers().clone(),
+        body: body.freeze(),
+    }
+}
+
+/// Ends the connection's own task, so that the peer sees it closed without an answer.
+async fn close(peer: Option<SocketAddr>, tasks: &Mutex<Tasks>) -> Response<Bytes> {
+    let task = peer.and_then(|peer| lock(tasks).connections.remove(&peer));
+    if let Some(task) = task {
+        task.abort();
+    }
+    futures::future::pending().await
+}
