--- /dev/null
+++ b/crates/cj-log/src/copies.rs
@@ -0,0 +1,136 @@
+//! Copies of the `settings` stream into the region stream.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use actix_rt::time::{sleep, timeout};
+use futures::future::{join, join_all};
+use log::{error, warn};
+use tokio::sync::Notify;
+
+use cj_fold::State;
+use cj_record::{Entry, SignedSetting};
+use cj_types::{Clock, Error, ErrorKind, Offset, StreamId};
+use ed25519_dalek::VerifyingKey;
+
+use crate::{
+    follow::{READ_BYTES, READ_WAIT, Suspect, in_sequence},
+    replica::Replica,
+    service::LogService,
+    writer::backoff,
+};
+
+const SETTINGS_STREAM: &str = "settings";
+const COPY_KEY: &[u8] = b"settings-copy";
+/// Time that the owner has before other nodes propose a copy, too.
+const COPY_DELAY: Duration = Duration::from_millis(500);
+const COPY_LIMIT: Duration = Duration::from_secs(4);
+/// Most copies proposed at once.
+const MAX_COPIES: usize = 64;
+/// Longest payload of a copy. A longer record can't be valid; its copy is cut off, so that it fits into a batch.
+const MAX_PAYLOAD: usize = 60 * 1024;
+const REREAD_DELAY: Duration = Duration::from_millis(20);
+
+/// Records of the `settings` stream that the region doesn't have yet.
+#[derive(Default)]
+struct Pending {
+    records: RefCell<BTreeMap<Offset, (Vec<u8>, Instant)>>,
+    added: Notify,
+}
+
+impl<L, C> Replica<L, C>
+where
+    L: LogService,
+    C: Clock,
+{
+    /// Follows the `settings` stream and proposes copies until the replica stops.
+    pub(crate) async fn copy_settings(&self) {
+        let pending = Pending::default();
+        join(self.read_settings(&pending), self.propose_copies(&pending)).await;
+    }
+
+    async fn read_settings(&self, pending: &Pending) {
+        let stream: StreamId = SETTINGS_STREAM.parse().expect("a valid stream name");
+        let mut suspect = Suspect::default();
+        let mut failures = 0;
+        let mut next = Offset(0);
+        loop {
+            next = next.max(self.state.borrow().settings_next);
+            let read = self.log.read(&stream, next, READ_BYTES, READ_WAIT).await;
+            match read.and_then(|page| in_sequence(next, page)) {
+                Ok(page) => {
+                    failures = 0;
+                    for (offset, bytes) in page.records {
+                        // A copy damaged on its way would replace a valid setting for good.
+                        let doubtful = !is_signed(&self.state.borrow(), &bytes);
+                        if doubtful && !suspect.is_confirmed(offset, &bytes) {
+                            sleep(REREAD_DELAY).await;
+                            break;
+                        }
+                        let seen = self.clock.now();
+                        pending.records.borrow_mut().insert(offset, (bytes, seen));
+                        next = offset.next();
+                    }
+                    pending.added.notify_one();
+                }
+                Err(Error { kind: ErrorKind::Gap { oldest, .. }, .. }) => {
+                    // Records that no node copied in time are lost; another node may still hold them.
+                    error!("settings records {next} to {oldest} are no longer retained");
+                    sleep(READ_WAIT).await;
+                }
+                Err(error) => {
+                    if failures == 0 {
+                        warn!("reading {stream} failed: {error}");
+                    }
+                    let delay = backoff(&mut *self.rng.borrow_mut(), failures);
+                    failures = (failures + 1).min(10);
+                    sleep(delay).await;
+                }
+            }
+        }
+    }
+
+    async fn propose_copies(&self, pending: &Pending) {
+        loop {
+            let (copies, wait) = self.due_copies(pending);
+            if copies.is_empty() {
+                // The owner may change without an event, so the check is repeated.
+                let _ = timeout(wait, pending.added.notified()).await;
+                continue;
+            }
+            join_all(copies.into_iter().map(|entry| self.propose(entry, COPY_LIMIT))).await;
+            if self.fault().is_some() || self.is_stopping() {
+                sleep(COPY_DELAY).await;
+            }
+        }
+    }
+
+    /// Copies to propose now, or the time until the next check.
+    fn due_copies(&self, pending: &Pending) -> (Vec<Entry>, Duration) {
+        let now = self.clock.now();
+        let settings_next = self.state.borrow().settings_next;
+        let mut records = pending.records.borrow_mut();
+        *records = records.split_off(&settings_next);
+        let delay = if (self.options.owner)(COPY_KEY) { Duration::ZERO } else { COPY_DELAY };
+        let due = |seen: Instant| now.saturating_duration_since(seen) >= delay;
+        let consecutive = records.iter().zip(settings_next.0..);
+        let copies = consecutive
+            .take_while(|((offset, (_, seen)), expected)| offset.0 == *expected && due(*seen))
+            .take(MAX_COPIES)
+            .map(|((offset, (bytes, _)), _)| Entry::SettingsCopy {
+                offset: *offset,
+                payload: bytes[..bytes.len().min(MAX_PAYLOAD)].to_vec(),
+            });
+        let wait = if records.is_empty() { READ_WAIT } else { COPY_DELAY / 4 };
+        (copies.collect(), wait)
+    }
+}
+
+fn is_signed(state: &State, bytes: &[u8]) -> bool {
+    let Ok(signed) = SignedSetting::decode(bytes) else { return false };
+    let keys = state.keys.get(&signed.office).into_iter().flatten();
+    keys.filter_map(|key| VerifyingKey::from_bytes(key).ok()).any(|key| signed.verify(&key).is_ok())
+}
--- /dev/null
+++ b/crates/cj-log/src/follow.rs
@@ -0,0 +1,250 @@
+//! The follower of a replica: reads the region stream, or a peer's copy of it, and folds it.
+
+use std::time::Duration;
+
+use actix_rt::time::{sleep, timeout};
+use futures::future::LocalBoxFuture;
+use log::{debug, info, warn};
+
+use cj_fold::Applied;
+use cj_record::Batch;
+use cj_types::{Clock, Error, ErrorKind, Offset, Result, StreamId};
+
+use crate::{
+    replica::{Fault, Replica},
+    service::{LogService, ReadPage},
+    source::{RecordSource, RelayPage},
+    writer::backoff,
+};
+
+/// Most bytes of one read.
+pub(crate) const READ_BYTES: usize = 256 * 1024;
+/// Longest wait of one read; an idle stream costs one small call in this time.
+pub(crate) const READ_WAIT: Duration = Duration::from_secs(10);
+/// Time that a record reported by a peer may be missing before it is asked for.
+const RELAY_DELAY: Duration = Duration::from_millis(300);
+const RELAY_CHECK: Duration = Duration::from_millis(100);
+const RELAY_TIMEOUT: Duration = Duration::from_secs(1);
+/// Equal reads of an undecodable record after which it counts as corrupt in the log, not on its way.
+const CORRUPT_READS: u32 = 3;
+const REREAD_DELAY: Duration = Duration::from_millis(20);
+
+/// An undecodable record and how often it was read with the same bytes.
+#[derive(Debug, Default)]
+pub(crate) struct Suspect {
+    record: Option<(Offset, Vec<u8>)>,
+    reads: u32,
+}
+
+impl Suspect {
+    /// True once the record was read often enough with the same bytes.
+    pub(crate) fn is_confirmed(&mut self, offset: Offset, bytes: &[u8]) -> bool {
+        let known = self.record.as_ref().is_some_and(|(o, b)| *o == offset && b == bytes);
+        if !known {
+            self.record = Some((offset, bytes.to_vec()));
+            self.reads = 0;
+        }
+        self.reads += 1;
+        self.reads >= CORRUPT_READS
+    }
+}
+
+impl<L, C> Replica<L, C>
+where
+    L: LogService,
+    C: Clock,
+{
+    /// Reads the log and folds what it returns, until a gap is found.
+    pub(crate) async fn follow(&self) {
+        while !matches!(self.fault(), Some(Fault::Gap { .. })) {
+            self.read_once(READ_WAIT).await;
+        }
+        // The other tasks go on, so that the node can report the gap.
+        std::future::pending::<()>().await;
+    }
+
+    /// Reads once; waits a back-off time when the read fails.
+    pub(crate) async fn read_once(&self, wait: Duration) {
+        let from = self.state.borrow().next;
+        let read = self.log.read(&self.stream, from, READ_BYTES, wait).await;
+        match read.and_then(|page| in_sequence(from, page)) {
+            Ok(page) => {
+                self.note_read(page.end);
+                let complete = self.fold_log(&page.records);
+                if !complete {
+                    sleep(REREAD_DELAY).await;
+                }
+            }
+            Err(Error { kind: ErrorKind::Gap { oldest, .. }, .. }) => self.note_gap(from, oldest),
+            Err(error) => self.note_failure(&error).await,
+        }
+    }
+
+    fn note_read(&self, end: Offset) {
+        let mut progress = self.progress.get();
+        progress.reachable = true;
+        progress.read = self.clock.now();
+        progress.end = progress.end.max(end);
+        self.progress.set(progress);
+    }
+
+    fn note_gap(&self, wanted: Offset, oldest: u64) {
+        // A peer may have supplied the records meanwhile.
+        if self.state.borrow().next == wanted {
+            self.fail(Fault::Gap { wanted, oldest: Offset(oldest) });
+        }
+    }
+
+    async fn note_failure(&self, error: &Error) {
+        let mut progress = self.progress.get();
+        if progress.reachable {
+            warn!("reading {} failed: {error}", self.stream);
+        }
+        progress.reachable = false;
+        self.progress.set(progress);
+        let failing = self.clock.now().saturating_duration_since(progress.read).as_secs();
+        let delay = backoff(&mut *self.rng.borrow_mut(), failing.min(4) as u32);
+        sleep(delay).await;
+    }
+
+    /// Folds records of the log; false when one has to be read again.
+    fn fold_log(&self, records: &[(Offset, Vec<u8>)]) -> bool {
+        for (offset, bytes) in records {
+            let next = self.state.borrow().next;
+            if *offset < next {
+                self.check_relayed(*offset, bytes);
+                continue;
+            }
+            let damaged = Batch::decode(bytes).is_err();
+            if damaged && !self.suspect.borrow_mut().is_confirmed(*offset, bytes) {
+                debug!("reading record {offset} again: it can't be decoded");
+                return false;
+            }
+            self.fold(*offset, bytes);
+        }
+        true
+    }
+
+    /// A record that a peer supplied while this read was under way has to be the one in the log.
+    fn check_relayed(&self, offset: Offset, bytes: &[u8]) {
+        let same = self.history.borrow().record(offset).is_none_or(|own| own == bytes);
+        if !same && Batch::decode(bytes).is_ok() {
+            self.fail(Fault::Diverged(offset));
+        }
+    }
+
+    fn fold(&self, offset: Offset, bytes: &[u8]) {
+        let now = self.clock.now();
+        let (applied, hash, behind) = {
+            let mut state = self.state.borrow_mut();
+            let applied = state.apply(offset, bytes);
+            (applied, state.hash, state.behind)
+        };
+        self.history.borrow_mut().push(bytes, hash);
+        let mut progress = self.progress.get();
+        progress.folded = now;
+        progress.end = progress.end.max(offset.next());
+        if let Applied::Corrupt { reason } = &applied {
+            warn!("record {offset} of {} skipped: {reason}", self.stream);
+        }
+        if self.is_own(&applied) {
+            progress.own = now;
+        }
+        self.progress.set(progress);
+        self.writer.borrow_mut().folded(offset, &applied, now);
+        if behind {
+            self.fail(Fault::Behind);
+        }
+        self.changed.notify_waiters();
+        self.wake.notify_one();
+    }
+
+    fn is_own(&self, applied: &Applied) -> bool {
+        matches!(applied, Applied::Batch { writer, .. } if writer == self.writer.borrow().node())
+    }
+
+    /// Asks peers for records that they report and that the log doesn't return in time.
+    ///
+    /// This is safe because a peer hands on the bytes that it read from the log itself, over an authenticated connection;
+    /// because they are folded only at the next offset; and because the peer's state hash at that offset has to be this
+    /// replica's own, so that both have folded the same prefix. A wrong record would still show in the next comparison
+    /// of state hashes, which stops this replica's proposals.
+    pub(crate) async fn follow_peers(&self) {
+        let Some(source) = &self.options.source else { return };
+        let mut missing_since = None;
+        let mut seen = self.state.borrow().next;
+        loop {
+            sleep(RELAY_CHECK).await;
+            let now = self.clock.now();
+            let next = self.state.borrow().next;
+            if source.applied() <= next || matches!(self.fault(), Some(Fault::Diverged(_))) {
+                missing_since = None;
+                continue;
+            }
+            if next != seen {
+                // Progress without a peer's help means that the log answers.
+                seen = next;
+                missing_since = None;
+            }
+            let since = *missing_since.get_or_insert(now);
+            if now.saturating_duration_since(since) < RELAY_DELAY {
+                continue;
+            }
+            let fetch = timeout(RELAY_TIMEOUT, source.records(&self.stream, next, READ_BYTES));
+            if let Ok(Some(page)) = fetch.await
+                && self.fold_relayed(next, &page)
+            {
+                // Stay with the peer until the log makes progress by itself.
+                seen = self.state.borrow().next;
+            }
+        }
+    }
+
+    fn fold_relayed(&self, from: Offset, page: &RelayPage) -> bool {
+        let (next, hash) = {
+            let state = self.state.borrow();
+            (state.next, state.hash)
+        };
+        if next != from || page.before != hash {
+            info!("records from a peer don't continue this state at {next}; not applied");
+            return false;
+        }
+        for (offset, bytes) in &page.records {
+            if *offset != self.state.borrow().next {
+                break;
+            }
+            self.fold(*offset, bytes);
+        }
+        true
+    }
+}
+
+impl<L, C> RecordSource for Replica<L, C>
+where
+    L: LogService,
+    C: Clock,
+{
+    fn records<'a>(
+        &'a self,
+        stream: &'a StreamId,
+        from: Offset,
+        max_bytes: usize,
+    ) -> LocalBoxFuture<'a, Option<RelayPage>> {
+        let own = *stream == self.stream && !matches!(self.fault(), Some(Fault::Diverged(_)));
+        let page = own.then(|| self.history.borrow().page(from, max_bytes)).flatten();
+        Box::pin(std::future::ready(page))
+    }
+
+    fn applied(&self) -> Offset {
+        self.state.borrow().next
+    }
+}
+
+/// Checks that a page starts at `from` and has no holes.
+pub(crate) fn in_sequence(from: Offset, page: ReadPage) -> Result<ReadPage> {
+    let expected = (from.0..).map(Offset);
+    if page.records.iter().zip(expected).any(|((offset, _), expected)| *offset != expected) {
+        return Err(Error::decode("page of records", "offsets are not consecutive"));
+    }
+    Ok(page)
+}
--- /dev/null
+++ b/crates/cj-log/src/http.rs
@@ -0,0 +1,137 @@
+//! Client of the platform's log over HTTP.
+
+use std::time::Duration;
+
+use awc::{
+    Client, Connector,
+    error::{PayloadError, SendRequestError},
+    http::{StatusCode, Uri},
+};
+use serde::Deserialize;
+
+use cj_types::{Error, ErrorKind, Offset, Result, StreamId};
+
+use crate::{
+    memory::gap,
+    service::{LogService, ReadPage},
+};
+
+const SERVICE: &str = "log";
+/// Time that a call may take beyond the wait that it asks for.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// A page may exceed the bytes asked for by one record and by its offsets and lengths.
+const PAGE_OVERHEAD: usize = 128 * 1024;
+const MAX_ANSWER_BYTES: usize = 4 * 1024;
+
+/// Client of the platform's log over HTTP/1.1.
+#[derive(Clone)]
+pub struct HttpLog {
+    base: String,
+    client: Client,
+}
+
+#[derive(Deserialize)]
+struct Appended {
+    offset: Offset,
+}
+
+impl HttpLog {
+    /// Client for the log at `address` (`ip:port`).
+    pub fn new(address: &str) -> Result<Self> {
+        let base = format!("http://{address}");
+        base.parse::<Uri>().map_err(|_| Error::invalid("log address", address, "use IP:PORT"))?;
+        let connector = Connector::new().timeout(CONNECT_LIMIT);
+        // A redirected or repeated append would be a second call that the writer doesn't know of.
+        let client = Client::builder().connector(connector).disable_redirects().finish();
+        Ok(HttpLog { base, client })
+    }
+}
+
+impl LogService for HttpLog {
+    async fn append(&self, stream: &StreamId, record: Vec<u8>) -> Result<Offset> {
+        let url = format!("{}/v1/streams/{stream}/records", self.base);
+        let call = self.client.post(url).timeout(CALL_LIMIT).send_body(record);
+        let mut answer = call.await.map_err(|e| send_error(&e))?;
+        if answer.status() != StatusCode::OK {
+            return Err(status_error(answer.status()));
+        }
+        let body = answer.body().limit(MAX_ANSWER_BYTES).await.map_err(|e| body_error(&e))?;
+        // The append took effect, but its offset isn't known: the read-back settles it.
+        let parsed: Appended = serde_json::from_slice(&body)
+            .map_err(|e| unanswered(format!("malformed answer: {e}")))?;
+        Ok(parsed.offset)
+    }
+
+    async fn read(
+        &self,
+        stream: &StreamId,
+        from: Offset,
+        max_bytes: usize,
+        wait: Duration,
+    ) -> Result<ReadPage> {
+        let url = format!(
+            "{}/v1/streams/{stream}/records?from={from}&max_bytes={max_bytes}&wait_ms={}",
+            self.base,
+            wait.as_millis()
+        );
+        let call = self.client.get(url).timeout(wait + CALL_LIMIT).send();
+        let mut answer = call.await.map_err(|e| send_error(&e))?;
+        let status = answer.status();
+        let limit = max_bytes + PAGE_OVERHEAD;
+        if status == StatusCode::GONE {
+            let body = answer.body().limit(limit).await.unwrap_or_default();
+            // Without a page in the answer only the lower bound is known.
+            let oldest =
+                postcard::from_bytes::<ReadPage>(&body).map_or(from.next(), |page| page.oldest);
+            return Err(gap(stream, from, oldest.max(from.next())));
+        }
+        if status != StatusCode::OK {
+            return Err(status_error(status));
+        }
+        let body = answer.body().limit(limit).await.map_err(|e| body_error(&e))?;
+        decode_page(&body)
+    }
+}
+
+/// Decodes a page of records as the log sends it.
+pub fn decode_page(bytes: &[u8]) -> Result<ReadPage> {
+    let invalid = |problem: &str| Error::decode("page of records", problem);
+    let (page, rest) =
+        postcard::take_from_bytes::<ReadPage>(bytes).map_err(|e| invalid(&e.to_string()))?;
+    if !rest.is_empty() {
+        return Err(invalid("trailing bytes"));
+    }
+    Ok(page)
+}
+
+fn send_error(error: &SendRequestError) -> Error {
+    match error {
+        // Nothing of the request has left: no connection was made.
+        SendRequestError::Url(_) | SendRequestError::Connect(_) => refused(error.to_string()),
+        _ => unanswered(error.to_string()),
+    }
+}
+
+/// The log answers 4xx before it stores anything. A 5xx may come from a proxy that lost the answer.
+fn status_error(status: StatusCode) -> Error {
+    if status.is_client_error() && status != StatusCode::REQUEST_TIMEOUT {
+        refused(status.to_string())
+    } else {
+        unanswered(status.to_string())
+    }
+}
+
+fn body_error(error: &PayloadError) -> Error {
+    unanswered(error.to_string())
+}
+
+fn refused(reason: String) -> Error {
+    let kind = ErrorKind::Refused { service: SERVICE, reason: reason.into() };
+    Error::new(kind, "check the address of the log and its load")
+}
+
+fn unanswered(reason: String) -> Error {
+    let kind = ErrorKind::Unanswered { service: SERVICE, reason: reason.into() };
+    Error::new(kind, "check that the log is reachable")
+}
--- /dev/null
+++ b/crates/cj-log/src/memory.rs
@@ -0,0 +1,310 @@
+//! The log in memory, with injected faults. For tests and benchmarks.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, sleep_until, timeout_at},
+};
+
+use cj_types::{Error, ErrorKind, Offset, Result, StreamId};
+
+use crate::service::{LogService, ReadPage};
+
+const SERVICE: &str = "memory log";
+/// Time after which a call to a log that is down is given up.
+const DOWN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Faults of one handle. Probabilities are between 0 and 1.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Faults {
+    /// Appends get no answer and have no effect.
+    pub append_down: bool,
+    /// Reads get no answer.
+    pub read_down: bool,
+    /// Added to every append, half before and half after it takes effect, and to every read.
+    pub delay: Duration,
+    /// Probability that an append is refused without effect.
+    pub refuse: f64,
+    /// Probability that an append gets no answer and has no effect.
+    pub lose_call: f64,
+    /// Probability that an append takes effect and gets no answer.
+    pub lose_answer: f64,
+    /// Probability that an append is acknowledged and not stored.
+    pub forget: f64,
+    /// Probability that an append is stored a second time after `duplicate_after`.
+    pub duplicate: f64,
+    /// Delay of the second copy.
+    pub duplicate_after: Duration,
+    /// Probability that a record of a page is damaged on its way.
+    pub corrupt: f64,
+    /// Probability that a page arrives truncated and can't be decoded.
+    pub truncate: f64,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    oldest: u64,
+    records: VecDeque<Vec<u8>>,
+}
+
+impl Stream {
+    fn end(&self) -> u64 {
+        self.oldest + self.records.len() as u64
+    }
+}
+
+struct Late {
+    due: Instant,
+    stream: StreamId,
+    record: Vec<u8>,
+}
+
+struct Shared {
+    streams: RefCell<BTreeMap<StreamId, Stream>>,
+    late: RefCell<Vec<Late>>,
+    rng: RefCell<Pcg64Mcg>,
+    appended: Notify,
+    appends: Cell<u64>,
+    read_bytes: Cell<u64>,
+    gap: Cell<Duration>,
+    free_at: Cell<Option<Instant>>,
+    retention: Cell<Option<u64>>,
+}
+
+/// The log in memory. Clones are handles on the same streams and the same faults; [`MemoryLog::handle`] gives a handle
+/// on the same streams with faults of its own.
+#[derive(Clone)]
+pub struct MemoryLog {
+    shared: Rc<Shared>,
+    faults: Rc<RefCell<Faults>>,
+}
+
+impl MemoryLog {
+    /// An empty log whose faults are drawn from `seed`.
+    pub fn new(seed: u64) -> Self {
+        let shared = Shared {
+            streams: RefCell::default(),
+            late: RefCell::default(),
+            rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            appended: Notify::new(),
+            appends: Cell::new(0),
+            read_bytes: Cell::new(0),
+            gap: Cell::default(),
+            free_at: Cell::default(),
+            retention: Cell::default(),
+        };
+        MemoryLog { shared: Rc::new(shared), faults: Rc::default() }
+    }
+
+    /// A handle on the same streams with faults of its own.
+    pub fn handle(&self) -> Self {
+        MemoryLog { shared: self.shared.clone(), faults: Rc::default() }
+    }
+
+    /// Replaces the faults of this handle and its clones.
+    pub fn set_faults(&self, faults: Faults) {
+        *self.faults.borrow_mut() = faults;
+    }
+
+    /// Limits appends of all handles together, in appends per second; later ones queue.
+    pub fn set_capacity(&self, per_second: u32) {
+        self.shared.gap.set(Duration::from_secs(1) / per_second.max(1));
+    }
+
+    /// Keeps only the newest `records` of each stream.
+    pub fn set_retention(&self, records: u64) {
+        self.shared.retention.set(Some(records));
+    }
+
+    /// Drops the records before `oldest`.
+    pub fn trim(&self, stream: &StreamId, oldest: Offset) {
+        let mut streams = self.shared.streams.borrow_mut();
+        let stream = streams.entry(stream.clone()).or_default();
+        while stream.oldest < oldest.0 && stream.records.pop_front().is_some() {
+            stream.oldest += 1;
+        }
+    }
+
+    /// Stores a record at once, without faults.
+    pub fn store(&self, stream: &StreamId, record: Vec<u8>) -> Offset {
+        let shared = &self.shared;
+        shared.appends.set(shared.appends.get() + 1);
+        let mut streams = shared.streams.borrow_mut();
+        let stream = streams.entry(stream.clone()).or_default();
+        let offset = stream.end();
+        stream.records.push_back(record);
+        if let Some(keep) = shared.retention.get() {
+            while stream.records.len() as u64 > keep {
+                stream.records.pop_front();
+                stream.oldest += 1;
+            }
+        }
+        shared.appended.notify_waiters();
+        Offset(offset)
+    }
+
+    /// All retained records of a stream.
+    pub fn dump(&self, stream: &StreamId) -> Vec<(Offset, Vec<u8>)> {
+        let streams = self.shared.streams.borrow();
+        let Some(stream) = streams.get(stream) else { return Vec::new() };
+        (stream.oldest..).map(Offset).zip(stream.records.iter().cloned()).collect()
+    }
+
+    /// Number of records stored so far, in all streams.
+    pub fn appends(&self) -> u64 {
+        self.shared.appends.get()
+    }
+
+    /// Bytes of records returned by reads so far.
+    pub fn read_bytes(&self) -> u64 {
+        self.shared.read_bytes.get()
+    }
+
+    fn hits(&self, probability: f64) -> bool {
+        probability > 0.0 && self.shared.rng.borrow_mut().random_bool(probability.min(1.0))
+    }
+
+    fn store_late(&self) {
+        let now = Instant::now();
+        let due = |late: &mut Late| late.due <= now;
+        let ready: Vec<Late> = self.shared.late.borrow_mut().extract_if(.., due).collect();
+        for late in ready {
+            self.store(&late.stream, late.record);
+        }
+    }
+
+    async fn wait_turn(&self) {
+        let shared = &self.shared;
+        if shared.gap.get().is_zero() {
+            return;
+        }
+        let now = Instant::now();
+        let turn = shared.free_at.get().map_or(now, |at| at.max(now)) + shared.gap.get();
+        shared.free_at.set(Some(turn));
+        sleep_until(turn).await;
+    }
+
+    fn page(&self, stream: &StreamId, from: Offset, max_bytes: usize) -> Result<ReadPage> {
+        let streams = self.shared.streams.borrow();
+        let Some(found) = streams.get(stream) else { return Ok(ReadPage::default()) };
+        if from.0 < found.oldest {
+            return Err(gap(stream, from, Offset(found.oldest)));
+        }
+        let mut page = ReadPage {
+            oldest: Offset(found.oldest),
+            end: Offset(found.end()),
+            records: Vec::new(),
+        };
+        let mut bytes = 0;
+        for (record, offset) in
+            found.records.iter().skip((from.0 - found.oldest) as usize).zip(from.0..)
+        {
+            bytes += record.len();
+            if bytes > max_bytes && !page.records.is_empty() {
+                break;
+            }
+            page.records.push((Offset(offset), record.clone()));
+        }
+        Ok(page)
+    }
+
+    fn damage(&self, page: &mut ReadPage) {
+        let corrupt = self.faults.borrow().corrupt;
+        for (_, record) in &mut page.records {
+            if !record.is_empty() && self.hits(corrupt) {
+                let mut rng = self.shared.rng.borrow_mut();
+                let at = rng.random_range(0..record.len());
+                record[at] ^= rng.random_range(1..=255u8);
+            }
+        }
+    }
+}
+
+/// Error for records that are no longer retained.
+pub(crate) fn gap(stream: &StreamId, wanted: Offset, oldest: Offset) -> Error {
+    let kind =
+        ErrorKind::Gap { stream: stream.as_str().into(), wanted: wanted.0, oldest: oldest.0 };
+    Error::new(kind, "restart the node so that it loads the newest snapshot")
+}
+
+fn unanswered(reason: &str) -> Error {
+    let kind = ErrorKind::Unanswered { service: SERVICE, reason: reason.into() };
+    Error::new(kind, "check that the log is reachable")
+}
+
+impl LogService for MemoryLog {
+    async fn append(&self, stream: &StreamId, record: Vec<u8>) -> Result<Offset> {
+        let faults = self.faults.borrow().clone();
+        if faults.append_down {
+            sleep(DOWN_TIMEOUT).await;
+            return Err(unanswered("the log is down"));
+        }
+        sleep(faults.delay / 2).await;
+        if self.hits(faults.refuse) {
+            let kind = ErrorKind::Refused { service: SERVICE, reason: "overloaded".into() };
+            return Err(Error::new(kind, "retry later"));
+        }
+        if self.hits(faults.lose_call) {
+            sleep(DOWN_TIMEOUT).await;
+            return Err(unanswered("the call was lost"));
+        }
+        self.wait_turn().await;
+        self.store_late();
+        if self.hits(faults.forget) {
+            let streams = self.shared.streams.borrow();
+            return Ok(Offset(streams.get(stream).map_or(0, Stream::end)));
+        }
+        let offset = self.store(stream, record.clone());
+        if self.hits(faults.duplicate) {
+            let due = Instant::now() + faults.duplicate_after;
+            self.shared.late.borrow_mut().push(Late { due, stream: stream.clone(), record });
+        }
+        sleep(faults.delay / 2).await;
+        if self.hits(faults.lose_answer) {
+            sleep(DOWN_TIMEOUT).await;
+            return Err(unanswered("the answer was lost"));
+        }
+        Ok(offset)
+    }
+
+    async fn read(
+        &self,
+        stream: &StreamId,
+        from: Offset,
+        max_bytes: usize,
+        wait: Duration,
+    ) -> Result<ReadPage> {
+        let deadline = Instant::now() + wait;
+        let delay = self.faults.borrow().delay;
+        sleep(delay).await;
+        loop {
+            if self.faults.borrow().read_down {
+                sleep(DOWN_TIMEOUT).await;
+                return Err(unanswered("the log is down"));
+            }
+            let appended = self.shared.appended.notified();
+            self.store_late();
+            let mut page = self.page(stream, from, max_bytes)?;
+            let waiting = page.records.is_empty() && Instant::now() < deadline;
+            if waiting && timeout_at(deadline, appended).await.is_ok() {
+                continue;
+            }
+            let truncate = self.faults.borrow().truncate;
+            if self.hits(truncate) {
+                return Err(Error::decode("page of records", "truncated"));
+            }
+            self.damage(&mut page);
+            let bytes: usize = page.records.iter().map(|(_, r)| r.len()).sum();
+            self.shared.read_bytes.set(self.shared.read_bytes.get() + bytes as u64);
+            return Ok(page);
+        }
+    }
+}
--- a/crates/cj-log/src/replica.rs
+++ b/crates/cj-log/src/replica.rs
@@ -1,19 +1,41 @@
 //! Replica of one region: the folded state, the follower that feeds it and the writer that proposes changes.
 
 use std::{
-    cell::{Ref, RefCell},
+    cell::{Cell, Ref, RefCell},
     collections::BTreeMap,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
+use actix_rt::time::{sleep, timeout};
+use futures::{
+    FutureExt, StreamExt,
+    future::{join5, select},
+    stream::FuturesUnordered,
+};
+use log::{error, info};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
 use cj_fold::{State, Verdict};
 use cj_record::Entry;
-use cj_types::{Clock, Error, Incarnation, NodeIncarnation, OfficeId, Offset, RegionId, Result};
+use cj_types::{
+    Clock, Error, ErrorKind, Incarnation, NodeIncarnation, OfficeId, Offset, RegionId, Result,
+    StreamId,
+};
 
-use crate::{service::LogService, source::RecordSource};
+use crate::{
+    follow::Suspect,
+    history::History,
+    service::LogService,
+    snapshots,
+    source::RecordSource,
+    writer::{Step, WriterCore, WriterStats},
+};
+
+/// Time that [`Replica::stop`] leaves for proposals in flight.
+const FLUSH_LIMIT: Duration = Duration::from_secs(5);
 
 /// Tells whether this node is the rendezvous owner of a key among the live nodes.
 pub type IsOwner = Rc<dyn Fn(&[u8]) -> bool>;
@@ -107,11 +129,31 @@
 
 /// Replica of one region's state.
 pub struct Replica<L, C> {
-    log: L,
-    clock: C,
-    options: ReplicaOptions,
-    state: RefCell<State>,
-    changed: Notify,
+    pub(crate) log: L,
+    pub(crate) clock: C,
+    pub(crate) options: ReplicaOptions,
+    pub(crate) stream: StreamId,
+    pub(crate) state: RefCell<State>,
+    pub(crate) history: RefCell<History>,
+    pub(crate) writer: RefCell<WriterCore>,
+    pub(crate) rng: RefCell<Pcg64Mcg>,
+    pub(crate) changed: Notify,
+    pub(crate) wake: Notify,
+    pub(crate) progress: Cell<Progress>,
+    pub(crate) snapshots: Cell<snapshots::Position>,
+    pub(crate) suspect: RefCell<Suspect>,
+    fault: RefCell<Option<Fault>>,
+    stopping: Cell<bool>,
+}
+
+/// Times and offsets that the tasks of a replica share.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Progress {
+    pub(crate) reachable: bool,
+    pub(crate) read: Instant,
+    pub(crate) folded: Instant,
+    pub(crate) own: Instant,
+    pub(crate) end: Offset,
 }
 
 impl<L, C> Replica<L, C>
@@ -124,14 +166,87 @@
     /// # Errors
     ///
     /// [`cj_types::ErrorKind::Gap`] when no snapshot reaches the oldest retained record, and
-    /// [`cj_types::ErrorKind::Unanswered`] when the log didn't answer within the start limit.
-    pub async fn start(_log: L, _clock: C, _options: ReplicaOptions) -> Result<Rc<Self>> {
-        Err(Error::decode("snapshot", "start-up isn't available yet"))
+    /// [`cj_types::ErrorKind::Failed`] when this took longer than the start limit.
+    pub async fn start(log: L, clock: C, options: ReplicaOptions) -> Result<Rc<Self>> {
+        let limit = options.start_limit;
+        let started = timeout(limit, Self::load(log, clock, options)).await;
+        started.unwrap_or_else(|_| {
+            let problem = "the log did not answer within the start limit";
+            Err(Error::new(ErrorKind::Failed(problem.into()), "check that the log is reachable"))
+        })
+    }
+
+    async fn load(log: L, clock: C, options: ReplicaOptions) -> Result<Rc<Self>> {
+        let stream = stream_id("region", &options.region)?;
+        let loaded = snapshots::load(&log, &options).await?;
+        let now = clock.now();
+        let state = loaded.state.unwrap_or_else(|| State::new(options.keys.clone()));
+        let progress =
+            Progress { reachable: true, read: now, folded: now, own: now, end: state.next };
+        let replica = Rc::new(Replica {
+            log,
+            stream,
+            history: RefCell::new(History::new(state.next, state.hash)),
+            snapshots: Cell::new(snapshots::Position::new(state.next, loaded.end, now)),
+            state: RefCell::new(state),
+            writer: RefCell::new(WriterCore::new(options.node.clone(), options.seed)),
+            rng: RefCell::new(Pcg64Mcg::seed_from_u64(options.seed)),
+            changed: Notify::new(),
+            wake: Notify::new(),
+            progress: Cell::new(progress),
+            suspect: RefCell::default(),
+            fault: RefCell::default(),
+            stopping: Cell::new(false),
+            clock,
+            options,
+        });
+        replica.catch_up().await?;
+        replica.join().await?;
+        info!("joined as {} at offset {}", replica.node(), replica.state().next);
+        Ok(replica)
+    }
+
+    /// Reads until the end of the stream.
+    async fn catch_up(&self) -> Result<()> {
+        loop {
+            self.read_once(Duration::ZERO).await;
+            if let Some(Fault::Gap { wanted, oldest }) = self.fault() {
+                return Err(crate::memory::gap(&self.stream, wanted, oldest));
+            }
+            let lag = self.lag();
+            if lag.reachable && lag.applied >= lag.end {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn join(&self) -> Result<()> {
+        let joined = async {
+            while !self.writer.borrow().is_joined() && self.fault().is_none() {
+                self.changed.notified().await;
+            }
+        };
+        let (joined, follow, write) = (joined.boxed_local(), self.follow(), self.write());
+        select(joined, select(follow.boxed_local(), write.boxed_local())).await;
+        if self.writer.borrow().is_joined() {
+            return Ok(());
+        }
+        let problem = format!("the node can't join: {:?}", self.fault());
+        Err(Error::new(ErrorKind::Failed(problem.into()), "upgrade the node or restart it"))
     }
 
     /// Follows the log and sends proposals until [`Replica::stop`].
     pub async fn run(self: Rc<Self>) {
-        let _ = (&self.log, &self.clock);
+        let background = join5(
+            self.follow(),
+            self.follow_peers(),
+            self.copy_settings(),
+            self.tick(),
+            self.write_snapshots(),
+        );
+        select(self.write().boxed_local(), background.boxed_local()).await;
+        self.stopping.set(true);
+        self.writer.borrow_mut().abandon();
     }
 
     /// The folded state. Don't hold it across an await.
@@ -144,27 +259,145 @@
         self.changed.notified().await;
     }
 
-    /// Proposes an entry and waits up to `limit` for the outcome.
-    pub async fn propose(&self, _entry: Entry, _limit: Duration) -> Proposed {
-        Proposed::Withdrawn
+    /// Proposes an entry and waits up to `limit` for the outcome. Needs [`Replica::run`] to be polled. Dropping the future
+    /// doesn't withdraw the entry.
+    pub async fn propose(&self, entry: Entry, limit: Duration) -> Proposed {
+        if self.fault.borrow().is_some() || self.stopping.get() {
+            return Proposed::Withdrawn;
+        }
+        let pushed = self.writer.borrow_mut().push(entry, limit, self.clock.now());
+        let receiver = match pushed {
+            Ok(receiver) => receiver,
+            Err(error) => {
+                info!("proposal withdrawn: {error}");
+                return Proposed::Withdrawn;
+            }
+        };
+        self.wake.notify_one();
+        receiver.await.unwrap_or(Proposed::Pending)
     }
 
     /// Sends what is queued, then ends [`Replica::run`].
-    pub fn stop(&self) {}
+    pub fn stop(&self) {
+        self.stopping.set(true);
+        self.writer.borrow_mut().flush();
+        self.wake.notify_one();
+    }
 
     /// Whether the log is reachable, and how far the replica is.
     pub fn lag(&self) -> Lag {
+        let progress = self.progress.get();
+        let age = self.clock.now().saturating_duration_since(progress.read);
         let applied = self.state.borrow().next;
-        Lag { reachable: false, age: Duration::ZERO, applied, end: applied }
+        Lag { reachable: progress.reachable, age, applied, end: progress.end }
+    }
+
+    /// True once everything that a live peer has folded is folded here too. A new node serves nothing before.
+    pub fn is_caught_up(&self) -> bool {
+        let peers = self.options.source.as_ref().map_or(Offset(0), |s| s.applied());
+        self.state.borrow().next >= peers
     }
 
-    /// This node as the log knows it.
+    /// This node as the log knows it. The incarnation changes when the fold has dropped the earlier one.
     pub fn node(&self) -> NodeIncarnation {
-        self.options.node.clone()
+        self.writer.borrow().node().clone()
     }
 
     /// Why the replica refuses to propose, if it does.
     pub fn fault(&self) -> Option<Fault> {
-        None
+        self.fault.borrow().clone()
+    }
+
+    /// Counters of the writer.
+    pub fn writer_stats(&self) -> WriterStats {
+        self.writer.borrow().stats()
     }
+
+    /// Appends one record per proposal, as a base line for measurements.
+    pub fn without_groups(&self) {
+        self.writer.borrow_mut().without_groups();
+    }
+
+    /// Compares state hashes that live peers report with this replica's own at the same offsets. The replica stops
+    /// proposing unless it agrees with most of the nodes, itself included.
+    pub fn compare_hashes<I>(&self, peers: I)
+    where
+        I: IntoIterator<Item = (Offset, [u8; 32])>,
+    {
+        let (mut same, mut differing) = (1, Vec::new());
+        for (offset, hash) in peers {
+            match self.history.borrow().hash_at(offset) {
+                Some(own) if own == hash => same += 1,
+                Some(_) => differing.push(offset),
+                None => {}
+            }
+        }
+        if differing.len() < same {
+            return;
+        }
+        if let Some(offset) = differing.into_iter().min() {
+            self.fail(Fault::Diverged(offset));
+        }
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Stops proposing. The first fault is kept.
+    pub(crate) fn fail(&self, fault: Fault) {
+        if self.fault.borrow().is_some() {
+            return;
+        }
+        error!("the replica stops proposing: {fault:?}");
+        *self.fault.borrow_mut() = Some(fault);
+        self.writer.borrow_mut().abandon();
+        self.wake.notify_one();
+        self.changed.notify_waiters();
+    }
+
+    /// Sends batches until the replica stops.
+    async fn write(&self) {
+        let mut calls = FuturesUnordered::new();
+        let mut flush_end = None;
+        loop {
+            let now = self.clock.now();
+            if self.stopping.get() {
+                let end = *flush_end.get_or_insert(now + FLUSH_LIMIT);
+                if self.writer.borrow().is_idle() || now >= end {
+                    return;
+                }
+            }
+            let step = self.next_step(now);
+            let wait = match step {
+                Step::Send(call, bytes) => {
+                    let append = self.log.append(&self.stream, bytes);
+                    calls.push(append.map(move |result| (call, result)));
+                    continue;
+                }
+                Step::Wait(until) => until.saturating_duration_since(now),
+                Step::Idle => FLUSH_LIMIT,
+            };
+            let wait = flush_end.map_or(wait, |end| wait.min(end.saturating_duration_since(now)));
+            tokio::select! {
+                Some((call, result)) = calls.next(), if !calls.is_empty() => {
+                    self.writer.borrow_mut().answered(call, &result, self.clock.now());
+                }
+                () = self.wake.notified() => {}
+                () = sleep(wait) => {}
+            }
+        }
+    }
+
+    fn next_step(&self, now: Instant) -> Step {
+        if self.fault.borrow().is_some() {
+            return Step::Idle;
+        }
+        self.writer.borrow_mut().poll(now, self.clock.wall())
+    }
+}
+
+/// Name of a stream of a region.
+pub(crate) fn stream_id(kind: &str, region: &RegionId) -> Result<StreamId> {
+    format!("{kind}-{region}").parse()
 }
--- a/crates/cj-log/src/source.rs
+++ b/crates/cj-log/src/source.rs
@@ -25,4 +25,7 @@
         from: Offset,
         max_bytes: usize,
     ) -> LocalBoxFuture<'a, Option<RelayPage>>;
+
+    /// Highest offset of the region stream that the source is known to have folded up to.
+    fn applied(&self) -> Offset;
 }
--- a/crates/cj-member/src/report.rs
+++ b/crates/cj-member/src/report.rs
@@ -33,7 +33,8 @@
     pub hash_at: Offset,
     /// State hash before the record at `hash_at`.
     pub hash: [u8; 32],
-    /// Requests in flight per upstream; upstreams without any are left out.
+    /// Requests in flight per upstream; upstreams without any are left out. Only draining and leaving upstreams are needed:
+    /// counts for all of them would exceed a node's share of the network.
     pub in_flight: BTreeMap<VmId, u32>,
     /// True when the node shuts down; it gets no ownership any more.
     pub leaving: bool,
--- a/crates/cj-member/src/view.rs
+++ b/crates/cj-member/src/view.rs
@@ -5,10 +5,13 @@
     time::{Duration, Instant},
 };
 
-use cj_types::{NodeId, rendezvous};
+use cj_types::{NodeId, NodeIncarnation, rendezvous};
 
 use crate::report::{PROTOCOL_VERSION, Report};
 
+/// Part of an interval after which a peer is due for a heartbeat again.
+const DUE_AFTER: f64 = 0.6;
+
 /// Options of a view.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ViewOptions {
@@ -58,12 +61,15 @@
     own: Report,
     options: ViewOptions,
     peers: BTreeMap<NodeId, Peer>,
+    /// Earlier process starts; a late report of one must not replace its successor.
+    replaced: BTreeMap<NodeIncarnation, Instant>,
+    ticked: Option<Instant>,
 }
 
 impl PeerView {
     /// Creates a view that knows only this node.
     pub fn new(own: Report, options: ViewOptions) -> Self {
-        PeerView { own, options, peers: BTreeMap::new() }
+        PeerView { own, options, peers: BTreeMap::new(), replaced: BTreeMap::new(), ticked: None }
     }
 
     /// This node's own report.
@@ -85,16 +91,22 @@
         if foreign {
             return Received::Foreign;
         }
+        if self.replaced.contains_key(&report.node) {
+            return Received::Stale;
+        }
         let node = report.node.node.clone();
-        let known = self.peers.get(&node).map(|p| (p.report.node.incarnation, p.report.counter));
-        let received = match known {
-            Some((incarnation, counter)) if incarnation == report.node.incarnation => {
-                if report.counter <= counter {
+        let received = match self.peers.get(&node).map(|p| &p.report) {
+            Some(known) if known.node == report.node => {
+                if report.counter <= known.counter {
                     return Received::Stale;
                 }
                 Received::Updated
             }
-            _ => Received::Joined,
+            Some(known) => {
+                self.replaced.insert(known.node.clone(), now);
+                Received::Joined
+            }
+            None => Received::Joined,
         };
         self.peers.insert(node, Peer { report, heard: now });
         received
@@ -121,9 +133,30 @@
         now.saturating_duration_since(peer.heard) > self.options.interval * self.options.missed
     }
 
-    /// Forgets peers that were silent for the whole forget time.
-    pub fn expire(&mut self, now: Instant) {
-        let forget = self.options.forget;
+    /// Peers to send a heartbeat to: all that weren't heard of in the last part of an interval. An exchange carries both
+    /// reports, so one per pair and interval is enough.
+    pub fn due(&self, now: Instant) -> impl Iterator<Item = &Peer> {
+        let recent = self.options.interval.mul_f64(DUE_AFTER);
+        self.peers.values().filter(move |p| now.saturating_duration_since(p.heard) >= recent)
+    }
+
+    /// All peers that aren't forgotten, suspected and leaving ones included.
+    pub fn known(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Starts a heartbeat interval: numbers the own report and forgets peers that were silent for long. When this
+    /// node was paused, the silence was its own; peers get the time of the pause before they are suspected.
+    pub fn tick(&mut self, now: Instant) {
+        let ViewOptions { interval, forget, .. } = self.options;
+        let gap = self.ticked.map_or(Duration::ZERO, |t| now.saturating_duration_since(t));
+        self.ticked = Some(now);
+        self.own.counter += 1;
+        if gap > interval * 2 {
+            let pause = gap - interval;
+            self.peers.values_mut().for_each(|p| p.heard = now.min(p.heard + pause));
+        }
         self.peers.retain(|_, p| now.saturating_duration_since(p.heard) <= forget);
+        self.replaced.retain(|_, at| now.saturating_duration_since(*at) <= forget);
     }
 }
