Add VM control, workers, minions and counters to the stand-ins

Cause: the entry node needs the other outside systems, and every invariant needs a count taken outside of it. Change: VM control (lagging list, probe, drain, undrain, reboot and assign by op), workers (leases, fencing tokens, task states, checkpoints, usage that lags), minions (slots, refusals with x-not-run, answers that are a function of key and body), the remaining fault switches, and Platform::observed() with runs by job key, requests cut off, late work to leaving VMs, pool assignments and budget breaches. A killed VM keeps its listening socket and closes connections at once, so that no other socket takes its port. A stop of an unknown task leaves its token as a fence, so that 'not run' stays true when a start arrives late.

--- /dev/null
+++ b/crates/cj-standin/src/fleet.rs
@@ -0,0 +1,470 @@
+//! State of the VMs and the HTTP interface of VM control.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use actix_http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use cj_types::{BootId, DataCentreId, PoolId, RackId, Resources, ServiceId, VmId};
+
+use crate::{
+    http::{Call, Handler, Reply, lock},
+    observed::{Breach, Observed, PoolSeen},
+    options::{PlatformOptions, VmKind, VmOptions},
+    platform::Shared,
+    worker::Worker,
+};
+
+/// Time after which a leaving VM must not receive new work.
+pub const LEAVING_BOUND: Duration = Duration::from_secs(2);
+
+/// State of a VM in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VmState {
+    /// In service.
+    Live,
+    /// Draining or drained.
+    Leaving,
+    /// Rebooting or failed.
+    Down,
+}
+
+/// One row of the VM list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmRow {
+    /// Name.
+    pub vm: VmId,
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// Pool.
+    pub pool: PoolId,
+    /// Rack.
+    pub rack: RackId,
+    /// Data centre.
+    pub zone: DataCentreId,
+    /// State.
+    pub state: VmState,
+    /// Changes with every boot.
+    pub boot: BootId,
+    /// Processors in thousandths of a core, memory in MiB, accelerators.
+    #[serde(flatten)]
+    pub resources: Resources,
+    /// What it runs.
+    pub kind: VmKind,
+    /// Service of a minion.
+    pub service: Option<ServiceId>,
+}
+
+/// Answer to a direct probe.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmProbe {
+    /// The row as of now.
+    #[serde(flatten)]
+    pub row: VmRow,
+    /// Requests or tasks in flight.
+    pub in_flight: u32,
+    /// True when the VM is leaving, its drain time has passed and nothing is in flight.
+    pub drained: bool,
+}
+
+/// Operation on a VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Action {
+    /// Stop taking new work.
+    Drain,
+    /// Take new work again.
+    Undrain,
+    /// Reboot at once.
+    Reboot,
+    /// Change the pool and return to service.
+    Assign,
+}
+
+/// Body of an operation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Operation {
+    /// Idempotency key; a second use for the same VM and action returns the first result.
+    pub op: u64,
+    /// Target pool of an assignment.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pool: Option<PoolId>,
+}
+
+/// Result of an operation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OperationResult {
+    /// The VM.
+    pub vm: VmId,
+    /// The action.
+    pub action: Action,
+    /// Idempotency key.
+    pub op: u64,
+    /// Boot id before the operation.
+    pub boot: BootId,
+    /// Pool after the operation.
+    pub pool: PoolId,
+}
+
+pub(crate) struct Vm {
+    pub(crate) row: VmRow,
+    pub(crate) failed: bool,
+    pub(crate) rebooting: bool,
+    pub(crate) in_flight: u32,
+    pub(crate) worker: Worker,
+    pub(crate) leaving_since: Option<Instant>,
+    history: VecDeque<(Instant, VmRow)>,
+    assigned: Option<(u64, Instant)>,
+}
+
+impl Vm {
+    fn new(options: &VmOptions, address: SocketAddr, service: Option<ServiceId>) -> Self {
+        let row = VmRow {
+            vm: options.vm.clone(),
+            address,
+            pool: options.pool.clone(),
+            rack: options.rack.clone(),
+            zone: options.zone.clone(),
+            state: VmState::Live,
+            boot: BootId(1),
+            resources: options.resources,
+            kind: options.kind,
+            service: service.filter(|_| options.kind == VmKind::Minion),
+        };
+        Vm {
+            history: VecDeque::from([(Instant::now(), row.clone())]),
+            row,
+            failed: false,
+            rebooting: false,
+            in_flight: 0,
+            worker: Worker::default(),
+            leaving_since: None,
+            assigned: None,
+        }
+    }
+
+    fn is_available(&self) -> bool {
+        self.row.state == VmState::Live
+    }
+
+    /// Row as of `at`, or the oldest one retained.
+    fn row_at(&self, at: Instant) -> &VmRow {
+        let past = self.history.iter().rev().find(|(changed, _)| *changed <= at);
+        past.or(self.history.front()).map_or(&self.row, |(_, row)| row)
+    }
+
+    /// True when new work must no longer arrive.
+    pub(crate) fn is_past_bound(&self, now: Instant) -> bool {
+        self.leaving_since.is_some_and(|since| now.duration_since(since) > LEAVING_BOUND)
+    }
+
+    /// True when the VM changed its pool longer than the bound ago.
+    pub(crate) fn is_settled(&self, now: Instant) -> bool {
+        self.assigned.is_some_and(|(_, at)| now.duration_since(at) > LEAVING_BOUND)
+    }
+
+    fn running(&self) -> u32 {
+        self.in_flight + self.worker.running()
+    }
+}
+
+/// State of all VMs and what was seen of them.
+pub(crate) struct Fleet {
+    pub(crate) started: Instant,
+    pub(crate) vms: BTreeMap<VmId, Vm>,
+    pub(crate) seen: Observed,
+    pub(crate) checkpoints: BTreeMap<String, Duration>,
+    results: BTreeMap<(VmId, Action, u64), OperationResult>,
+    failures: BTreeMap<PoolId, Instant>,
+}
+
+impl Fleet {
+    pub(crate) fn new(options: &PlatformOptions) -> Self {
+        let seen = Observed {
+            pools: options
+                .pools
+                .iter()
+                .map(|(id, pool)| {
+                    let seen =
+                        PoolSeen { min_available: pool.min_available, ..PoolSeen::default() };
+                    (id.clone(), seen)
+                })
+                .collect(),
+            ..Observed::default()
+        };
+        Fleet {
+            started: Instant::now(),
+            vms: BTreeMap::new(),
+            seen,
+            checkpoints: BTreeMap::new(),
+            results: BTreeMap::new(),
+            failures: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn add(&mut self, options: &VmOptions, address: SocketAddr, all: &PlatformOptions) {
+        let service = all.pools.get(&options.pool).and_then(|pool| pool.service.clone());
+        self.vms.insert(options.vm.clone(), Vm::new(options, address, service));
+    }
+
+    pub(crate) fn set_budget(&mut self, pool: &PoolId, min_available: u32) {
+        self.seen.pools.entry(pool.clone()).or_default().min_available = min_available;
+    }
+
+    /// Enters the current state of a VM into its history and the availability of all pools into the counters.
+    fn changed(&mut self, vm: &VmId) {
+        let now = Instant::now();
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.history.push_back((now, vm.row.clone()));
+        }
+        self.count_available();
+    }
+
+    pub(crate) fn count_available(&mut self) {
+        let at_ms = self.started.elapsed().as_millis() as u64;
+        for (pool, seen) in &mut self.seen.pools {
+            let in_pool = |vm: &&Vm| vm.row.pool == *pool && vm.is_available();
+            let count = self.vms.values().filter(in_pool).count() as u32;
+            if seen.available.last().is_none_or(|(_, last)| *last != count) {
+                let lowest = if seen.available.is_empty() { count } else { seen.lowest.min(count) };
+                seen.lowest = lowest;
+                seen.available.push((at_ms, count));
+            }
+        }
+    }
+
+    /// Drops history that no list can show any more.
+    pub(crate) fn prune(&mut self, oldest: Instant) {
+        for vm in self.vms.values_mut() {
+            while vm.history.len() > 1 && vm.history[1].0 < oldest {
+                vm.history.pop_front();
+            }
+        }
+    }
+
+    pub(crate) fn list(&self, lag: Duration) -> Vec<VmRow> {
+        let now = Instant::now();
+        let at = now.checked_sub(lag).unwrap_or(now);
+        self.vms.values().map(|vm| vm.row_at(at).clone()).collect()
+    }
+
+    fn probe(&self, vm: &VmId, drain_time: Duration) -> Option<VmProbe> {
+        let vm = self.vms.get(vm)?;
+        let in_flight = vm.running();
+        let waited = vm.leaving_since.is_some_and(|since| since.elapsed() >= drain_time);
+        let drained = vm.row.state == VmState::Leaving && waited && in_flight == 0;
+        Some(VmProbe { row: vm.row.clone(), in_flight, drained })
+    }
+
+    /// Notes a breach when a planned action left the pool below its budget.
+    fn check_budget(&mut self, pool: &PoolId, vm: &VmId, notice: Duration) {
+        let in_pool = |other: &&Vm| other.row.pool == *pool && other.is_available();
+        let available = self.vms.values().filter(in_pool).count() as u32;
+        let budget = self.seen.pools.get(pool).map_or(0, |seen| seen.min_available);
+        if available < budget {
+            let at_ms = self.started.elapsed().as_millis() as u64;
+            let failed = self.failures.get(pool);
+            let unnoticed_failure = failed.is_some_and(|at| at.elapsed() < notice);
+            log::warn!("{pool}: {available} of {budget} VMs left after a planned action on {vm}");
+            let (pool, vm) = (pool.clone(), vm.clone());
+            self.seen.breaches.push(Breach { at_ms, pool, vm, available, unnoticed_failure });
+        }
+    }
+
+    /// Stops everything on a VM. `planned` tells a reboot from a failure.
+    pub(crate) fn take_down(&mut self, id: &VmId, planned: bool) {
+        let Some(vm) = self.vms.get_mut(id) else { return };
+        let cut = u64::from(vm.worker.cut(Instant::now(), &mut self.seen.executions));
+        vm.row.state = VmState::Down;
+        vm.leaving_since = None;
+        if planned {
+            vm.rebooting = true;
+            self.seen.cut_off_in_flight += cut;
+        } else {
+            vm.failed = true;
+            self.failures.insert(vm.row.pool.clone(), Instant::now());
+            self.seen.cut_by_failure += cut;
+        }
+        self.changed(id);
+    }
+
+    /// Returns a VM to service with the next boot id. False when it's failed and `planned` is set.
+    pub(crate) fn bring_up(&mut self, id: &VmId, planned: bool) -> bool {
+        let Some(vm) = self.vms.get_mut(id) else { return false };
+        if planned {
+            vm.rebooting = false;
+            if vm.failed {
+                return false;
+            }
+        }
+        if vm.row.state != VmState::Down {
+            return false;
+        }
+        (vm.failed, vm.rebooting) = (false, false);
+        vm.row.state = VmState::Live;
+        vm.row.boot = vm.row.boot.next();
+        self.changed(id);
+        true
+    }
+
+    fn operate(
+        &mut self,
+        id: &VmId,
+        action: Action,
+        operation: &Operation,
+        options: &PlatformOptions,
+    ) -> Result<OperationResult, (StatusCode, &'static str)> {
+        let key = (id.clone(), action, operation.op);
+        if let Some(result) = self.results.get(&key) {
+            self.seen.repeated_ops += 1;
+            return Ok(result.clone());
+        }
+        let vm = self.vms.get(id).ok_or((StatusCode::NOT_FOUND, "no such VM"))?;
+        let (boot, from, was_available) = (vm.row.boot, vm.row.pool.clone(), vm.is_available());
+        match action {
+            Action::Drain => self.drain(id)?,
+            Action::Undrain => self.undrain(id)?,
+            Action::Reboot if vm.rebooting => {
+                return Err((StatusCode::CONFLICT, "another reboot is running"));
+            }
+            Action::Reboot => {
+                self.seen.reboots += 1;
+                self.take_down(id, true);
+            }
+            Action::Assign => self.assign(id, operation, options)?,
+        }
+        let pool = self.vms[id].row.pool.clone();
+        if was_available && (action != Action::Assign || pool != from) && action != Action::Undrain
+        {
+            self.check_budget(&from, id, options.failure_notice);
+        }
+        let result = OperationResult { vm: id.clone(), action, op: operation.op, boot, pool };
+        self.results.insert(key, result.clone());
+        Ok(result)
+    }
+
+    fn drain(&mut self, id: &VmId) -> Result<(), (StatusCode, &'static str)> {
+        let Some(vm) = self.vms.get_mut(id) else { return Ok(()) };
+        if vm.row.state == VmState::Down {
+            return Err((StatusCode::CONFLICT, "the VM is down"));
+        }
+        vm.row.state = VmState::Leaving;
+        vm.leaving_since.get_or_insert_with(Instant::now);
+        self.seen.drains += 1;
+        self.changed(id);
+        Ok(())
+    }
+
+    fn undrain(&mut self, id: &VmId) -> Result<(), (StatusCode, &'static str)> {
+        let Some(vm) = self.vms.get_mut(id) else { return Ok(()) };
+        if vm.row.state != VmState::Leaving {
+            return Err((StatusCode::CONFLICT, "the VM isn't leaving"));
+        }
+        vm.row.state = VmState::Live;
+        vm.leaving_since = None;
+        self.seen.undrains += 1;
+        self.changed(id);
+        Ok(())
+    }
+
+    fn assign(
+        &mut self,
+        id: &VmId,
+        operation: &Operation,
+        options: &PlatformOptions,
+    ) -> Result<(), (StatusCode, &'static str)> {
+        let (Some(vm), Some(pool)) = (self.vms.get_mut(id), operation.pool.as_ref()) else {
+            return Err((StatusCode::BAD_REQUEST, "an assignment needs a pool"));
+        };
+        let target = options.pools.get(pool).ok_or((StatusCode::NOT_FOUND, "no such pool"))?;
+        if target.service.is_some() != (vm.row.kind == VmKind::Minion) {
+            return Err((StatusCode::CONFLICT, "the pool is for another kind of VM"));
+        }
+        if let Some((last, at)) = vm.assigned {
+            if operation.op < last {
+                return Err((StatusCode::CONFLICT, "a later assignment was made"));
+            }
+            if at.elapsed() < options.assign_time && vm.row.pool != *pool {
+                self.seen.vm_in_two_pools += 1;
+            }
+        }
+        if vm.row.pool != *pool {
+            self.seen.moves += 1;
+        }
+        vm.assigned = Some((operation.op, Instant::now()));
+        vm.row.pool = pool.clone();
+        vm.row.service = target.service.clone();
+        if vm.row.state == VmState::Leaving {
+            vm.row.state = VmState::Live;
+            vm.leaving_since = None;
+        }
+        self.changed(id);
+        Ok(())
+    }
+}
+
+/// HTTP handler of VM control.
+pub(crate) fn handler(shared: Arc<Shared>) -> Handler {
+    Arc::new(move |call| {
+        let shared = shared.clone();
+        Box::pin(async move { answer(&shared, &call) })
+    })
+}
+
+fn answer(shared: &Arc<Shared>, call: &Call) -> Option<Reply> {
+    let segments = call.segments();
+    let path: Vec<&str> = segments.iter().map(String::as_str).collect();
+    match (&call.method, &path[..]) {
+        (&Method::GET, ["v1", "vms"]) => {
+            let lag = shared.faults.read(|switches| switches.list_lag);
+            let lag = lag.unwrap_or(shared.options.list_lag);
+            Some(Reply::json(StatusCode::OK, &lock(&shared.fleet).list(lag)))
+        }
+        (&Method::GET, ["v1", "vms", vm]) => {
+            let vm = VmId::try_from(*vm).ok();
+            let drain_time = shared.options.drain_time;
+            let probe = vm.and_then(|vm| lock(&shared.fleet).probe(&vm, drain_time));
+            Some(match probe {
+                Some(probe) => Reply::json(StatusCode::OK, &probe),
+                None => Reply::error(StatusCode::NOT_FOUND, "no such VM"),
+            })
+        }
+        (&Method::POST, ["v1", "vms", vm, action]) => operate(shared, vm, action, &call.body),
+        _ => Some(Reply::error(StatusCode::NOT_FOUND, "no such path")),
+    }
+}
+
+fn operate(shared: &Arc<Shared>, vm: &str, action: &str, body: &[u8]) -> Option<Reply> {
+    let action = match action {
+        "drain" => Action::Drain,
+        "undrain" => Action::Undrain,
+        "reboot" => Action::Reboot,
+        "assign" => Action::Assign,
+        _ => return Some(Reply::error(StatusCode::NOT_FOUND, "no such operation")),
+    };
+    let (vm, operation) = match (VmId::try_from(vm), serde_json::from_slice(body)) {
+        (Ok(vm), Ok(operation)) => (vm, operation),
+        _ => return Some(Reply::error(StatusCode::BAD_REQUEST, "needs a VM and {\"op\": number}")),
+    };
+    let operation: Operation = operation;
+    let (result, reboots) = {
+        let mut fleet = lock(&shared.fleet);
+        let before = fleet.seen.reboots;
+        let result = fleet.operate(&vm, action, &operation, &shared.options);
+        (result, fleet.seen.reboots > before)
+    };
+    if reboots {
+        shared.reboot(vm);
+    }
+    match result {
+        Ok(_) if action == Action::Reboot && shared.faults.read(|s| s.lost_reboots) => None,
+        Ok(result) => Some(Reply::json(StatusCode::OK, &result)),
+        Err((status, reason)) => Some(Reply::error(status, reason)),
+    }
+}
--- a/crates/cj-standin/src/http.rs
+++ b/crates/cj-standin/src/http.rs
@@ -129,26 +129,36 @@
 
 #[derive(Default)]
 struct Tasks {
-    accept: Option<AbortHandle>,
+    /// New connections are closed at once. The listener stays open, so that no other socket takes the port.
+    down: bool,
     connections: HashMap<SocketAddr, AbortHandle>,
 }
 
+impl Tasks {
+    fn close_all(&mut self) {
+        self.connections.drain().for_each(|(_, task)| task.abort());
+    }
+}
+
 /// One HTTP server. It serves on the thread of the given arbiter; the handle may be used from any thread.
 pub struct Server {
     address: SocketAddr,
-    arbiter: ArbiterHandle,
-    handler: Handler,
     tasks: Arc<Mutex<Tasks>>,
 }
 
 impl Server {
     /// Binds to a free loopback port, or to the given one, and serves. Fails when the port can't be bound.
-    pub fn start(arbiter: ArbiterHandle, port: u16, handler: Handler) -> Result<Self> {
-        let listener = bind(SocketAddr::from(([127, 0, 0, 1], port)))?;
+    pub fn start(arbiter: &ArbiterHandle, port: u16, handler: Handler) -> Result<Self> {
+        let listener =
+            TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], port))).map_err(io_error)?;
+        listener.set_nonblocking(true).map_err(io_error)?;
         let address = listener.local_addr().map_err(io_error)?;
-        let server = Server { address, arbiter, handler, tasks: Arc::default() };
-        server.serve(listener);
-        Ok(server)
+        let tasks: Arc<Mutex<Tasks>> = Arc::default();
+        let accepting = tasks.clone();
+        arbiter.spawn_fn(move || {
+            actix_rt::spawn(accept_loop(listener, handler, accepting));
+        });
+        Ok(Server { address, tasks })
     }
 
     /// Address that it listens on.
@@ -156,33 +166,16 @@
         self.address
     }
 
-    /// Closes the listener and all connections at once, as a crash would.
+    /// Closes all connections at once, and new ones as they come, as a crash would.
     pub fn kill(&self) {
         let mut tasks = lock(&self.tasks);
-        tasks.accept.take().iter().for_each(AbortHandle::abort);
-        tasks.connections.drain().for_each(|(_, task)| task.abort());
-    }
-
-    /// Closes all connections and keeps listening.
-    pub fn reset_connections(&self) {
-        lock(&self.tasks).connections.drain().for_each(|(_, task)| task.abort());
+        tasks.down = true;
+        tasks.close_all();
     }
 
-    /// Listens again on the same address after [`Server::kill`]. Fails when the port was taken meanwhile.
-    pub fn restart(&self) -> Result<()> {
-        if lock(&self.tasks).accept.is_some() {
-            return Ok(());
-        }
-        self.serve(bind(self.address)?);
-        Ok(())
-    }
-
-    fn serve(&self, listener: TcpListener) {
-        let (handler, tasks) = (self.handler.clone(), self.tasks.clone());
-        self.arbiter.spawn_fn(move || {
-            let accept = actix_rt::spawn(accept_loop(listener, handler, tasks.clone()));
-            lock(&tasks).accept = Some(accept.abort_handle());
-        });
+    /// Accepts connections again after [`Server::kill`].
+    pub fn restart(&self) {
+        lock(&self.tasks).down = false;
     }
 }
 
@@ -192,12 +185,6 @@
     Error::new(ErrorKind::Io(error.to_string().into()), help)
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener> {
-    let listener = TcpListener::bind(address).map_err(io_error)?;
-    listener.set_nonblocking(true).map_err(io_error)?;
-    Ok(listener)
-}
-
 async fn accept_loop(listener: TcpListener, handler: Handler, tasks: Arc<Mutex<Tasks>>) {
     let service = service(handler, tasks.clone());
     let (Ok(service), Ok(listener)) = (service.await, tokio::net::TcpListener::from_std(listener))
@@ -212,6 +199,9 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
+        if lock(&tasks).down {
+            continue;
+        }
         let _ = stream.set_nodelay(true);
         let (service, ended) = (service.clone(), tasks.clone());
         let connection = actix_rt::spawn(async move {
--- a/crates/cj-standin/src/lib.rs
+++ b/crates/cj-standin/src/lib.rs
@@ -3,10 +3,20 @@
 //! They keep the wire contract of section 9 of `docs/design.md`, offer fault switches, and count what they see.
 
 pub mod faults;
+pub mod fleet;
 pub mod http;
 pub mod log;
+pub mod minion;
+pub mod observed;
+pub mod options;
 pub mod platform;
+pub mod worker;
 
 pub use faults::{Fault, Faults};
+pub use fleet::{Action, LEAVING_BOUND, Operation, OperationResult, VmProbe, VmRow, VmState};
 pub use log::{LogOptions, ReadPage};
-pub use platform::{Platform, PlatformOptions};
+pub use minion::{body_key, expected_answer};
+pub use observed::{Breach, Execution, Observed, PoolSeen};
+pub use options::{PlatformOptions, PoolOptions, VmKind, VmOptions};
+pub use platform::Platform;
+pub use worker::{FAILING_SPEC, StartTask, TaskCall, TaskRow, TaskState, UsageReport};
--- a/crates/cj-standin/src/platform.rs
+++ b/crates/cj-standin/src/platform.rs
@@ -1,35 +1,117 @@
 //! All stand-ins of one platform in one process.
 
-use std::net::SocketAddr;
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
 
 use actix_http::{Method, StatusCode};
-use actix_rt::Arbiter;
+use actix_rt::{Arbiter, ArbiterHandle};
 
-use cj_types::Result;
+use cj_types::{PoolId, Result, VmId};
 
 use crate::{
     faults::{Fault, Faults},
-    http::{Call, Reply, Server},
-    log::{Log, LogOptions},
+    fleet::{self, Fleet, VmRow},
+    http::{Call, Handler, Reply, Server, lock},
+    log::Log,
+    minion,
+    observed::Observed,
+    options::{PlatformOptions, VmKind},
+    worker,
 };
 
-/// What the platform consists of.
-#[derive(Clone, Debug, Default)]
-pub struct PlatformOptions {
-    /// The log.
-    pub log: LogOptions,
-    /// Port of the log on loopback; 0 picks a free one.
-    pub log_port: u16,
-    /// Port of the fault switches on loopback; 0 picks a free one.
-    pub control_port: u16,
+/// Interval of usage samples and of the progress of tasks that nobody asks about.
+const TICK: Duration = Duration::from_millis(100);
+
+/// State shared by all stand-ins of a platform.
+pub(crate) struct Shared {
+    pub(crate) options: PlatformOptions,
+    pub(crate) faults: Faults,
+    pub(crate) fleet: Mutex<Fleet>,
+    log: Log,
+    servers: Mutex<BTreeMap<VmId, Server>>,
+}
+
+impl Shared {
+    /// Cuts a VM's connections and returns it to service after the reboot time.
+    pub(crate) fn reboot(self: &Arc<Self>, vm: VmId) {
+        self.kill_server(&vm);
+        let shared = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(shared.options.reboot_time).await;
+            if lock(&shared.fleet).bring_up(&vm, true) {
+                shared.restart_server(&vm);
+            }
+        });
+    }
+
+    fn kill_server(&self, vm: &VmId) {
+        if let Some(server) = lock(&self.servers).get(vm) {
+            server.kill();
+        }
+    }
+
+    fn restart_server(&self, vm: &VmId) {
+        if let Some(server) = lock(&self.servers).get(vm) {
+            server.restart();
+        }
+    }
+
+    fn inject(&self, fault: &Fault) {
+        log::info!("fault {fault:?}");
+        self.faults.set(fault);
+        match fault {
+            Fault::LogDown { .. } => self.log.interrupt(),
+            Fault::LogForgets { keep } => self.log.keep(*keep),
+            Fault::Kill { vm } => {
+                lock(&self.fleet).take_down(vm, false);
+                self.kill_server(vm);
+            }
+            Fault::Restart { vm } if lock(&self.fleet).bring_up(vm, false) => {
+                self.restart_server(vm);
+            }
+            _ => {}
+        }
+    }
+
+    fn observed(&self) -> Observed {
+        self.tick(Instant::now());
+        let fleet = lock(&self.fleet);
+        let mut seen = fleet.seen.clone();
+        let pools = fleet.vms.iter().map(|(id, vm)| (id.clone(), vm.row.pool.clone()));
+        seen.assignments = pools.collect();
+        let injected = self.faults.switches().injected;
+        seen.faults_injected = injected.into_iter().map(|(k, v)| (k.to_owned(), v)).collect();
+        seen.log_appends = self.log.appends();
+        seen.log_bytes = self.log.bytes();
+        seen.lost_answers = self.log.lost_answers();
+        seen
+    }
+
+    fn tick(&self, now: Instant) {
+        let fleet = &mut *lock(&self.fleet);
+        for (id, vm) in fleet.vms.iter_mut().filter(|(_, vm)| vm.row.kind == VmKind::Worker) {
+            vm.worker.advance(now, &mut fleet.seen.executions);
+            vm.worker.sample(id, now, self.options.usage_lag);
+        }
+        let lag = self.faults.read(|switches| switches.list_lag).unwrap_or_default();
+        // The history covers the longest lag that a switch may set later in the run.
+        let lag = lag.max(self.options.list_lag).max(Duration::from_secs(120));
+        if let Some(oldest) = now.checked_sub(lag) {
+            fleet.prune(oldest);
+        }
+    }
 }
 
 /// A running platform. It serves on a thread of its own; the handle may be used from any thread.
 pub struct Platform {
-    arbiter: Arbiter,
-    faults: Faults,
-    log: Log,
+    arbiter: Mutex<Option<Arbiter>>,
+    shared: Arc<Shared>,
     log_server: Server,
+    vm_server: Server,
     control_server: Server,
 }
 
@@ -37,19 +119,30 @@
     /// Starts all stand-ins on loopback ports. Must be called inside an actix-rt system. Fails when a port is taken.
     pub fn start(options: PlatformOptions) -> Result<Self> {
         let arbiter = Arbiter::new();
+        let handle = arbiter.handle();
         let faults = Faults::default();
-        let log = Log::new(options.log, faults.clone());
-        let log_server = Server::start(arbiter.handle(), options.log_port, log.handler())?;
-        let (control_log, control_faults) = (log.clone(), faults.clone());
-        let control_server = Server::start(
-            arbiter.handle(),
-            options.control_port,
-            std::sync::Arc::new(move |call| {
-                let (log, faults) = (control_log.clone(), control_faults.clone());
-                Box::pin(async move { Some(control(&call, &log, &faults)) })
-            }),
-        )?;
-        Ok(Platform { arbiter, faults, log, log_server, control_server })
+        let shared = Arc::new(Shared {
+            log: Log::new(options.log.clone(), faults.clone()),
+            fleet: Mutex::new(Fleet::new(&options)),
+            servers: Mutex::default(),
+            faults,
+            options,
+        });
+        start_vms(&shared, &handle)?;
+        let options = &shared.options;
+        let serve = |port, handler| Server::start(&handle, port, handler);
+        let log_server = serve(options.log_port, shared.log.handler())?;
+        let vm_server = serve(options.vm_port, fleet::handler(shared.clone()))?;
+        let control_server = serve(options.control_port, control_handler(shared.clone()))?;
+        let ticking = shared.clone();
+        handle.spawn(async move {
+            loop {
+                tokio::time::sleep(TICK).await;
+                ticking.tick(Instant::now());
+            }
+        });
+        let arbiter = Mutex::new(Some(arbiter));
+        Ok(Platform { arbiter, shared, log_server, vm_server, control_server })
     }
 
     /// Address of the log.
@@ -57,53 +150,91 @@
         self.log_server.address()
     }
 
-    /// Address of the fault switches (`POST /v1/faults`).
+    /// Address of VM control.
+    pub fn vm_address(&self) -> SocketAddr {
+        self.vm_server.address()
+    }
+
+    /// Address of the fault switches (`POST /v1/faults`) and the counters (`GET /v1/observed`).
     pub fn control_address(&self) -> SocketAddr {
         self.control_server.address()
     }
 
+    /// VMs as of now, without the lag of the list.
+    pub fn vms(&self) -> Vec<VmRow> {
+        lock(&self.shared.fleet).list(Duration::ZERO)
+    }
+
     /// The fault switches.
     pub fn faults(&self) -> &Faults {
-        &self.faults
+        &self.shared.faults
     }
 
-    /// Sets a fault switch.
+    /// Sets a fault switch, or carries out a kill, a restart or a retention cut.
     pub fn inject(&self, fault: &Fault) {
-        apply(fault, &self.log, &self.faults);
+        self.shared.inject(fault);
+    }
+
+    /// What the stand-ins saw so far.
+    pub fn observed(&self) -> Observed {
+        self.shared.observed()
+    }
+
+    /// Changes a pool's budget after a settings change.
+    pub fn set_budget(&self, pool: &PoolId, min_available: u32) {
+        lock(&self.shared.fleet).set_budget(pool, min_available);
     }
 
     /// The log, for counters.
     pub fn log(&self) -> &Log {
-        &self.log
+        &self.shared.log
     }
 
-    /// Closes all connections and ends the platform's thread.
-    pub fn stop(self) {
+    /// Closes all connections and ends the platform's thread. The counters stay readable.
+    pub fn stop(&self) {
         self.log_server.kill();
+        self.vm_server.kill();
         self.control_server.kill();
-        self.arbiter.stop();
-        let _ = self.arbiter.join();
+        let servers = std::mem::take(&mut *lock(&self.shared.servers));
+        servers.values().for_each(Server::kill);
+        if let Some(arbiter) = lock(&self.arbiter).take() {
+            arbiter.stop();
+            let _ = arbiter.join();
+        }
     }
 }
 
-fn apply(fault: &Fault, log: &Log, faults: &Faults) {
-    faults.set(fault);
-    match fault {
-        Fault::LogDown { .. } => log.interrupt(),
-        Fault::LogForgets { keep } => log.keep(*keep),
-        _ => {}
+fn start_vms(shared: &Arc<Shared>, arbiter: &ArbiterHandle) -> Result<()> {
+    for options in &shared.options.vms {
+        let handler = match options.kind {
+            VmKind::Minion => minion::handler(shared.clone(), options.vm.clone()),
+            VmKind::Worker => worker::handler(shared.clone(), options.vm.clone()),
+        };
+        let server = Server::start(arbiter, 0, handler)?;
+        lock(&shared.fleet).add(options, server.address(), &shared.options);
+        lock(&shared.servers).insert(options.vm.clone(), server);
     }
+    lock(&shared.fleet).count_available();
+    Ok(())
 }
 
-fn control(call: &Call, log: &Log, faults: &Faults) -> Reply {
-    if call.method != Method::POST || call.path != "/v1/faults" {
-        return Reply::error(StatusCode::NOT_FOUND, "use POST /v1/faults");
-    }
-    match serde_json::from_slice::<Fault>(&call.body) {
-        Ok(fault) => {
-            apply(&fault, log, faults);
-            Reply::json(StatusCode::OK, &fault)
-        }
-        Err(error) => Reply::error(StatusCode::BAD_REQUEST, &error.to_string()),
+fn control_handler(shared: Arc<Shared>) -> Handler {
+    Arc::new(move |call| {
+        let shared = shared.clone();
+        Box::pin(async move { Some(control(&shared, &call)) })
+    })
+}
+
+fn control(shared: &Shared, call: &Call) -> Reply {
+    match (&call.method, call.path.as_str()) {
+        (&Method::GET, "/v1/observed") => Reply::json(StatusCode::OK, &shared.observed()),
+        (&Method::POST, "/v1/faults") => match serde_json::from_slice::<Fault>(&call.body) {
+            Ok(fault) => {
+                shared.inject(&fault);
+                Reply::json(StatusCode::OK, &fault)
+            }
+            Err(error) => Reply::error(StatusCode::BAD_REQUEST, &error.to_string()),
+        },
+        _ => Reply::error(StatusCode::NOT_FOUND, "use POST /v1/faults or GET /v1/observed"),
     }
 }
--- /dev/null
+++ b/crates/cj-standin/src/worker.rs
@@ -0,0 +1,503 @@
+//! Tasks of a worker under leases and fencing tokens, and the worker's HTTP interface.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::{Duration, Instant, SystemTime},
+};
+
+use actix_http::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use cj_types::{Mebibytes, Millicores, Resources, Token, UnixMillis, VmId};
+
+use crate::{
+    fleet::VmState,
+    http::{Call, Handler, Reply, lock},
+    minion::expected_answer,
+    observed::Execution,
+    options::PlatformOptions,
+    platform::Shared,
+};
+
+/// Ended tasks stay in the list for this long.
+const TASK_RETENTION: Duration = Duration::from_secs(600);
+
+/// Prefix of a task's `spec` that makes the task fail at the end of its run.
+pub const FAILING_SPEC: &str = "fail:";
+
+/// State of a task in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskState {
+    /// Accepted, not started. It never starts once its lease has ended.
+    NotStarted,
+    /// Running.
+    Running,
+    /// Ended with an answer.
+    Done,
+    /// Stopped by request, by the end of its lease or with its VM.
+    Stopped,
+    /// Failed.
+    Failed,
+}
+
+/// Body of `POST /v1/tasks`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartTask {
+    /// Name of the task: the job id `CALLER/KEY`, percent-encoded in paths.
+    pub task: String,
+    /// Fencing token.
+    pub token: Token,
+    /// Length of the lease from the arrival of this call.
+    pub lease_ms: u64,
+    /// End of the lease in wall-clock time; a start that arrives later is refused.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_end: Option<UnixMillis>,
+    /// Declared processors (thousandths of a core), memory (MiB) and accelerators.
+    #[serde(flatten)]
+    pub resources: Resources,
+    /// Declared run time.
+    pub run_ms: u64,
+    /// What to run; the answer is a function of it and of the task's name.
+    #[serde(default)]
+    pub spec: String,
+}
+
+/// Body of `POST /v1/tasks/{task}/renew|checkpoint|throttle|stop`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCall {
+    /// Fencing token; a call with an older one is refused.
+    pub token: Token,
+    /// New length of the lease from now, for `renew`.
+    #[serde(default)]
+    pub lease_ms: u64,
+}
+
+/// One row of the task list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskRow {
+    /// Name of the task.
+    pub task: String,
+    /// Fencing token under which it was accepted.
+    pub token: Token,
+    /// State.
+    pub state: TaskState,
+    /// Time until the lease ends; 0 when it has ended.
+    pub lease_left_ms: u64,
+    /// Time that it ran; 0 means that it had no effect.
+    pub ran_ms: u64,
+    /// Declared resources.
+    #[serde(flatten)]
+    pub resources: Resources,
+    /// Answer of a done task.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answer: Option<String>,
+}
+
+/// Use of resources by one task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskUsage {
+    /// Name of the task.
+    pub task: String,
+    /// Used resources.
+    #[serde(flatten)]
+    pub resources: Resources,
+}
+
+/// A usage report.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// The worker.
+    pub vm: VmId,
+    /// Time of the report.
+    pub at: UnixMillis,
+    /// Use of all tasks together.
+    #[serde(flatten)]
+    pub resources: Resources,
+    /// Use by task.
+    pub tasks: Vec<TaskUsage>,
+}
+
+struct Task {
+    start: StartTask,
+    state: TaskState,
+    resumed: bool,
+    starts_at: Instant,
+    ends_at: Instant,
+    lease_until: Instant,
+    changed_at: Instant,
+    throttled: bool,
+    factor: f64,
+    done_before: Duration,
+}
+
+impl Task {
+    fn is_active(&self) -> bool {
+        matches!(self.state, TaskState::NotStarted | TaskState::Running)
+    }
+
+    fn ran(&self, now: Instant) -> Duration {
+        let until = if self.state == TaskState::Running { now } else { self.changed_at };
+        match self.state {
+            TaskState::NotStarted => Duration::ZERO,
+            _ => until.saturating_duration_since(self.starts_at),
+        }
+    }
+
+    fn end(&mut self, state: TaskState, at: Instant) {
+        (self.state, self.changed_at) = (state, at);
+    }
+
+    /// Carries out what became due by `now`: the start, the end and the end of the lease.
+    fn advance(&mut self, now: Instant, executions: &mut BTreeMap<String, Execution>) {
+        let runnable = self.lease_until > self.starts_at && self.starts_at <= now;
+        if self.state == TaskState::NotStarted && runnable && !self.is_cancelled() {
+            self.state = TaskState::Running;
+            let execution = executions.entry(self.start.task.clone()).or_default();
+            if self.resumed { execution.resumed += 1 } else { execution.starts += 1 }
+        }
+        if self.state != TaskState::Running {
+            return;
+        }
+        if self.ends_at <= now.min(self.lease_until) {
+            let failed = self.start.spec.starts_with(FAILING_SPEC);
+            self.end(if failed { TaskState::Failed } else { TaskState::Done }, self.ends_at);
+            executions.entry(self.start.task.clone()).or_default().ends += 1;
+        } else if self.lease_until <= now {
+            self.end(TaskState::Stopped, self.lease_until);
+        }
+    }
+
+    /// A task that must not start any more has its lease cut to its acceptance.
+    fn is_cancelled(&self) -> bool {
+        self.lease_until <= self.changed_at
+    }
+
+    fn cancel(&mut self) {
+        self.lease_until = self.changed_at;
+    }
+
+    fn row(&self, now: Instant) -> TaskRow {
+        let answer = (self.state == TaskState::Done)
+            .then(|| expected_answer(&self.start.task, self.start.spec.as_bytes()));
+        let lease_left = self.lease_until.saturating_duration_since(now);
+        let mut ran_ms = self.ran(now).as_millis() as u64;
+        if matches!(self.state, TaskState::Running | TaskState::Done | TaskState::Stopped) {
+            ran_ms = ran_ms.max(1);
+        }
+        TaskRow {
+            task: self.start.task.clone(),
+            token: self.start.token,
+            state: self.state,
+            lease_left_ms: lease_left.as_millis() as u64,
+            ran_ms,
+            resources: self.start.resources,
+            answer,
+        }
+    }
+
+    fn usage(&self) -> TaskUsage {
+        let declared = self.start.resources;
+        let factor = if self.throttled { self.factor / 2.0 } else { self.factor };
+        let scale = |value: u32| (f64::from(value) * factor) as u32;
+        let resources = Resources {
+            cores: Millicores(scale(declared.cores.0)),
+            memory: Mebibytes((f64::from(declared.memory.0) * self.factor) as u32),
+            accelerators: declared.accelerators,
+        };
+        TaskUsage { task: self.start.task.clone(), resources }
+    }
+}
+
+/// Tasks of one worker.
+#[derive(Default)]
+pub(crate) struct Worker {
+    tasks: BTreeMap<String, Task>,
+    /// Newest token seen per task; it outlives the task in the list.
+    fences: BTreeMap<String, Token>,
+    reports: VecDeque<(Instant, UsageReport)>,
+}
+
+type Refusal = (StatusCode, &'static str);
+
+impl Worker {
+    pub(crate) fn advance(&mut self, now: Instant, executions: &mut BTreeMap<String, Execution>) {
+        self.tasks.values_mut().for_each(|task| task.advance(now, executions));
+        self.tasks.retain(|_, task| {
+            let may_run = task.is_active() && task.lease_until > now;
+            may_run || now.duration_since(task.changed_at) < TASK_RETENTION
+        });
+    }
+
+    /// Tasks in state running.
+    pub(crate) fn running(&self) -> u32 {
+        self.tasks.values().filter(|task| task.state == TaskState::Running).count() as u32
+    }
+
+    /// Stops all tasks with the VM; returns how many were running.
+    pub(crate) fn cut(
+        &mut self,
+        now: Instant,
+        executions: &mut BTreeMap<String, Execution>,
+    ) -> u32 {
+        self.advance(now, executions);
+        let mut cut = 0;
+        for task in self.tasks.values_mut() {
+            match task.state {
+                TaskState::Running => {
+                    task.end(TaskState::Stopped, now);
+                    cut += 1;
+                }
+                TaskState::NotStarted => task.cancel(),
+                _ => {}
+            }
+        }
+        cut
+    }
+
+    fn reserved(&self) -> Resources {
+        let active = self.tasks.values().filter(|task| task.is_active() && !task.is_cancelled());
+        active.fold(Resources::default(), |sum, task| sum.plus(task.start.resources))
+    }
+
+    /// Checks the token against the newest one seen and remembers it.
+    fn fence(&mut self, task: &str, token: Token) -> Result<(), Refusal> {
+        let newest = self.fences.entry(task.to_owned()).or_default();
+        if token < *newest {
+            return Err((StatusCode::CONFLICT, "older token"));
+        }
+        *newest = token;
+        Ok(())
+    }
+
+    fn start(
+        &mut self,
+        start: StartTask,
+        free: Resources,
+        bad: bool,
+        done_before: Option<Duration>,
+        options: &PlatformOptions,
+    ) -> Result<(), Refusal> {
+        let now = Instant::now();
+        if self.fences.get(&start.task).is_some_and(|newest| start.token <= *newest) {
+            let known = self.tasks.get(&start.task).map(|task| task.start.token);
+            let duplicate = known == Some(start.token);
+            return Err((
+                StatusCode::CONFLICT,
+                if duplicate { "duplicate" } else { "older token" },
+            ));
+        }
+        let wall = UnixMillis::from(SystemTime::now());
+        let left = start.lease_end.map(|end| end.since(wall));
+        let lease = Duration::from_millis(start.lease_ms).min(left.unwrap_or(Duration::MAX));
+        if lease.is_zero() {
+            return Err((StatusCode::CONFLICT, "lease ended"));
+        }
+        let active = self.tasks.get(&start.task).is_some_and(Task::is_active);
+        if active && self.tasks[&start.task].lease_until > now {
+            return Err((StatusCode::CONFLICT, "active under an older token"));
+        }
+        if !start.resources.fits(free.minus(self.reserved())) {
+            return Err((StatusCode::TOO_MANY_REQUESTS, "no room"));
+        }
+        self.fence(&start.task, start.token)?;
+        let factor = size_factor(&start.task, options.estimate_error);
+        let run = Duration::from_millis(start.run_ms).mul_f64(factor);
+        let done_before = done_before.filter(|done| *done < run);
+        let starts_at = now + options.start_time;
+        let mut task = Task {
+            state: TaskState::NotStarted,
+            resumed: done_before.is_some(),
+            starts_at,
+            ends_at: starts_at + run - done_before.unwrap_or_default(),
+            lease_until: now + lease,
+            changed_at: now,
+            throttled: false,
+            factor,
+            done_before: done_before.unwrap_or_default(),
+            start,
+        };
+        if bad {
+            task.starts_at = now;
+            task.end(TaskState::Failed, now);
+        }
+        self.tasks.insert(task.start.task.clone(), task);
+        Ok(())
+    }
+
+    /// Renews, checkpoints, throttles or stops a task. Returns the task's progress for a checkpoint.
+    fn call(
+        &mut self,
+        name: &str,
+        verb: &str,
+        body: TaskCall,
+    ) -> Result<Option<Duration>, Refusal> {
+        let now = Instant::now();
+        self.fence(name, body.token)?;
+        let task = match self.tasks.get_mut(name) {
+            Some(task) => task,
+            // The fence that the call left makes sure that a delayed start is refused.
+            None if verb == "stop" => return Ok(None),
+            None => return Err((StatusCode::NOT_FOUND, "no such task")),
+        };
+        if verb == "stop" {
+            match task.state {
+                TaskState::Running => task.end(TaskState::Stopped, now),
+                TaskState::NotStarted => task.cancel(),
+                _ => {}
+            }
+            return Ok(None);
+        }
+        if task.start.token != body.token {
+            return Err((StatusCode::CONFLICT, "the task runs under another token"));
+        }
+        if !task.is_active() || task.lease_until <= now {
+            return Err((StatusCode::CONFLICT, "the task has ended"));
+        }
+        match verb {
+            "renew" => task.lease_until = now + Duration::from_millis(body.lease_ms),
+            "throttle" if !task.throttled => {
+                task.throttled = true;
+                task.ends_at += task.ends_at.saturating_duration_since(now.max(task.starts_at));
+            }
+            "throttle" => {}
+            "checkpoint" => {
+                let full_speed = if task.throttled { 2 } else { 1 };
+                return Ok(Some(task.done_before + task.ran(now) / full_speed));
+            }
+            _ => return Err((StatusCode::NOT_FOUND, "no such operation")),
+        }
+        Ok(None)
+    }
+
+    /// Takes a usage sample and drops samples older than `lag`.
+    pub(crate) fn sample(&mut self, vm: &VmId, now: Instant, lag: Duration) {
+        let running = self.tasks.values().filter(|task| task.state == TaskState::Running);
+        let tasks: Vec<TaskUsage> = running.map(Task::usage).collect();
+        let resources =
+            tasks.iter().fold(Resources::default(), |sum, task| sum.plus(task.resources));
+        let at = SystemTime::now().into();
+        self.reports.push_back((now, UsageReport { vm: vm.clone(), at, resources, tasks }));
+        while self.reports.len() > 1 && now.duration_since(self.reports[1].0) >= lag {
+            self.reports.pop_front();
+        }
+    }
+}
+
+/// Factor between `1 / error` and `error` by which a task's declared values are wrong.
+fn size_factor(task: &str, error: f64) -> f64 {
+    let unit = xxh3_64_with_seed(task.as_bytes(), 11) % 2001;
+    error.max(1.0).powf(unit as f64 / 1000.0 - 1.0)
+}
+
+/// HTTP handler of a worker.
+pub(crate) fn handler(shared: Arc<Shared>, vm: VmId) -> Handler {
+    Arc::new(move |call| {
+        let (shared, vm) = (shared.clone(), vm.clone());
+        Box::pin(async move { Some(answer(&shared, &vm, &call)) })
+    })
+}
+
+fn answer(shared: &Shared, vm: &VmId, call: &Call) -> Reply {
+    let now = Instant::now();
+    let fleet = &mut *lock(&shared.fleet);
+    if let Some(vm) = fleet.vms.get_mut(vm) {
+        vm.worker.advance(now, &mut fleet.seen.executions);
+    }
+    let Some(worker) = fleet.vms.get(vm).map(|vm| &vm.worker) else {
+        return Reply::error(StatusCode::NOT_FOUND, "no such VM");
+    };
+    // A task name contains `/`, so the verb is the last segment and the name is everything before it.
+    let segments = call.segments();
+    let path: Vec<&str> = segments.iter().map(String::as_str).collect();
+    match (&call.method, &path[..]) {
+        (&Method::GET, ["v1", "tasks"]) => {
+            let rows: Vec<TaskRow> = worker.tasks.values().map(|task| task.row(now)).collect();
+            Reply::json(StatusCode::OK, &rows)
+        }
+        (&Method::GET, ["v1", "tasks", name @ ..]) => match worker.tasks.get(&name.join("/")) {
+            Some(task) => Reply::json(StatusCode::OK, &task.row(now)),
+            None => Reply::error(StatusCode::NOT_FOUND, "no such task"),
+        },
+        (&Method::GET, ["v1", "usage"]) => match worker.reports.front() {
+            Some((_, report)) => Reply::json(StatusCode::OK, report),
+            None => Reply::error(StatusCode::NOT_FOUND, "no report yet"),
+        },
+        (&Method::POST, ["v1", "tasks"]) => match serde_json::from_slice(&call.body) {
+            Ok(start) => start_task(shared, vm, fleet, start),
+            Err(error) => Reply::error(StatusCode::BAD_REQUEST, &error.to_string()),
+        },
+        (&Method::POST, ["v1", "tasks", name @ .., verb]) => {
+            match serde_json::from_slice(&call.body) {
+                Ok(body) => call_task(vm, fleet, &name.join("/"), verb, body),
+                Err(error) => Reply::error(StatusCode::BAD_REQUEST, &error.to_string()),
+            }
+        }
+        _ => Reply::error(StatusCode::NOT_FOUND, "no such path"),
+    }
+}
+
+fn start_task(
+    shared: &Shared,
+    id: &VmId,
+    fleet: &mut crate::fleet::Fleet,
+    start: StartTask,
+) -> Reply {
+    let Some(vm) = fleet.vms.get_mut(id) else {
+        return Reply::error(StatusCode::NOT_FOUND, "no such VM");
+    };
+    if vm.is_past_bound(Instant::now()) {
+        fleet.seen.late_to_leaving += 1;
+        log::warn!("{id}: task {} arrived although the VM is leaving", start.task);
+    }
+    if vm.row.state != VmState::Live {
+        fleet.seen.refused_leaving += 1;
+        return Reply::error(StatusCode::TOO_MANY_REQUESTS, "the VM is leaving");
+    }
+    let name = start.task.clone();
+    let bad = shared.faults.read(|switches| switches.bad_workers.contains(id));
+    let done_before = fleet.checkpoints.get(&name).copied();
+    let free = vm.row.resources;
+    let result = vm.worker.start(start, free, bad, done_before, &shared.options);
+    match &result {
+        Err((StatusCode::CONFLICT, _)) => fleet.seen.fenced += 1,
+        Err(_) => fleet.seen.refused_full += 1,
+        Ok(()) => {}
+    }
+    task_reply(&vm.worker, &name, StatusCode::CREATED, result)
+}
+
+fn call_task(
+    id: &VmId,
+    fleet: &mut crate::fleet::Fleet,
+    name: &str,
+    verb: &str,
+    body: TaskCall,
+) -> Reply {
+    let Some(vm) = fleet.vms.get_mut(id) else {
+        return Reply::error(StatusCode::NOT_FOUND, "no such VM");
+    };
+    let result = vm.worker.call(name, verb, body);
+    if let Ok(Some(progress)) = result {
+        fleet.checkpoints.insert(name.to_owned(), progress);
+    }
+    task_reply(&vm.worker, name, StatusCode::OK, result.map(|_| ()))
+}
+
+/// The task's row after the call, with the reason when the call was refused.
+fn task_reply(
+    worker: &Worker,
+    name: &str,
+    status: StatusCode,
+    result: Result<(), Refusal>,
+) -> Reply {
+    let row = worker.tasks.get(name).map(|task| task.row(Instant::now()));
+    match result {
+        Ok(()) => Reply::json(status, &row),
+        Err((status, reason)) => {
+            Reply::json(status, &serde_json::json!({ "error": reason, "task": row }))
+        }
+    }
+}
