Wire up the entry daemon and the operator command line

Cause: the thin path has to run as separate processes: callers, entry nodes, stand-ins, operators. Change: dispatcher around the router, recorded work through the log with leases checked right before the send, driver and supervision of tasks, fleet loop with evidence, operator API, metrics; commands check, keygen, publish, status, explain, bench; daemon copperjunction-node.

--- a/crates/cj-node/src/lib.rs
+++ b/crates/cj-node/src/lib.rs
@@ -1,7 +1,15 @@
 //! The entry daemon: HTTP front end for callers and operators, wired to the shared state, the router and the planners.
 
+pub mod fleet;
 pub mod http;
 pub mod logging;
 pub mod metrics;
+pub mod node;
+pub mod operator;
 pub mod platform;
+pub mod refresh;
+pub mod shared;
 pub mod upstream;
+pub mod work;
+
+pub use node::{Addresses, Node};
--- a/crates/cj-node/src/platform.rs
+++ b/crates/cj-node/src/platform.rs
@@ -8,8 +8,8 @@
 
 use cj_record::{VmFacts, VmKind};
 use cj_types::{
-    Accelerators, BootId, DataCentreId, Error, ErrorKind, Mebibytes, Millicores, OpId, PoolId,
-    RackId, Resources, Result, Token, VmId,
+    BootId, DataCentreId, Error, ErrorKind, OpId, PoolId, RackId, Resources, Result, Token,
+    UnixMillis, VmId,
 };
 
 /// Time limit of one call.
@@ -46,16 +46,23 @@
     pub state: ListedState,
     /// Boot id.
     pub boot: BootId,
-    /// Whole cores.
-    pub cores: u32,
-    /// Memory in mebibytes.
-    pub memory: u32,
-    /// Accelerators.
-    pub accelerators: u32,
+    /// Total resources.
+    #[serde(flatten)]
+    pub resources: Resources,
     /// Minion or worker.
     pub kind: ListedKind,
 }
 
+/// A VM as a direct probe shows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbedVm {
+    /// The VM as of now.
+    #[serde(flatten)]
+    pub listed: ListedVm,
+    /// Requests or tasks in flight on it.
+    pub in_flight: u32,
+}
+
 /// Kind of a listed VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -78,11 +85,7 @@
                 ListedKind::Minion => VmKind::Minion,
                 ListedKind::Worker => VmKind::Worker,
             },
-            capacity: Resources {
-                cores: Millicores(listed.cores * 1000),
-                memory: Mebibytes(listed.memory),
-                accelerators: Accelerators(listed.accelerators),
-            },
+            capacity: listed.resources,
             boot: listed.boot,
         }
     }
@@ -113,6 +116,11 @@
     pub token: Token,
     /// State.
     pub state: TaskState,
+    /// Time until its lease ends; 0 when it has ended.
+    pub lease_left_ms: u64,
+    /// Answer of a done task.
+    #[serde(default)]
+    pub answer: Option<String>,
 }
 
 /// Start of a task on a worker.
@@ -124,12 +132,11 @@
     pub token: Token,
     /// Length of the lease in milliseconds.
     pub lease_ms: u32,
-    /// Cores, in thousandths.
-    pub cores: u32,
-    /// Memory in mebibytes.
-    pub memory: u32,
-    /// Accelerators.
-    pub accelerators: u32,
+    /// End of the lease by the wall clock; the worker refuses a start that arrives later.
+    pub lease_end: UnixMillis,
+    /// Declared demand.
+    #[serde(flatten)]
+    pub demand: Resources,
     /// Declared run time in milliseconds.
     pub run_ms: u32,
     /// What to run.
@@ -145,7 +152,7 @@
 
 #[derive(Serialize)]
 struct Operation<'a> {
-    op: CompactString,
+    op: u64,
     #[serde(skip_serializing_if = "Option::is_none")]
     pool: Option<&'a PoolId>,
 }
@@ -162,30 +169,28 @@
     }
 
     /// State of one VM right now.
-    pub async fn probe(&self, vm: &VmId) -> Result<ListedVm> {
+    pub async fn probe(&self, vm: &VmId) -> Result<ProbedVm> {
         get(&self.client, &format!("{}/{vm}", self.base), "VM control").await
     }
 
     /// Tells the platform that the VM is draining.
     pub async fn drain(&self, vm: &VmId, op: OpId) -> Result<()> {
-        self.operate(vm, "drain", &Operation { op: format_compact!("drain-{op}"), pool: None })
-            .await
+        self.operate(vm, "drain", &Operation { op: op.0, pool: None }).await
     }
 
     /// Reboots the VM; the same `op` reboots it once.
     pub async fn reboot(&self, vm: &VmId, op: OpId) -> Result<()> {
-        self.operate(vm, "reboot", &Operation { op: format_compact!("reboot-{op}"), pool: None })
-            .await
+        self.operate(vm, "reboot", &Operation { op: op.0, pool: None }).await
+    }
+
+    /// Returns a draining VM to service; `change` counts changes of the VM.
+    pub async fn undrain(&self, vm: &VmId, change: u64) -> Result<()> {
+        self.operate(vm, "undrain", &Operation { op: change, pool: None }).await
     }
 
     /// Sets the pool label of the VM; `change` counts its moves.
     pub async fn assign(&self, vm: &VmId, change: u64, pool: &PoolId) -> Result<()> {
-        self.operate(
-            vm,
-            "assign",
-            &Operation { op: format_compact!("assign-{change}"), pool: Some(pool) },
-        )
-        .await
+        self.operate(vm, "assign", &Operation { op: change, pool: Some(pool) }).await
     }
 
     async fn operate(&self, vm: &VmId, verb: &str, operation: &Operation<'_>) -> Result<()> {
--- /dev/null
+++ b/crates/cj-node/src/refresh.rs
@@ -0,0 +1,110 @@
+//! Keeps the router's view and the gauges in step with the shared state.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use cj_log::LogService;
+use cj_member::Report;
+use cj_types::Clock;
+
+use crate::{
+    metrics::PhaseLabel,
+    operator::{job_phase, vm_phase},
+    shared::{Shared, sleep},
+    work::pool_view,
+};
+
+/// Shortest time between two rebuilds of the router's view; far below the 2 s in which a leaving upstream must get no
+/// new work.
+const VIEW_INTERVAL: Duration = Duration::from_millis(50);
+/// Pause between two updates of the report that heartbeats carry.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between two updates of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Rebuilds the router's view whenever the shared state or the live nodes change.
+pub async fn refresh_view<L, C>(node: Rc<Shared<L, C>>)
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    let mut last = None;
+    loop {
+        let (index, nodes) = place_among_peers(&node);
+        let key = (node.replica.state().next, index, nodes);
+        if last != Some(key) {
+            let view = pool_view(&node.replica.state(), index, nodes);
+            node.dispatcher.update(view);
+            last = Some(key);
+        }
+        sleep(VIEW_INTERVAL).await;
+    }
+}
+
+/// Index of this node among the live ones in order of their ids, and their number.
+fn place_among_peers<L, C>(node: &Shared<L, C>) -> (u32, u32)
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    let view = node.peers.view();
+    let live = view.live(node.now());
+    let before = live.iter().filter(|p| p.report.node.node < *node.id()).count();
+    (before as u32, live.len() as u32 + 1)
+}
+
+/// Keeps this node's heartbeats up to date until the node stops.
+pub async fn refresh_report<L, C>(node: Rc<Shared<L, C>>)
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    loop {
+        let in_flight = node.dispatcher.all_in_flight(&node.replica.state());
+        let (applied, settings, hash) = {
+            let state = node.replica.state();
+            (state.next, state.settings_next, state.hash)
+        };
+        node.peers.update(|report: &mut Report| {
+            report.applied = applied;
+            report.settings = settings;
+            report.hash_at = applied;
+            report.hash = hash;
+            report.in_flight = in_flight;
+        });
+        sleep(REPORT_INTERVAL).await;
+    }
+}
+
+/// Updates the gauges until the node stops.
+pub async fn refresh_metrics<L, C>(node: Rc<Shared<L, C>>)
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    loop {
+        sleep(GAUGE_INTERVAL).await;
+        let lag = node.replica.lag();
+        let metrics = &node.metrics;
+        metrics.reachable.set(i64::from(lag.reachable));
+        metrics.applied.set(lag.applied.0 as i64);
+        metrics.peers.set(i64::from(place_among_peers(&node).1));
+        let state = node.replica.state();
+        metrics.settings.set(state.settings_next.0 as i64);
+        let mut jobs = BTreeMap::<&'static str, i64>::new();
+        for job in state.jobs.values() {
+            *jobs.entry(job_phase(&job.phase)).or_default() += 1;
+        }
+        let mut vms = BTreeMap::<&'static str, i64>::new();
+        for vm in state.vms.values() {
+            *vms.entry(vm_phase(&vm.phase)).or_default() += 1;
+        }
+        metrics.jobs.clear();
+        metrics.vms.clear();
+        for (phase, count) in jobs {
+            metrics.jobs.get_or_create(&PhaseLabel { phase }).set(count);
+        }
+        for (phase, count) in vms {
+            metrics.vms.get_or_create(&PhaseLabel { phase }).set(count);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cj-node/src/shared.rs
@@ -0,0 +1,88 @@
+//! What all parts of a node share.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeSet,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compact_str::CompactString;
+
+use cj_fleet::Evidence;
+use cj_log::{LogService, Replica};
+use cj_member::Membership;
+use cj_place::Placer;
+use cj_settings::NodeSettings;
+use cj_types::{Clock, JobId, NodeId, Token, VmId};
+
+use crate::{
+    http::Shutdown,
+    metrics::Metrics,
+    platform::{VmControl, Workers},
+    upstream::Upstreams,
+    work::Dispatcher,
+};
+
+/// Parts of a running node.
+pub struct Shared<L, C> {
+    /// Settings of the node.
+    pub settings: NodeSettings,
+    /// Clock.
+    pub clock: C,
+    /// Replica of the region's state.
+    pub replica: Rc<Replica<L, C>>,
+    /// Live peers.
+    pub peers: Rc<Membership<C>>,
+    /// Router with the requests that wait or run.
+    pub dispatcher: Dispatcher,
+    /// Placement of tasks.
+    pub placer: RefCell<Placer>,
+    /// Client of the minions.
+    pub upstreams: Upstreams,
+    /// Client of the workers.
+    pub workers: Workers,
+    /// Client of VM control.
+    pub control: VmControl,
+    /// Last observations of the fleet.
+    pub evidence: RefCell<Evidence>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Shutdown of the caller address.
+    pub shutdown: Shutdown,
+    /// Jobs that a connection of this node is working on; the driver leaves them alone.
+    pub attended: RefCell<BTreeSet<JobId>>,
+    /// Claims of this process under which a request was sent; any other claim of this process certainly didn't run.
+    pub sent: RefCell<BTreeSet<(JobId, Token)>>,
+}
+
+impl<L, C> Shared<L, C>
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    /// Id of this node.
+    pub fn id(&self) -> &NodeId {
+        &self.settings.node
+    }
+
+    /// Monotonic time.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// True when this node is the rendezvous owner of `key` among the live nodes.
+    pub fn owns(&self, key: &[u8]) -> bool {
+        self.peers.view().owner(key, self.now()) == *self.id()
+    }
+
+    /// Address of a VM.
+    pub fn address_of(&self, vm: &VmId) -> Option<CompactString> {
+        self.replica.state().vms.get(vm).map(|v| v.address.clone())
+    }
+}
+
+/// Waits for `delay` on the runtime's timer.
+pub async fn sleep(delay: Duration) {
+    actix_rt::time::sleep(delay).await;
+}
--- /dev/null
+++ b/crates/cj-node/src/work/dispatcher.rs
@@ -0,0 +1,157 @@
+//! Connects the router, which does no I/O, with the tasks that wait for its decisions.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use slotmap::SecondaryMap;
+use tokio::sync::{Notify, mpsc};
+
+use cj_fold::State;
+use cj_route::{Action, Admission, Completion, PoolView, Refusal, Request, Router, Ticket};
+use cj_types::VmId;
+
+use crate::shared::sleep;
+
+/// A decision of the router about one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Event {
+    /// Send the request to this upstream.
+    Send(VmId),
+    /// Answer the caller finally.
+    GiveUp {
+        /// Why.
+        reason: Refusal,
+        /// False when no attempt can have run.
+        may_have_run: bool,
+        /// When a retry is useful.
+        retry_after: Duration,
+    },
+}
+
+/// The router and the requests that wait for it.
+#[derive(Clone)]
+pub struct Dispatcher {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    router: RefCell<Router>,
+    waiting: RefCell<SecondaryMap<Ticket, mpsc::UnboundedSender<Event>>>,
+    changed: Notify,
+    now: Box<dyn Fn() -> Instant>,
+}
+
+/// A request in the router. Dropping it cancels the request, so that a caller that hangs up frees its place.
+pub(super) struct Admitted {
+    dispatcher: Dispatcher,
+    ticket: Ticket,
+    events: mpsc::UnboundedReceiver<Event>,
+}
+
+impl Admitted {
+    /// The next decision; `None` never comes before a final one.
+    pub(super) async fn next(&mut self) -> Option<Event> {
+        self.events.recv().await
+    }
+
+    /// Reports how an attempt ended.
+    pub(super) fn complete(&self, result: Completion) {
+        let inner = &self.dispatcher.inner;
+        let actions = inner.router.borrow_mut().complete(self.ticket, result, (inner.now)());
+        self.dispatcher.carry_out(actions);
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        let inner = &self.dispatcher.inner;
+        inner.waiting.borrow_mut().remove(self.ticket);
+        let actions = inner.router.borrow_mut().cancel(self.ticket, (inner.now)());
+        self.dispatcher.carry_out(actions);
+    }
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher for a router; `now` is the monotonic clock.
+    pub fn new<N>(router: Router, now: N) -> Self
+    where
+        N: Fn() -> Instant + 'static,
+    {
+        let waiting = RefCell::new(SecondaryMap::new());
+        let (router, changed, now) = (RefCell::new(router), Notify::new(), Box::new(now));
+        Dispatcher { inner: Rc::new(Inner { router, waiting, changed, now }) }
+    }
+
+    /// Offers a request. Fails with the reason and the time after which a retry is useful.
+    pub(super) fn offer(&self, request: Request) -> Result<Admitted, (Refusal, Duration)> {
+        let admission = self.inner.router.borrow_mut().offer(request, (self.inner.now)());
+        let (tx, events) = mpsc::unbounded_channel();
+        let ticket = match admission {
+            Admission::Refused { reason, retry_after } => return Err((reason, retry_after)),
+            Admission::Dispatch { ticket, upstream } => {
+                let _ = tx.send(Event::Send(upstream));
+                ticket
+            }
+            Admission::Queued { ticket } => ticket,
+        };
+        self.inner.waiting.borrow_mut().insert(ticket, tx);
+        self.inner.changed.notify_one();
+        Ok(Admitted { dispatcher: self.clone(), ticket, events })
+    }
+
+    /// Takes a new view of the fleet.
+    pub fn update(&self, view: PoolView) {
+        let now = (self.inner.now)();
+        self.inner.router.borrow_mut().update(view, now);
+        let actions = self.inner.router.borrow_mut().poll(now);
+        self.carry_out(actions);
+    }
+
+    /// Requests of this node that an upstream is working on.
+    pub fn in_flight(&self, upstream: &VmId) -> usize {
+        self.inner.router.borrow().in_flight(upstream)
+    }
+
+    /// Requests of this node in flight on each minion that has any.
+    pub fn all_in_flight(&self, state: &State) -> BTreeMap<VmId, u32> {
+        let router = self.inner.router.borrow();
+        let counts = state.vms.keys().map(|vm| (vm, router.in_flight(vm)));
+        counts.filter(|(_, n)| *n > 0).map(|(vm, n)| (vm.clone(), n as u32)).collect()
+    }
+
+    /// Polls the router whenever something is due.
+    pub async fn run(self) {
+        const LONGEST_SLEEP: Duration = Duration::from_secs(1);
+        loop {
+            let due = self.inner.router.borrow().next_poll();
+            let delay =
+                due.map_or(LONGEST_SLEEP, |at| at.saturating_duration_since((self.inner.now)()));
+            tokio::select! {
+                () = sleep(delay.min(LONGEST_SLEEP)) => {}
+                () = self.inner.changed.notified() => {}
+            }
+            let actions = self.inner.router.borrow_mut().poll((self.inner.now)());
+            self.carry_out(actions);
+        }
+    }
+
+    fn carry_out(&self, actions: Vec<Action>) {
+        let waiting = self.inner.waiting.borrow();
+        for action in actions {
+            let (ticket, event) = match action {
+                Action::Dispatch { ticket, upstream, .. }
+                | Action::Retry { ticket, upstream, .. } => (ticket, Event::Send(upstream)),
+                Action::GiveUp { ticket, reason, may_have_run, retry_after } => {
+                    (ticket, Event::GiveUp { reason, may_have_run, retry_after })
+                }
+            };
+            if let Some(tx) = waiting.get(ticket) {
+                let _ = tx.send(event);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cj-node/src/work/mod.rs
@@ -0,0 +1,18 @@
+//! Requests for work: routing, recorded work, and the driver of jobs that no connection attends.
+
+mod attended;
+mod dispatcher;
+mod driver;
+mod finish;
+mod intake;
+mod lease;
+mod recorded;
+mod routed;
+mod supervise;
+mod task;
+mod view;
+
+pub use dispatcher::Dispatcher;
+pub use driver::drive_jobs;
+pub use intake::{answer_job, answer_work, cancel_job};
+pub use view::pool_view;
--- /dev/null
+++ b/crates/cj-node/src/work/view.rs
@@ -0,0 +1,39 @@
+//! The router's view of the fleet, built from the shared state.
+
+use std::collections::BTreeMap;
+
+use cj_fold::{State, Vm};
+use cj_record::VmKind;
+use cj_route::{PoolEntry, PoolView, Upstream};
+use cj_types::VmId;
+
+/// Pools of minions with their upstreams, for a node with the given index among `nodes` live ones.
+pub fn pool_view(state: &State, index: u32, nodes: u32) -> PoolView {
+    let fleet = &state.fleet;
+    let mut pools: BTreeMap<_, PoolEntry> = BTreeMap::new();
+    for (id, service) in &fleet.services {
+        let Some(settings) = fleet.pools.get(&service.pool) else { continue };
+        let pool = pools.entry(service.pool.clone()).or_default();
+        pool.classes.clone_from(&settings.classes);
+        pool.services.push(id.clone());
+        // A pool that serves several services is limited by the smallest of their limits.
+        let smaller = |known: u32, new: u32| if known == 0 { new } else { known.min(new) };
+        pool.slots = smaller(pool.slots, service.slots);
+        pool.connections = smaller(pool.connections, service.connections);
+    }
+    for (id, vm) in state.vms.iter().filter(|(_, vm)| vm.kind == VmKind::Minion) {
+        if let Some(pool) = pools.get_mut(&vm.pool) {
+            pool.upstreams.push(upstream(id, vm));
+        }
+    }
+    PoolView { pools, classes: fleet.classes.clone(), teams: fleet.teams.clone(), index, nodes }
+}
+
+fn upstream(id: &VmId, vm: &Vm) -> Upstream {
+    Upstream {
+        vm: id.clone(),
+        centre: vm.centre.clone(),
+        rack: vm.rack.clone(),
+        leaving: !vm.phase.is_active(),
+    }
+}
--- /dev/null
+++ b/crates/copperjunction/src/commands/bench.rs
@@ -0,0 +1,101 @@
+//! `bench`: runs a benchmark.
+
+use std::time::Instant;
+
+use lexopt::{Arg, Parser, ValueExt};
+use serde_json::Value;
+
+use cj_bench::{BENCHMARKS, Benchmark, Options};
+use cj_types::Result;
+
+use crate::output::{Exit, Report, progress, usage};
+
+use super::{
+    check::text,
+    command::{Command, wrong_use},
+};
+
+pub(super) const COMMAND: Command = Command { name: "bench", help: HELP, run };
+
+const HELP: &str = "\
+Runs a benchmark of the decision code and prints its report.
+
+Usage: copperjunction bench NAME [OPTIONS]
+
+Options:
+  --seed N            seed of the pseudo-random generator [1]
+  --workers N         number of workers, where the size can be chosen
+  --nodes N           number of entry nodes, where the size can be chosen
+  --report text|json  form of the report [text]
+  --list              list the benchmarks
+  -h, --help          show this help
+
+Example:
+  copperjunction bench flood --seed 1 --report json
+";
+
+fn run(parser: &mut Parser) -> Result<Exit> {
+    let mut options = Options { seed: 1, workers: None, nodes: None };
+    let (mut report, mut name) = (Report::Text, None);
+    while let Some(arg) = parser.next().map_err(|e| wrong_use(&e))? {
+        match arg {
+            Arg::Long("seed") => options.seed = number(parser)?,
+            Arg::Long("workers") => options.workers = Some(number(parser)?),
+            Arg::Long("nodes") => options.nodes = Some(number(parser)?),
+            Arg::Long("report") => report = text(parser)?.parse()?,
+            Arg::Long("list") => {
+                BENCHMARKS.iter().for_each(|(name, _)| println!("{name}"));
+                return Ok(Exit::Ok);
+            }
+            Arg::Value(value) if name.is_none() => {
+                name = Some(value.string().map_err(|e| wrong_use(&e))?);
+            }
+            Arg::Short('h') | Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(Exit::Ok);
+            }
+            other => return Err(wrong_use(&other.unexpected())),
+        }
+    }
+    let name = name.ok_or_else(|| usage("no benchmark given", "see `bench --list`"))?;
+    let bench = find(&name)?;
+    progress(&format!("running benchmark {name}"));
+    let started = Instant::now();
+    let result = bench(&options)?;
+    progress(&format!("finished after {:.1} s", started.elapsed().as_secs_f64()));
+    match report {
+        Report::Json => println!("{result}"),
+        Report::Text => print(&result, ""),
+    }
+    Ok(Exit::Ok)
+}
+
+fn find(name: &str) -> Result<Benchmark> {
+    let found = BENCHMARKS.iter().find(|(known, _)| *known == name);
+    let unknown = || usage(format!("unknown benchmark `{name}`"), "see `bench --list`");
+    found.map(|(_, bench)| *bench).ok_or_else(unknown)
+}
+
+/// The next word of the command line as a number.
+pub(super) fn number<T>(parser: &mut Parser) -> Result<T>
+where
+    T: std::str::FromStr,
+{
+    let word = text(parser)?;
+    word.parse().map_err(|_| usage(format!("`{word}` is not a whole number"), "use digits only"))
+}
+
+fn print(value: &Value, prefix: &str) {
+    match value {
+        Value::Object(map) => {
+            for (key, value) in map {
+                let path = if prefix.is_empty() { key.clone() } else { format!("{prefix}.{key}") };
+                print(value, &path);
+            }
+        }
+        Value::Number(n) if n.is_f64() => {
+            println!("{prefix:<48} {:>14.4}", n.as_f64().unwrap_or_default());
+        }
+        other => println!("{prefix:<48} {other:>14}"),
+    }
+}
--- /dev/null
+++ b/crates/copperjunction/src/commands/command.rs
@@ -0,0 +1,91 @@
+//! Finds and runs a command.
+
+use std::process::ExitCode;
+
+use lexopt::{Arg, Parser, ValueExt};
+
+use cj_types::{Error, Result};
+
+use crate::output::{Exit, report_error, usage};
+
+use super::{bench, check, explain, keygen, publish, status};
+
+const PROGRAM: &str = "copperjunction";
+
+const HELP: &str = "\
+Operator command line of copperjunction, a fleet capacity and maintenance manager.
+
+Usage: copperjunction COMMAND [OPTIONS]
+
+Commands:
+  check     check settings files and report all errors
+  keygen    make the key pair of an office
+  publish   publish settings of an office
+  status    show the state of the fleet as a node sees it
+  explain   tell why a job, a VM or a setting was treated as it was
+  bench     run a benchmark
+
+Options:
+  -h, --help     show help; also after a command
+  -V, --version  show the version
+
+Exit codes: 0 ok, 1 failed, 2 wrong use.
+
+Example:
+  copperjunction check --node examples/node.ini
+";
+
+/// A command.
+pub struct Command {
+    /// Name on the command line.
+    pub name: &'static str,
+    /// Text of `--help`, with an example.
+    pub help: &'static str,
+    /// Runs the command with the rest of the command line.
+    pub run: fn(&mut Parser) -> Result<Exit>,
+}
+
+const COMMANDS: &[Command] = &[
+    check::COMMAND,
+    keygen::COMMAND,
+    publish::COMMAND,
+    status::COMMAND,
+    explain::COMMAND,
+    bench::COMMAND,
+];
+
+/// Runs the command line and returns its exit code.
+pub fn run(mut parser: Parser) -> ExitCode {
+    match dispatch(&mut parser) {
+        Ok(exit) => exit.into(),
+        Err(error) => report_error(PROGRAM, &error),
+    }
+}
+
+fn dispatch(parser: &mut Parser) -> Result<Exit> {
+    let help = "see `copperjunction --help`";
+    match parser.next().map_err(|e| wrong_use(&e))? {
+        None => Err(usage("no command given", help)),
+        Some(Arg::Short('h') | Arg::Long("help")) => {
+            print!("{HELP}");
+            Ok(Exit::Ok)
+        }
+        Some(Arg::Short('V') | Arg::Long("version")) => {
+            println!("{PROGRAM} {}", env!("CARGO_PKG_VERSION"));
+            Ok(Exit::Ok)
+        }
+        Some(Arg::Value(name)) => {
+            let name = name.string().map_err(|e| wrong_use(&e))?;
+            let command = COMMANDS.iter().find(|c| c.name == name);
+            let command =
+                command.ok_or_else(|| usage(format!("unknown command `{name}`"), help))?;
+            (command.run)(parser)
+        }
+        Some(other) => Err(wrong_use(&other.unexpected())),
+    }
+}
+
+/// Turns a problem with the command line into an error.
+pub(super) fn wrong_use(problem: &lexopt::Error) -> Error {
+    usage(problem.to_string(), "see `--help` of the command")
+}
--- /dev/null
+++ b/crates/copperjunction/src/commands/mod.rs
@@ -0,0 +1,11 @@
+//! The commands of the operator command line, one per file.
+
+mod bench;
+mod check;
+mod command;
+mod explain;
+mod keygen;
+mod publish;
+mod status;
+
+pub use command::{Command, run};
--- /dev/null
+++ b/crates/copperjunction/src/commands/publish.rs
@@ -0,0 +1,312 @@
+//! `publish`: publishes settings of an office.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use compact_str::CompactString;
+use ed25519_dalek::SigningKey;
+use lexopt::{Arg, Parser, ValueExt};
+use serde_json::{Value, json};
+
+use cj_record::{SettingPath, SettingRecord, SignedSetting};
+use cj_settings::read_fleet_ini;
+use cj_types::{Error, ErrorKind, OfficeId, Result, Version};
+
+use crate::{
+    client::{Operator, block_on},
+    output::{Exit, Report, progress, usage},
+};
+
+use super::{
+    bench::number,
+    check::{read, text},
+    command::{Command, wrong_use},
+    status::{address, no_node},
+};
+
+pub(super) const COMMAND: Command = Command { name: "publish", help: HELP, run };
+
+const HELP: &str = "\
+Publishes settings of an office, signed with its key, and reports the verdict on each.
+
+Usage: copperjunction publish --node IP:PORT --office OFFICE --key FILE SETTINGS [OPTIONS]
+
+SETTINGS is one of:
+  --file FILE         every setting of the file that differs from the one in force
+  --set PATH VALUE    one setting; PATH is OFFICE/KIND/NAME/KEY
+  --remove PATH       takes one setting out of force
+
+Options:
+  --node IP:PORT      operator address of an entry node
+  --office OFFICE     office that publishes
+  --key FILE          secret key of the office, as written by `keygen`
+  --expect VERSION    version that the publisher saw, with --set or --remove [the one in force]
+  --wait              wait until the settings are in force on every live node, and name the nodes that lag
+  --timeout SECONDS   longest wait [10]
+  --report text|json  form of the report [text]
+  -h, --help          show this help
+
+Exits with 1 when a setting is rejected, or not in force everywhere within the time with --wait.
+
+Example:
+  copperjunction publish --node 127.0.0.1:7003 --office press --key press.key --file examples/kartica-press.ini --wait
+";
+
+/// Pause between two looks at the verdicts or the status.
+const POLL: Duration = Duration::from_millis(50);
+
+struct Options {
+    node: SocketAddr,
+    office: OfficeId,
+    key: SigningKey,
+    changes: Vec<Change>,
+    wait: bool,
+    timeout: Duration,
+    report: Report,
+}
+
+/// One setting to publish.
+#[derive(Clone, Debug)]
+struct Change {
+    path: SettingPath,
+    value: Option<CompactString>,
+    expect: Option<Version>,
+}
+
+/// What became of one change.
+#[derive(Clone, Debug)]
+struct Outcome {
+    path: SettingPath,
+    offset: Option<u64>,
+    rejected: Option<String>,
+}
+
+fn run(parser: &mut Parser) -> Result<Exit> {
+    match options(parser)? {
+        Some(options) => block_on(publish(&options)),
+        None => {
+            print!("{HELP}");
+            Ok(Exit::Ok)
+        }
+    }
+}
+
+fn options(parser: &mut Parser) -> Result<Option<Options>> {
+    let (mut node, mut office, mut key, mut file) = (None, None, None, None);
+    let (mut wait, mut timeout, mut report) = (false, 10, Report::Text);
+    let mut changes = Vec::new();
+    let mut expect = None;
+    while let Some(arg) = parser.next().map_err(|e| wrong_use(&e))? {
+        match arg {
+            Arg::Long("node") => node = Some(address(&text(parser)?)?),
+            Arg::Long("office") => office = Some(text(parser)?.parse::<OfficeId>()?),
+            Arg::Long("key") => key = Some(read_key(&text(parser)?)?),
+            Arg::Long("file") => file = Some(text(parser)?),
+            Arg::Long("set") => {
+                let path = text(parser)?.parse()?;
+                let value = parser.value().map_err(|e| wrong_use(&e))?;
+                let value = value.string().map_err(|e| wrong_use(&e))?;
+                changes.push(Change { path, value: Some(value.into()), expect: None });
+            }
+            Arg::Long("remove") => {
+                changes.push(Change { path: text(parser)?.parse()?, value: None, expect: None });
+            }
+            Arg::Long("expect") => expect = Some(Version(number(parser)?)),
+            Arg::Long("wait") => wait = true,
+            Arg::Long("timeout") => timeout = number(parser)?,
+            Arg::Long("report") => report = text(parser)?.parse()?,
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
+            other => return Err(wrong_use(&other.unexpected())),
+        }
+    }
+    let node = node.ok_or_else(no_node)?;
+    let office = office.ok_or_else(|| usage("no office given", "name it with `--office`"))?;
+    let key = key.ok_or_else(|| usage("no key given", "name its file with `--key`"))?;
+    if let Some(file) = file {
+        changes.extend(changes_of(&file, &office)?);
+    }
+    if changes.is_empty() {
+        return Err(usage("no setting given", "use `--file`, `--set` or `--remove`"));
+    }
+    changes.iter_mut().for_each(|c| c.expect = expect);
+    let timeout = Duration::from_secs(timeout);
+    Ok(Some(Options { node, office, key, changes, wait, timeout, report }))
+}
+
+fn read_key(file: &str) -> Result<SigningKey> {
+    let text = read(file)?;
+    let text = text.trim();
+    let invalid = || Error::invalid("office key", file, "use the file that `keygen` wrote");
+    let pairs = text.as_bytes().chunks(2).map(std::str::from_utf8);
+    let bytes: Option<Vec<u8>> =
+        pairs.map(|p| p.ok().and_then(|p| u8::from_str_radix(p, 16).ok())).collect();
+    let bytes: [u8; 32] = bytes.and_then(|b| b.try_into().ok()).ok_or_else(invalid)?;
+    Ok(SigningKey::from_bytes(&bytes))
+}
+
+fn changes_of(file: &str, office: &OfficeId) -> Result<Vec<Change>> {
+    let values = read_fleet_ini(file, &read(file)?, office).map_err(|errors| {
+        let list: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        let help = "correct the file; `check` reports the errors as well";
+        Error::new(ErrorKind::Failed(list.join("\n").into()), help)
+    })?;
+    let change = |(path, value)| Change { path, value: Some(value), expect: None };
+    Ok(values.into_iter().map(change).collect())
+}
+
+async fn publish(options: &Options) -> Result<Exit> {
+    let operator = Operator::new(options.node);
+    let in_force = settings_in_force(&operator).await?;
+    let started = Instant::now();
+    let mut outcomes = Vec::new();
+    for change in &options.changes {
+        let known = in_force.get(&change.path);
+        if change.expect.is_none() && known.is_some_and(|(value, _)| *value == change.value) {
+            continue;
+        }
+        let version = known.map_or(Version(0), |(_, version)| *version);
+        let expected = change.expect.unwrap_or(version);
+        let record = SettingRecord {
+            path: change.path.clone(),
+            value: change.value.clone(),
+            expected,
+            nonce: rand::random(),
+        };
+        outcomes.push(send(&operator, options, &record).await?);
+    }
+    progress(&format!("{} settings published", outcomes.len()));
+    for outcome in &mut outcomes {
+        settle(&operator, outcome, started + options.timeout).await?;
+    }
+    let highest = outcomes.iter().filter_map(|o| o.offset).max();
+    let lagging = match (options.wait, highest) {
+        (true, Some(offset)) => Some(wait(&operator, offset, started + options.timeout).await?),
+        _ => None,
+    };
+    Ok(show(options, &outcomes, lagging.as_ref(), started.elapsed()))
+}
+
+type InForce = BTreeMap<SettingPath, (Option<CompactString>, Version)>;
+
+async fn settings_in_force(operator: &Operator) -> Result<InForce> {
+    let (_, answer) = operator.get("/settings").await?;
+    let mut in_force = BTreeMap::new();
+    for entry in answer["values"].as_array().into_iter().flatten() {
+        let Some(path) = entry["path"].as_str() else { continue };
+        let value = entry["value"].as_str().map(CompactString::from);
+        let version = Version(entry["version"].as_u64().unwrap_or_default());
+        in_force.insert(path.parse()?, (value, version));
+    }
+    Ok(in_force)
+}
+
+/// Sends one record. A lost answer is settled by sending the same record again: the second copy is stale by then.
+async fn send(operator: &Operator, options: &Options, record: &SettingRecord) -> Result<Outcome> {
+    const TRIES: u32 = 5;
+    let mut signed = SignedSetting::sign(record, &options.key)?;
+    signed.office = options.office.clone();
+    let body = signed.encode()?;
+    let path = record.path.clone();
+    for _ in 0..TRIES {
+        let (code, answer) = operator.post("/settings", body.clone()).await?;
+        match answer["offset"].as_u64() {
+            Some(offset) => return Ok(Outcome { path, offset: Some(offset), rejected: None }),
+            None if code == 400 => {
+                let reason = answer["error"].as_str().unwrap_or("refused").to_owned();
+                return Ok(Outcome { path, offset: None, rejected: Some(reason) });
+            }
+            None => actix_rt::time::sleep(POLL * 4).await,
+        }
+    }
+    let reason = "the log did not take the record; publish again".to_owned();
+    Ok(Outcome { path, offset: None, rejected: Some(reason) })
+}
+
+async fn settle(operator: &Operator, outcome: &mut Outcome, until: Instant) -> Result<()> {
+    let Some(offset) = outcome.offset else { return Ok(()) };
+    loop {
+        let (_, answer) = operator.get(&format!("/settings/verdict/{offset}")).await?;
+        match answer["verdict"].as_str() {
+            Some("pending") if Instant::now() < until => actix_rt::time::sleep(POLL).await,
+            Some("pending") => {
+                outcome.rejected = Some("no verdict within the time".into());
+                return Ok(());
+            }
+            Some("rejected") => {
+                outcome.rejected = answer["reason"].as_str().map(str::to_owned);
+                return Ok(());
+            }
+            _ => return Ok(()),
+        }
+    }
+}
+
+/// Nodes on which the settings are in force, and nodes that lag.
+struct Spread {
+    there: Vec<String>,
+    lagging: Vec<String>,
+}
+
+async fn wait(operator: &Operator, offset: u64, until: Instant) -> Result<Spread> {
+    loop {
+        let (_, status) = operator.get("/status").await?;
+        let mut spread = Spread { there: Vec::new(), lagging: Vec::new() };
+        let own = std::iter::once(&status);
+        for node in own.chain(status["peers"].as_array().into_iter().flatten()) {
+            let name = node["node"].as_str().unwrap_or("?").to_owned();
+            let next = node["settings_offset"].as_u64().unwrap_or_default();
+            if next > offset { spread.there.push(name) } else { spread.lagging.push(name) }
+        }
+        if spread.lagging.is_empty() || Instant::now() >= until {
+            return Ok(spread);
+        }
+        actix_rt::time::sleep(POLL).await;
+    }
+}
+
+fn show(options: &Options, outcomes: &[Outcome], spread: Option<&Spread>, took: Duration) -> Exit {
+    let rejected = outcomes.iter().filter(|o| o.rejected.is_some()).count();
+    let lagging = spread.is_some_and(|s| !s.lagging.is_empty());
+    let ok = rejected == 0 && !lagging;
+    match options.report {
+        Report::Json => println!("{}", as_json(outcomes, spread, took, ok)),
+        Report::Text => print(outcomes, spread, took),
+    }
+    if ok { Exit::Ok } else { Exit::Failed }
+}
+
+fn as_json(outcomes: &[Outcome], spread: Option<&Spread>, took: Duration, ok: bool) -> Value {
+    let list: Vec<Value> = outcomes
+        .iter()
+        .map(|o| json!({ "path": o.path.to_string(), "offset": o.offset, "rejected": o.rejected }))
+        .collect();
+    json!({
+        "ok": ok,
+        "settings": list,
+        "in_force_on": spread.map(|s| &s.there),
+        "lagging": spread.map(|s| &s.lagging),
+        "seconds": took.as_secs_f64(),
+    })
+}
+
+fn print(outcomes: &[Outcome], spread: Option<&Spread>, took: Duration) {
+    for outcome in outcomes {
+        match &outcome.rejected {
+            None => println!("accepted  {}", outcome.path),
+            Some(reason) => println!("rejected  {}: {reason}", outcome.path),
+        }
+    }
+    if outcomes.is_empty() {
+        println!("nothing to publish: all settings are in force already");
+    }
+    if let Some(spread) = spread {
+        let seconds = took.as_secs_f64();
+        println!("in force on {} nodes after {seconds:.1} s", spread.there.len());
+        if !spread.lagging.is_empty() {
+            println!("lagging: {}", spread.lagging.join(", "));
+        }
+    }
+}
--- a/crates/copperjunction/src/main.rs
+++ b/crates/copperjunction/src/main.rs
@@ -1,3 +1,7 @@
-//! Operator command line of copperjunction.
+//! Operator command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    copperjunction::commands::run(lexopt::Parser::from_env())
+}
