Read entries of later kinds, and test the fold

Cause: a node that meets an entry of a later version must still read the rest of the batch; a VM that the platform replaced stayed in the state for ever; the fold had no tests. Change: entries are encoded as kind number and length-delimited body; a kind or body that does not fit decodes to Entry::Unknown. Entry::Remove forgets a VM that is out of service.

--- a/crates/cj-fold/src/apply.rs
+++ b/crates/cj-fold/src/apply.rs
@@ -150,6 +150,7 @@
             }
             Entry::TakeOut { vm, generation } => self.take_out(source, &vm, generation),
             Entry::PutBack { vm, generation } => self.put_back(source, &vm, generation),
+            Entry::Remove { vm, generation } => self.remove(source, &vm, generation),
             Entry::Unknown { kind, .. } => {
                 self.counters.unknown += 1;
                 self.behind = true;
--- a/crates/cj-fold/src/apply/fleet.rs
+++ b/crates/cj-fold/src/apply/fleet.rs
@@ -329,6 +329,28 @@
         source.accepted()
     }
 
+    /// Forgets a VM that is out of service for good.
+    pub(super) fn remove(
+        &mut self,
+        source: Source<'_>,
+        id: &VmId,
+        generation: Generation,
+    ) -> Ruling {
+        let vm = self.vm_at(id, generation)?;
+        if !matches!(vm.phase, VmPhase::Failed { .. } | VmPhase::OutOfRotation { .. }) {
+            return reject("the VM is in service");
+        }
+        self.check_idle(id)?;
+        if vm.home.is_some() {
+            self.bill(id);
+        }
+        if let Some(vm) = self.vms.remove(id) {
+            self.index.remove_vm(id, &vm);
+        }
+        self.record(source, id, "removed".into());
+        source.accepted()
+    }
+
     /// Checks that the pool keeps its availability budget when `taken` more VMs leave service.
     fn check_budget(&self, id: &PoolId, taken: u32) -> Result<(), CompactString> {
         let min = self.pool(id)?.min_available;
--- a/crates/cj-fold/src/apply/lending.rs
+++ b/crates/cj-fold/src/apply/lending.rs
@@ -43,7 +43,7 @@
         ids.iter().for_each(|id| self.bill(id));
     }
 
-    fn bill(&mut self, id: &VmId) {
+    pub(super) fn bill(&mut self, id: &VmId) {
         let now = self.now;
         let Some(Vm { pool, billed, .. }) = self.vms.get_mut(id) else {
             return;
--- a/crates/cj-fold/src/snapshot.rs
+++ b/crates/cj-fold/src/snapshot.rs
@@ -31,8 +31,6 @@
     count: u32,
     /// Hash of the whole encoded state.
     whole: [u8; 32],
-    /// Checksum of the chunk.
-    sum: u32,
     chunk: Vec<u8>,
 }
 
@@ -55,10 +53,16 @@
         number,
         count,
         whole,
-        sum: crc32fast::hash(chunk),
         chunk: chunk.to_vec(),
     });
-    pieces.filter_map(|piece| postcard::to_stdvec(&piece).ok()).collect()
+    pieces.filter_map(|piece| postcard::to_stdvec(&piece).ok()).map(sealed).collect()
+}
+
+/// Appends the checksum. It covers the header too, since a wrong count would hide the other pieces of a snapshot.
+fn sealed(mut bytes: Vec<u8>) -> Vec<u8> {
+    let sum = crc32fast::hash(&bytes);
+    bytes.extend_from_slice(&sum.to_le_bytes());
+    bytes
 }
 
 /// Collects pieces from the snapshot stream, possibly of several writers, torn or corrupt.
@@ -116,16 +120,17 @@
     if bytes.len() > MAX_PIECE_BYTES {
         return Err(invalid("larger than 48 KiB"));
     }
-    let piece: Piece = postcard::from_bytes(bytes).map_err(|e| invalid(&e.to_string()))?;
+    let (body, sum) = bytes.split_last_chunk().ok_or_else(|| invalid("truncated"))?;
+    if crc32fast::hash(body).to_le_bytes() != *sum {
+        return Err(invalid("checksum mismatch"));
+    }
+    let piece: Piece = postcard::from_bytes(body).map_err(|e| invalid(&e.to_string()))?;
     if piece.magic != MAGIC {
         return Err(invalid("foreign record"));
     }
     if piece.number >= piece.count || piece.count > MAX_PIECES {
         return Err(invalid("wrong piece number"));
     }
-    if crc32fast::hash(&piece.chunk) != piece.sum {
-        return Err(invalid("checksum mismatch"));
-    }
     Ok(piece)
 }
 
--- /dev/null
+++ b/crates/cj-fold/tests/writers.rs
@@ -0,0 +1,113 @@
+//! Sequence rules and fold time. Guards against a lost or late batch that takes effect after it was withdrawn.
+
+mod common;
+
+use cj_fold::Applied;
+use cj_record::*;
+use cj_types::*;
+use common::*;
+
+const HOUR: u64 = 3_600_000;
+
+fn folded(applied: Applied) -> bool {
+    match applied {
+        Applied::Batch { .. } => true,
+        Applied::Ignored { .. } => false,
+        Applied::Corrupt { reason } => panic!("{reason}"),
+    }
+}
+
+/// Applies batches given as (incarnation, sequence number, time) and compares which of them count.
+#[track_caller]
+fn check(world: &mut World, batches: &[(u64, u64, u64, bool)]) {
+    for (number, (incarnation, seq, at, counts)) in batches.iter().enumerate() {
+        let record = batch("m", *incarnation, *seq, *at, vec![Entry::Tick]);
+        assert_eq!(folded(world.apply(record)), *counts, "batch {number}");
+    }
+    world.state.check_invariants().unwrap();
+}
+
+#[test]
+fn each_batch_counts_once() {
+    let mut world = World::new();
+    check(
+        &mut world,
+        &[
+            (1, 2, NOON, false), // unknown incarnation
+            (1, 1, NOON, true),
+            (1, 1, NOON, false),
+            (1, 2, NOON, true),
+            (1, 4, NOON, true), // withdrawal of 3
+            (1, 3, NOON, false),
+            (2, 1, NOON, true), // restart
+            (1, 5, NOON, true), // the incarnation before it still drains its queue
+        ],
+    );
+    assert_eq!(world.state.counters.duplicates, 3);
+}
+
+#[test]
+fn a_withdrawn_batch_never_takes_effect() {
+    let mut world = World::new();
+    world.batch("n2", vec![]);
+    let lost = batch("n2", 1, 2, NOON, vec![Entry::Submit(submit("cook/1", "batch", "proofs"))]);
+    assert!(folded(world.apply(batch("n2", 1, 3, NOON, vec![]))));
+    assert!(!folded(world.apply(lost)));
+    assert!(world.state.jobs.is_empty());
+}
+
+#[test]
+fn silent_writers_are_forgotten_and_their_late_copies_too() {
+    let mut world = World::new();
+    check(&mut world, &[(1, 1, NOON, true), (2, 1, NOON + 48 * HOUR, true)]);
+    world.wait(24 * 3600);
+    let now = world.now;
+    check(&mut world, &[(1, 2, now, true)]);
+    world.wait(24 * 3600 + 60);
+    // The second writer's clock is two days fast; its first batch must not look new after it is forgotten.
+    check(
+        &mut world,
+        &[
+            (1, 3, now, false),
+            (1, 1, NOON, false),
+            (2, 1, NOON + 48 * HOUR, false),
+            (2, 2, now, true),
+        ],
+    );
+    world.wait(2 * 3600);
+    let known = world.state.writers.keys().filter(|w| w.node.as_str() == "m").count();
+    assert_eq!(known, 1);
+}
+
+#[test]
+fn one_fast_clock_moves_fold_time_by_a_minute() {
+    let mut world = World::new();
+    check(&mut world, &[(1, 1, NOON + 365 * 24 * HOUR, true)]);
+    assert_eq!(world.state.now, UnixMillis(NOON + 60_000));
+    check(&mut world, &[(1, 2, NOON - HOUR, true)]);
+    assert_eq!(world.state.now, UnixMillis(NOON + 60_000));
+}
+
+#[test]
+fn later_entry_kinds_leave_the_rest_of_the_batch_alone() {
+    let mut world = World::new();
+    let job = || Entry::Submit(submit("cook/1", "batch", "proofs"));
+    let later = Entry::Unknown { kind: 900, body: vec![1, 2, 3] };
+    let verdicts = world.batch("n1", vec![later, job()]);
+    assert!(matches!(verdicts[0], cj_fold::Verdict::Rejected { .. }));
+    assert!(matches!(verdicts[1], cj_fold::Verdict::Accepted { .. }));
+    assert!(world.state.behind);
+    assert!(cj_fold::snapshot::encode(&world.state).is_empty());
+}
+
+/// A reader that skips ahead or starts over must not change the state.
+#[test]
+fn records_out_of_order_change_nothing() {
+    let mut world = World::new();
+    let before = world.state.clone();
+    for offset in [before.next.0 - 1, before.next.0 + 1] {
+        let applied = world.state.apply(Offset(offset), &batch("m", 1, 1, NOON, vec![]));
+        assert!(matches!(applied, Applied::Corrupt { .. }));
+    }
+    assert_eq!(world.state, before);
+}
--- a/crates/cj-record/src/entry.rs
+++ b/crates/cj-record/src/entry.rs
@@ -9,7 +9,11 @@
 };
 
 /// One proposed change of the shared state.
+///
+/// The number of a kind in the log is the position of its variant, so variants are only ever added, before
+/// [`Entry::Unknown`]. A change of the fields of a kind needs a new kind.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(remote = "Self")]
 pub enum Entry {
     /// Carries only the time of its batch.
     Tick,
@@ -151,7 +155,15 @@
         /// Generation that the proposer saw.
         generation: Generation,
     },
+    /// Removes a VM that the platform has removed or replaced.
+    Remove {
+        /// The VM.
+        vm: VmId,
+        /// Generation that the proposer saw.
+        generation: Generation,
+    },
     /// An entry kind of a later version. It is kept as bytes; a node that meets one stops deciding.
+    #[serde(skip)]
     Unknown {
         /// Number of the kind.
         kind: u16,
--- a/crates/cj-record/src/lib.rs
+++ b/crates/cj-record/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod batch;
 pub mod entry;
+mod form;
 pub mod settings;
 
 pub use batch::{Batch, BatchHeader, MAX_BATCH_BYTES};
