Match the stand-ins to the platform client of the entry node

Cause: the client lists whole cores, sends operation ids as text, and takes a refused connection as evidence that a request did not run; the stand-in listed thousandths of a core, took only numbers, and accepted connections of killed VMs. Change: rows list whole cores; op is a text or a number; a killed VM closes its listener and keeps its port with a bound socket that doesn't listen, so that connections are refused and no other socket takes the port.

--- a/crates/cj-standin/src/lib.rs
+++ b/crates/cj-standin/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod worker;
 
 pub use faults::{Fault, Faults};
-pub use fleet::{Action, LEAVING_BOUND, Operation, OperationResult, VmProbe, VmRow, VmState};
+pub use fleet::{
+    Action, LEAVING_BOUND, OpKey, Operation, OperationResult, VmProbe, VmRow, VmState,
+};
 pub use log::{LogOptions, ReadPage};
 pub use minion::{body_key, expected_answer};
 pub use observed::{Breach, Execution, Observed, PoolSeen};
