Let any node look after a task, and queue idempotent jobs again when their lease ends

An idempotent request whose holder died stayed in outcome unknown for ever, because nobody has evidence about it and none is needed. Change: Renew and Finish of a task are accepted from any node with the token (the worker starts a task once per token); Renew moves the claim to its writer. Expire of an idempotent job queues it again. Ruled out: a new entry kind for the takeover; the token already fences, so it would add nothing.

--- a/crates/cj-fold/src/apply/jobs.rs
+++ b/crates/cj-fold/src/apply/jobs.rs
@@ -138,6 +138,7 @@
         let until = self.now + Duration::from_millis(lease_ms.into());
         if let Some(Job { phase: JobPhase::Claimed(claim), .. }) = self.jobs.get_mut(id) {
             claim.until = claim.until.max(until);
+            claim.holder = source.writer.clone();
         }
         source.accepted()
     }
@@ -158,6 +159,12 @@
         if claim.until > self.now {
             return reject("the lease has not ended");
         }
+        if self.job(id)?.idempotent {
+            // Running it again is safe, and nobody else would end its unknown outcome.
+            self.record(source, id, "queued again: the lease ended".into());
+            self.set_phase(id, JobPhase::Queued);
+            return source.accepted();
+        }
         let reason = CompactString::from("the lease ended without an outcome");
         self.record(source, id, "outcome unknown: the lease ended".into());
         self.set_phase(id, JobPhase::OutcomeUnknown { claim, reason });
@@ -300,7 +307,9 @@
         token: Token,
     ) -> Result<&Claim, CompactString> {
         let claim = self.current_claim(source, id, token)?;
-        if claim.holder != *source.writer {
+        // A worker starts a task once per token and shows its state to every node, so that any node
+        // may look after a task whose holder is gone. A request is known to its holder only.
+        if claim.holder != *source.writer && !self.job(id)?.task {
             return reject(format_compact!("the claim is held by {}", claim.holder));
         }
         Ok(claim)
