Check settings files with the place of every mistake

Cause: operators need every mistake of a file at once, and both users need example files. Change: read_fleet_files checks the files of both offices together, references included; malformed lines are found before the INI library joins them with the next line; example files for both users and one node; tests. Conclusion: the examples pass alone, together, and published value by value through the fold in reverse order of paths.

--- a/crates/cj-fold/tests/common/mod.rs
+++ b/crates/cj-fold/tests/common/mod.rs
@@ -92,9 +92,12 @@
         NEW.clone()
     }
 
+    pub(crate) fn empty() -> World {
+        World { state: empty(), records: Vec::new(), now: NOON, writers: BTreeMap::new() }
+    }
+
     pub(crate) fn at(now: u64) -> World {
-        let mut world =
-            World { state: empty(), records: Vec::new(), now, writers: BTreeMap::new() };
+        let mut world = World { now, ..World::empty() };
         for line in VALUES.lines().filter(|line| !line.is_empty()) {
             let mut words = line.split(' ');
             let object = words.next().unwrap();
--- a/crates/cj-fold/tests/settings.rs
+++ b/crates/cj-fold/tests/settings.rs
@@ -113,3 +113,30 @@
         assert_eq!(world.copy(payload).is_none(), valid);
     }
 }
+
+/// The example files are published value by value; no order of the paths may leave an object out.
+#[test]
+fn published_files_are_in_force_as_checked() {
+    for (text, more) in [
+        (
+            include_str!("../../../examples/kartica.ini"),
+            include_str!("../../../examples/kartica-maintenance.ini"),
+        ),
+        (
+            include_str!("../../../examples/saltangsverket.ini"),
+            include_str!("../../../examples/saltangsverket-maintenance.ini"),
+        ),
+    ] {
+        let mut world = World::empty();
+        let mut values = cj_settings::read_fleet_ini("f.ini", text, &id("north")).unwrap();
+        values.extend(cj_settings::read_fleet_ini("m.ini", more, &id("south")).unwrap());
+        for (path, value) in values.iter().rev() {
+            assert_eq!(world.set(&path.to_string(), Some(value)), None, "{path}");
+        }
+        assert_eq!(
+            Ok(&world.state.fleet),
+            cj_settings::FleetSettings::try_from_values(&values).as_ref()
+        );
+        world.state.check_invariants().unwrap();
+    }
+}
--- a/crates/cj-settings/src/ini.rs
+++ b/crates/cj-settings/src/ini.rs
@@ -9,9 +9,8 @@
 use cj_types::{Error, ErrorKind, OfficeId};
 
 use crate::{
-    fields::FieldError,
     object::{keys_of, suggest},
-    values::check_values,
+    values::{PathError, References, check_values},
 };
 
 /// One `key = value` of a file with its section and place.
@@ -48,12 +47,15 @@
         let help = "split the file by office";
         return Err(vec![error_at(file, 0, "", "file", "larger than 4 MiB", help)]);
     }
-    // Values hold no control characters, so that a backslash stands for itself.
-    let options = ParseOption { enabled_escape: false, ..ParseOption::default() };
-    let ini = Ini::load_from_str_opt(text, options).map_err(|e| {
-        let help = "write `[section]` and `key = value` lines; comments start with `;` or `#`";
-        vec![error_at(file, e.line + 1, "", "syntax", e.msg.as_ref(), help)]
-    })?;
+    let malformed = malformed_lines(file, text);
+    if !malformed.is_empty() {
+        return Err(malformed);
+    }
+    // Values hold no control characters and span no lines, so backslashes and quotes stand for themselves.
+    let options =
+        ParseOption { enabled_escape: false, enabled_quote: false, ..ParseOption::default() };
+    let ini = Ini::load_from_str_opt(text, options)
+        .map_err(|e| vec![error_at(file, e.line + 1, "", "syntax", e.msg.as_ref(), FORM)])?;
     let mut lines = key_lines(text);
     let mut items: Vec<Item> = Vec::new();
     for (section, properties) in ini.iter() {
@@ -69,6 +71,21 @@
     if errors.is_empty() { Ok(items) } else { Err(errors) }
 }
 
+const FORM: &str = "write `[section]` and `key = value` lines; comments start with `;` or `#`";
+
+/// Lines that are neither a section, a value nor a comment. The INI library would join such a line with the next one
+/// and report another place.
+fn malformed_lines(file: &str, text: &str) -> Vec<Error> {
+    let valid = |line: &str| match line.trim() {
+        "" => true,
+        line if line.starts_with([';', '#']) => true,
+        line if line.starts_with('[') => line.contains(']'),
+        line => line.find(['=', ':']).is_some_and(|i| i > 0 && line[i..].starts_with('=')),
+    };
+    let wrong = text.lines().zip(1..).filter(|(line, _)| !valid(line));
+    wrong.map(|(_, number)| error_at(file, number, "", "syntax", "malformed line", FORM)).collect()
+}
+
 /// Line numbers of every section and key. The INI library reports no places.
 fn key_lines(text: &str) -> BTreeMap<(CompactString, CompactString), VecDeque<usize>> {
     let mut lines: BTreeMap<_, VecDeque<usize>> = BTreeMap::new();
@@ -103,38 +120,75 @@
     errors
 }
 
+/// One office's file of fleet settings.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetFile<'a> {
+    /// Name shown in errors.
+    pub file: &'a str,
+    /// Content.
+    pub text: &'a str,
+    /// Office that owns all its settings.
+    pub office: &'a OfficeId,
+}
+
 /// Reads an office's part of the fleet settings, with sections such as `[pool proofs]`. Every value is checked; every
-/// problem is reported with file, line, section, key and remedy. References to objects of the other office are checked
-/// by [`crate::FleetSettings::try_from_values`] on the values of both.
+/// problem is reported with file, line, section, key and remedy. References between objects are not checked, because
+/// they may lead to the other office's settings; [`read_fleet_files`] checks them.
 pub fn read_fleet_ini(
     file: &str,
     text: &str,
     office: &OfficeId,
 ) -> Result<BTreeMap<SettingPath, CompactString>, Vec<Error>> {
-    let items = items(file, text)?;
+    read_files(&[FleetFile { file, text, office }], References::Skip)
+}
+
+/// Reads the files of all offices and checks them together, references between objects included.
+pub fn read_fleet_files(
+    files: &[FleetFile<'_>],
+) -> Result<BTreeMap<SettingPath, CompactString>, Vec<Error>> {
+    read_files(files, References::Check)
+}
+
+fn read_files(
+    files: &[FleetFile<'_>],
+    references: References,
+) -> Result<BTreeMap<SettingPath, CompactString>, Vec<Error>> {
     let mut values = BTreeMap::new();
-    let mut lines = BTreeMap::new();
+    let mut places = Places::new();
     let mut errors = Vec::new();
-    for item in &items {
-        match path_of(office, item) {
-            Ok(path) => {
-                lines.insert(path.clone(), item.line);
-                values.insert(path, item.value.clone());
-            }
-            Err((problem, help)) => {
-                errors.push(error_at(file, item.line, &item.section, &item.key, problem, help));
+    for FleetFile { file, text, office } in files.iter().copied() {
+        let items = items(file, text).unwrap_or_else(|found| {
+            errors.extend(found);
+            Vec::new()
+        });
+        for item in items {
+            match path_of(office, &item) {
+                Ok(path) => {
+                    places.insert(path.clone(), (file, item.line));
+                    values.insert(path, item.value);
+                }
+                Err((problem, help)) => {
+                    errors.push(error_at(file, item.line, &item.section, &item.key, problem, help));
+                }
             }
         }
     }
-    errors.extend(object_errors(file, &values, &lines));
-    errors.sort_by_key(line_of);
+    // Without all values, references would seem to lead nowhere.
+    let references = if errors.is_empty() { references } else { References::Skip };
+    if let Err(found) = check_values(&values, references) {
+        errors.extend(found.into_iter().map(|error| located(error, &places)));
+    }
+    errors.sort_by_key(place_of);
     if errors.is_empty() { Ok(values) } else { Err(errors) }
 }
 
-fn line_of(error: &Error) -> usize {
+/// File and line of every value.
+type Places<'a> = BTreeMap<SettingPath, (&'a str, usize)>;
+
+fn place_of(error: &Error) -> (CompactString, usize) {
     match &error.kind {
-        ErrorKind::Setting { line, .. } => *line,
-        _ => 0,
+        ErrorKind::Setting { file, line, .. } => (file.clone(), *line),
+        _ => Default::default(),
     }
 }
 
@@ -158,22 +212,13 @@
     })
 }
 
-fn object_errors(
-    file: &str,
-    values: &BTreeMap<SettingPath, CompactString>,
-    lines: &BTreeMap<SettingPath, usize>,
-) -> Vec<Error> {
-    let Err(errors) = check_values(values) else {
-        return Vec::new();
+fn located(PathError { path, error }: PathError, places: &Places<'_>) -> Error {
+    // A missing key is reported at the first line of its section.
+    let same = |other: &SettingPath| {
+        other.office == path.office && other.kind == path.kind && other.name == path.name
     };
-    let located = errors.into_iter().map(|found| {
-        let path = found.path;
-        let FieldError { key, problem, help, .. } = found.error;
-        // A missing key is reported at the first line of its section.
-        let same = |other: &SettingPath| other.kind == path.kind && other.name == path.name;
-        let first = || lines.iter().filter(|(p, _)| same(p)).map(|(_, line)| *line).min();
-        let line = lines.get(&path).copied().or_else(first).unwrap_or(0);
-        error_at(file, line, &format_compact!("{} {}", path.kind, path.name), &key, problem, help)
-    });
-    located.collect()
+    let section = || places.iter().filter(|(p, _)| same(p)).map(|(_, place)| *place).min();
+    let (file, line) = places.get(&path).copied().or_else(section).unwrap_or(("", 0));
+    let header = format_compact!("{} {}", path.kind, path.name);
+    error_at(file, line, &header, &error.key, error.problem, error.help)
 }
--- a/crates/cj-settings/src/lib.rs
+++ b/crates/cj-settings/src/lib.rs
@@ -9,6 +9,6 @@
 
 pub use fields::{FieldError, Values};
 pub use fleet::*;
-pub use ini::read_fleet_ini;
+pub use ini::{FleetFile, read_fleet_files, read_fleet_ini};
 pub use node::{NodeSettings, read_node_ini};
 pub use object::{KINDS, Object};
--- a/crates/cj-settings/src/values.rs
+++ b/crates/cj-settings/src/values.rs
@@ -25,7 +25,8 @@
     pub fn try_from_values(
         values: &BTreeMap<SettingPath, CompactString>,
     ) -> Result<FleetSettings, Vec<Error>> {
-        check_values(values).map_err(|errors| errors.into_iter().map(without_line).collect())
+        check_values(values, References::Check)
+            .map_err(|errors| errors.into_iter().map(without_line).collect())
     }
 }
 
@@ -35,8 +36,16 @@
     Error::new(kind, error.help)
 }
 
+/// Whether references between objects are checked.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum References {
+    Check,
+    Skip,
+}
+
 pub(crate) fn check_values(
     values: &BTreeMap<SettingPath, CompactString>,
+    references: References,
 ) -> Result<FleetSettings, Vec<PathError>> {
     let mut fleet = FleetSettings::default();
     let mut errors = Vec::new();
@@ -58,7 +67,7 @@
         }
     }
     // References are checked only between valid objects; otherwise one mistake would be reported many times.
-    if errors.is_empty() {
+    if errors.is_empty() && references == References::Check {
         check_references(&fleet, &mut errors);
     }
     if errors.is_empty() { Ok(fleet) } else { Err(errors) }
--- /dev/null
+++ b/crates/cj-settings/tests/examples.rs
@@ -0,0 +1,55 @@
+//! The example files. Guards against examples that the checks refuse, or that no longer have the users' sizes.
+
+use std::{fs, path::Path};
+
+use cj_settings::*;
+
+fn read(name: &str) -> String {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    fs::read_to_string(folder.join(name)).unwrap()
+}
+
+fn fleet(user: &str) -> FleetSettings {
+    let names = [format!("{user}.ini"), format!("{user}-maintenance.ini")];
+    let texts = names.each_ref().map(|name| read(name));
+    let offices = ["capacity", "maintenance"].map(|office| office.parse().unwrap());
+    let files = [0, 1].map(|i| FleetFile { file: &names[i], text: &texts[i], office: &offices[i] });
+    for FleetFile { file, text, office } in files {
+        assert!(read_fleet_ini(file, text, office).is_ok(), "{file} by itself");
+    }
+    let values = read_fleet_files(&files).unwrap_or_else(|errors| panic!("{errors:#?}"));
+    FleetSettings::try_from_values(&values).unwrap_or_else(|errors| panic!("{errors:#?}"))
+}
+
+fn check(user: &str, workers: u32, batch_pool: &str) {
+    let fleet = fleet(user);
+    let pool = |name: &str| &fleet.pools[&name.parse().unwrap()];
+    assert_eq!(fleet.services.len(), 5);
+    for service in fleet.services.values() {
+        let minions = pool(service.pool.as_str()).target;
+        assert!((8..=12).contains(&minions), "{} has {minions} minions", service.pool);
+        assert_eq!((service.slots, service.connections), (8, 64));
+    }
+    assert!(pool("spare").spare);
+    assert_eq!(pool("spare").target, 8);
+    assert_eq!(pool("spare").target + pool(batch_pool).target, workers);
+    let covered = |name| fleet.waves.values().any(|wave| wave.pools.contains(name));
+    assert!(fleet.pools.keys().all(covered));
+}
+
+#[test]
+fn kartica() {
+    check("kartica", 48, "separations");
+}
+
+#[test]
+fn saltangsverket() {
+    check("saltangsverket", 49, "reconciliations");
+}
+
+#[test]
+fn node() {
+    let settings = read_node_ini("node.ini", &read("node.ini")).unwrap();
+    assert_eq!((settings.peers.len(), settings.offices.len()), (5, 2));
+    assert!(!format!("{settings:?}").contains("0011"), "a key must not reach a log line");
+}
