Run a node on a thread that can be killed and paused

Cause: the demonstration and the failure tests have to kill and pause nodes within one process. Change: NodeThread in cj-node.

--- a/crates/cj-node/src/lib.rs
+++ b/crates/cj-node/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod platform;
 pub mod refresh;
 pub mod shared;
+pub mod thread;
 pub mod upstream;
 pub mod work;
 
 pub use node::{Addresses, Node};
+pub use thread::NodeThread;
