--- /dev/null
+++ b/crates/cj-demo/src/callers.rs
@@ -0,0 +1,331 @@
+//! Callers: seeded open-loop arrivals, and one task per piece of work that follows it to its final answer.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use actix_http::Method;
+use awc::Client;
+use bytes::Bytes;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use cj_types::JobId;
+
+use crate::{
+    client::{self, Reply},
+    ledger::{Fate, Ledger},
+    nodes::{NodeRef, Nodes},
+    workload::{Shape, Workload},
+};
+
+/// Longest gap between arrivals in seconds before it's drawn again.
+const MAX_GAP: f64 = 0.5;
+
+/// Requests of one workload in flight at which further arrivals are skipped and counted, so that the load stays bounded.
+const MAX_IN_FLIGHT: usize = 2000;
+
+/// Time after the deadline in which a caller still waits for an answer.
+const ANSWER_GRACE: Duration = Duration::from_secs(1);
+
+/// Longest time that a caller holds one request open.
+const MAX_HOLD: Duration = Duration::from_secs(10);
+
+/// Time in which a caller without an answer asks further nodes.
+const RETRY_TIME: Duration = Duration::from_secs(15);
+
+/// Pauses between questions about pending work.
+const POLL_MIN: Duration = Duration::from_millis(100);
+const POLL_MAX: Duration = Duration::from_secs(1);
+
+/// Time limit of one question about pending work.
+const POLL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Unknown answers about unconfirmed work after which the caller submits it again under its key.
+const MISSING_LIMIT: u32 = 20;
+
+/// All callers of a demonstration.
+pub struct Callers {
+    /// What they were told.
+    pub ledger: RefCell<Ledger>,
+    /// Multiples of the arrival rates while a flood lasts, by workload.
+    pub flood: RefCell<Vec<f64>>,
+    client: Client,
+    nodes: Rc<Nodes>,
+    started: Instant,
+    burst: Duration,
+    seed: u64,
+    stopping: Cell<bool>,
+    in_flight: RefCell<Vec<usize>>,
+    skipped: Cell<u64>,
+}
+
+impl Callers {
+    /// Callers of the given workloads; each workload in turn bursts for `burst`, or none when it's zero.
+    pub fn new(workloads: Vec<Workload>, nodes: Rc<Nodes>, burst: Duration, seed: u64) -> Rc<Self> {
+        let count = workloads.len();
+        Rc::new(Callers {
+            ledger: RefCell::new(Ledger::new(workloads)),
+            flood: RefCell::new(vec![1.0; count]),
+            client: client::client(),
+            nodes,
+            started: Instant::now(),
+            burst,
+            seed,
+            stopping: Cell::new(false),
+            in_flight: RefCell::new(vec![0; count]),
+            skipped: Cell::new(0),
+        })
+    }
+
+    /// Starts the arrivals of all workloads.
+    pub fn start(self: &Rc<Self>) {
+        for index in 0..self.ledger.borrow().workloads().len() {
+            actix_rt::spawn(self.clone().arrivals(index));
+        }
+    }
+
+    /// Ends the arrivals. Work under way is followed further.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Pieces of work that are followed at the moment.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.borrow().iter().sum()
+    }
+
+    /// Arrivals skipped to bound the load.
+    pub fn skipped(&self) -> u64 {
+        self.skipped.get()
+    }
+
+    async fn arrivals(self: Rc<Self>, index: usize) {
+        let (workload, count) = {
+            let ledger = self.ledger.borrow();
+            (ledger.workloads()[index].clone(), ledger.workloads().len())
+        };
+        let mut rng = Pcg64Mcg::seed_from_u64(self.seed ^ ((index as u64 + 1) << 32));
+        let mut at = self.started.elapsed();
+        let mut number = 0_u64;
+        while !self.stopping.get() {
+            let flood = self.flood.borrow()[index];
+            let usual = workload.rate_at(at, index, count, self.burst);
+            // A flood is a multiple of the capacity, not of the usual rate.
+            let rate = if flood > 1.0 { workload.capacity * flood } else { usual };
+            // Exponential gaps make Poisson arrivals. A longer gap is drawn again, which the distribution permits, so
+            // that a rise of the rate is noticed.
+            let gap = -(1.0 - rng.random::<f64>()).ln() / rate.max(0.01);
+            at += Duration::from_secs_f64(gap.min(MAX_GAP));
+            tokio::time::sleep_until((self.started + at).into()).await;
+            if gap > MAX_GAP {
+                continue;
+            }
+            number += 1;
+            self.clone().submit(index, number, rng.random());
+        }
+    }
+
+    /// Sends one piece of work and follows it in a task of its own.
+    pub fn submit(self: Rc<Self>, index: usize, number: u64, seed: u64) {
+        if self.in_flight.borrow()[index] >= MAX_IN_FLIGHT {
+            self.skipped.set(self.skipped.get() + 1);
+            return;
+        }
+        let key = format!("{}-{number}-{seed:x}", self.seed).parse();
+        let Ok(key) = key else { return };
+        let opened = self.ledger.borrow_mut().open(index, key, self.started.elapsed());
+        let workload = self.ledger.borrow().workloads()[index].clone();
+        self.in_flight.borrow_mut()[index] += 1;
+        actix_rt::spawn(async move {
+            let work = Work {
+                callers: &self,
+                workload: &workload,
+                job: opened.0,
+                body: opened.1.into(),
+                sent: Instant::now(),
+                rng: Pcg64Mcg::seed_from_u64(seed),
+                last: None,
+                unanswered: false,
+            };
+            work.follow().await;
+            self.in_flight.borrow_mut()[index] -= 1;
+        });
+    }
+
+    /// Asks for the cancellation of up to `count` pending jobs; returns the number asked for.
+    pub async fn cancel_pending(self: &Rc<Self>, count: usize, seed: u64) -> usize {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let jobs: Vec<JobId> = self.ledger.borrow().pending().into_iter().take(count).collect();
+        let calls = jobs.iter().filter_map(|job| {
+            let node = self.nodes.pick(&mut rng, None)?;
+            let url = format!("http://{}/v1/jobs/{job}", node.callers);
+            Some(async move {
+                client::call(&self.client, Method::DELETE, &url, &[], Bytes::new(), POLL_LIMIT)
+                    .await
+            })
+        });
+        futures::future::join_all(calls).await.len()
+    }
+}
+
+/// One piece of work on its way to a final answer.
+struct Work<'a> {
+    callers: &'a Callers,
+    workload: &'a Workload,
+    job: JobId,
+    body: Bytes,
+    sent: Instant,
+    rng: Pcg64Mcg,
+    last: Option<usize>,
+    /// True once an answer was lost, so that a later refusal doesn't show that the work never ran.
+    unanswered: bool,
+}
+
+enum Next {
+    Final,
+    Poll,
+    Submit,
+}
+
+impl Work<'_> {
+    async fn follow(mut self) {
+        let mut next = Next::Submit;
+        loop {
+            next = match next {
+                Next::Final => return,
+                Next::Submit => self.submit().await,
+                Next::Poll => self.poll().await,
+            };
+        }
+    }
+
+    fn note(&self, fate: Fate) {
+        self.callers.ledger.borrow_mut().note(&self.job, fate);
+    }
+
+    fn node(&mut self) -> Option<NodeRef> {
+        let node = self.callers.nodes.pick(&mut self.rng, self.last);
+        self.last = node.map(|node| node.index);
+        node
+    }
+
+    fn headers(&self) -> Vec<(&'static str, String)> {
+        let workload = self.workload;
+        let mut headers = vec![
+            ("x-caller", workload.caller.to_string()),
+            ("x-team", workload.team.to_string()),
+            ("idempotency-key", self.job.key.to_string()),
+            ("x-deadline-ms", workload.deadline.as_millis().to_string()),
+        ];
+        if let Shape::Task { run, resources } = workload.shape {
+            headers.push(("x-run-ms", run.as_millis().to_string()));
+            headers.push(("x-millicores", resources.cores.0.to_string()));
+            headers.push(("x-memory-mib", resources.memory.0.to_string()));
+        }
+        headers
+    }
+
+    /// Sends the work until a node answers; the same key goes to another node when an answer is lost.
+    async fn submit(&mut self) -> Next {
+        let recorded = self.workload.is_recorded();
+        let path = format!("/v1/{}/{}", self.workload.service, self.workload.class);
+        let limit = (self.workload.deadline + ANSWER_GRACE).min(MAX_HOLD);
+        let patience = if recorded { RETRY_TIME } else { limit };
+        let headers = self.headers();
+        while self.sent.elapsed() < patience || (recorded && !self.callers.stopping.get()) {
+            if let Some(node) = self.node() {
+                let url = format!("http://{}{path}", node.callers);
+                let body = self.body.clone();
+                let client = &self.callers.client;
+                let reply = client::call(client, Method::POST, &url, &headers, body, limit).await;
+                match reply {
+                    Reply::Pending { .. } | Reply::Unknown if recorded => {
+                        return self.settle(reply);
+                    }
+                    // Recorded work whose answer was lost may still be in the order of the log.
+                    Reply::NotRun if self.unanswered && recorded => {}
+                    Reply::NotConnected => {}
+                    Reply::NoAnswer | Reply::Missing => self.unanswered = true,
+                    reply => return self.settle(reply),
+                }
+            }
+            self.pause(POLL_MIN).await;
+        }
+        self.note(if self.unanswered { Fate::Unknown } else { Fate::Unreachable });
+        Next::Final
+    }
+
+    /// Asks for the state of recorded work until it's final.
+    async fn poll(&mut self) -> Next {
+        let mut wait = POLL_MIN;
+        let mut missing = 0;
+        loop {
+            self.pause(wait).await;
+            wait = (wait * 2).min(POLL_MAX);
+            let Some(node) = self.node() else { continue };
+            let url = format!("http://{}/v1/jobs/{}", node.callers, self.job);
+            let client = &self.callers.client;
+            let reply =
+                client::call(client, Method::GET, &url, &[], Bytes::new(), POLL_LIMIT).await;
+            match reply {
+                Reply::NoAnswer | Reply::NotConnected => {}
+                Reply::Missing => {
+                    missing += 1;
+                    self.note(Fate::Missing);
+                    if missing >= MISSING_LIMIT && !self.is_accepted() {
+                        return Next::Submit;
+                    }
+                }
+                reply => {
+                    missing = 0;
+                    if let Next::Final = self.settle(reply) {
+                        return Next::Final;
+                    }
+                }
+            }
+        }
+    }
+
+    fn is_accepted(&self) -> bool {
+        self.callers.ledger.borrow().entry(&self.job).is_some_and(|entry| entry.accepted)
+    }
+
+    /// Enters an answer into the ledger.
+    fn settle(&self, reply: Reply) -> Next {
+        let latency = self.sent.elapsed();
+        let fate = match reply {
+            Reply::Done(body) => {
+                self.callers.ledger.borrow_mut().answer(&self.job, &body, latency);
+                return Next::Final;
+            }
+            Reply::Pending { accepted: true } => {
+                self.callers.ledger.borrow_mut().accept(&self.job);
+                return Next::Poll;
+            }
+            Reply::Pending { accepted: false } => {
+                self.note(Fate::Pending);
+                return Next::Poll;
+            }
+            // The outcome of recorded work may be settled by evidence later.
+            Reply::Unknown if self.workload.is_recorded() => {
+                self.note(Fate::Unknown);
+                return Next::Poll;
+            }
+            Reply::NotRun if self.unanswered => Fate::Unknown,
+            Reply::NotRun => Fate::Refused,
+            Reply::Parked => Fate::Parked,
+            Reply::Cancelled => Fate::Cancelled,
+            _ => Fate::Unknown,
+        };
+        self.note(fate);
+        Next::Final
+    }
+
+    async fn pause(&mut self, mean: Duration) {
+        let factor = self.rng.random_range(0.5..1.5);
+        tokio::time::sleep(mean.mul_f64(factor)).await;
+    }
+}
--- /dev/null
+++ b/crates/cj-demo/src/client.rs
@@ -0,0 +1,115 @@
+//! HTTP calls to entry nodes and what their answers mean.
+
+use std::{net::SocketAddr, time::Duration};
+
+use actix_http::{Method, StatusCode};
+use awc::{Client, Connector, error::SendRequestError};
+use bytes::Bytes;
+use serde::de::DeserializeOwned;
+
+/// Largest answer read.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What an entry node answered about one piece of work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It ran; the body is its answer.
+    Done(Bytes),
+    /// It's on its way. `accepted` is true when the node says that it's recorded.
+    Pending {
+        /// True when the acceptance is decided.
+        accepted: bool,
+    },
+    /// It did not run and won't.
+    NotRun,
+    /// It may have run.
+    Unknown,
+    /// It was given up with evidence.
+    Parked,
+    /// It was cancelled before it ran.
+    Cancelled,
+    /// The node doesn't know the job.
+    Missing,
+    /// The connection was lost, or the answer is not one of the contract.
+    NoAnswer,
+    /// No connection was opened, so nothing was sent.
+    NotConnected,
+}
+
+/// A client with few time-outs of its own; every call states its limit.
+pub fn client() -> Client {
+    let connector = Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+    Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
+}
+
+/// Sends one call about work and interprets the answer.
+pub async fn call(
+    client: &Client,
+    method: Method,
+    url: &str,
+    headers: &[(&'static str, String)],
+    body: Bytes,
+    limit: Duration,
+) -> Reply {
+    let is_get = method == Method::GET;
+    let mut request = client.request(method, url);
+    for (name, value) in headers {
+        request = request.insert_header((*name, value.as_str()));
+    }
+    let exchange = async {
+        let mut response = match request.send_body(body).await {
+            Ok(response) => response,
+            Err(SendRequestError::Connect(_)) => return Reply::NotConnected,
+            Err(_) => return Reply::NoAnswer,
+        };
+        let status = response.status();
+        let outcome = response.headers().get("x-outcome").and_then(|v| v.to_str().ok());
+        let outcome = outcome.unwrap_or_default().to_owned();
+        match response.body().limit(MAX_ANSWER_BYTES).await {
+            Ok(body) => interpret(status, &outcome, body, is_get),
+            Err(_) => Reply::NoAnswer,
+        }
+    };
+    tokio::time::timeout(limit, exchange).await.unwrap_or(Reply::NoAnswer)
+}
+
+fn interpret(status: StatusCode, outcome: &str, body: Bytes, is_get: bool) -> Reply {
+    match outcome {
+        "done" => Reply::Done(body),
+        "pending" => {
+            let explanation: Option<serde_json::Value> = serde_json::from_slice(&body).ok();
+            let reason = explanation.as_ref().and_then(|value| value["reason"].as_str());
+            Reply::Pending { accepted: reason.is_some_and(|r| r.starts_with("accepted")) }
+        }
+        _ if is_get && status == StatusCode::NOT_FOUND => Reply::Missing,
+        "not-run" => Reply::NotRun,
+        "unknown" => Reply::Unknown,
+        "parked" => Reply::Parked,
+        "cancelled" => Reply::Cancelled,
+        _ => Reply::NoAnswer,
+    }
+}
+
+/// Reads a JSON document from an operator address; `None` when there's no such answer within the limit.
+pub async fn get_json<T>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+    limit: Duration,
+) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    let exchange = async {
+        let mut response = client.get(format!("http://{address}{path}")).send().await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let body = response.body().limit(MAX_ANSWER_BYTES).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    };
+    tokio::time::timeout(limit, exchange).await.ok().flatten()
+}
--- /dev/null
+++ b/crates/cj-demo/src/driver.rs
@@ -0,0 +1,185 @@
+//! Runs a demonstration from the start of the nodes to the report.
+
+use std::{
+    cell::Cell,
+    future::Future,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use cj_record::SettingPath;
+use cj_standin::Platform;
+use cj_types::Result;
+
+use crate::{
+    callers::Callers,
+    faults::{FaultKind, Injector, Planned, schedule},
+    nodes::{NodeHandle, Nodes},
+    publisher::Publisher,
+    report::{Evidence, Report},
+    site::Site,
+};
+
+/// Time for all nodes to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// The maintenance wave begins after this share of the demonstration.
+const WAVE_START: f64 = 0.1;
+
+/// Interval at which the end of all work is checked.
+const SETTLE_POLL: Duration = Duration::from_millis(100);
+
+/// What a demonstration does.
+#[derive(Clone, Debug)]
+pub struct DemoOptions {
+    /// Number of entry nodes.
+    pub nodes: usize,
+    /// Time in which work arrives.
+    pub duration: Duration,
+    /// Longest time that is given to work under way after it.
+    pub settle: Duration,
+    /// Time between the settings and the first work, in which the nodes register the VMs.
+    pub warm_up: Duration,
+    /// Faults; each is injected twice.
+    pub faults: Vec<FaultKind>,
+    /// Length of the burst that each queue has in turn; zero for an even load.
+    pub burst: Duration,
+    /// Interval of publications per office.
+    pub publish_every: Duration,
+    /// Whether a maintenance wave over all pools runs.
+    pub wave: bool,
+    /// Seed of arrivals, faults and choices.
+    pub seed: u64,
+}
+
+impl Default for DemoOptions {
+    fn default() -> Self {
+        DemoOptions {
+            nodes: 3,
+            duration: Duration::from_secs(60),
+            settle: Duration::from_secs(60),
+            warm_up: Duration::from_secs(3),
+            faults: Vec::new(),
+            burst: Duration::from_secs(3),
+            publish_every: Duration::from_secs(1),
+            wave: true,
+            seed: 1,
+        }
+    }
+}
+
+/// Runs a demonstration on a started platform. `start_node` starts the entry node of the given number, again after it
+/// was killed. Nodes are stopped at the end, the platform isn't. Fails when the nodes don't start or refuse the site's
+/// settings; broken invariants don't fail it but are in the report.
+pub async fn run<F, R>(
+    site: Site,
+    options: DemoOptions,
+    platform: Arc<Platform>,
+    start_node: F,
+) -> Result<Report>
+where
+    F: Fn(usize) -> R + 'static,
+    R: Future<Output = Result<NodeHandle>> + 'static,
+{
+    let start_node = Rc::new(move |index| {
+        let started: futures::future::LocalBoxFuture<'static, _> = Box::pin(start_node(index));
+        started
+    });
+    let nodes = Nodes::start(options.nodes, start_node).await?;
+    let publisher = Publisher::new(nodes.clone(), site.offices.clone(), options.seed);
+    publisher.wait_ready(READY_LIMIT).await?;
+    publisher.publish_all(&site.settings).await?;
+    tokio::time::sleep(options.warm_up).await;
+
+    let callers = Callers::new(site.workloads.clone(), nodes.clone(), options.burst, options.seed);
+    let started = Instant::now();
+    callers.start();
+    start_operators(&site, &options, &publisher);
+    let planned = schedule(&options.faults, options.duration, options.seed);
+    let (seed, driver_faults) = (options.seed, Rc::new(Cell::new(0)));
+    let injector = Rc::new(Injector {
+        platform: platform.clone(),
+        nodes: nodes.clone(),
+        callers: callers.clone(),
+        seed,
+    });
+    let faults = planned.iter().map(|fault| {
+        actix_rt::spawn(inject(
+            *fault,
+            started,
+            injector.clone(),
+            publisher.clone(),
+            driver_faults.clone(),
+        ))
+    });
+    let faults: Vec<_> = faults.collect();
+    tokio::time::sleep_until((started + options.duration).into()).await;
+    callers.stop();
+    let duration = started.elapsed();
+    // Every fault ends before the settling begins.
+    futures::future::join_all(faults).await;
+    let settled = Instant::now();
+    while callers.in_flight() > 0 && settled.elapsed() < options.settle {
+        tokio::time::sleep(SETTLE_POLL).await;
+    }
+    publisher.stop();
+    nodes.stop().await;
+    let evidence = Evidence {
+        ledger: callers.ledger.borrow().clone(),
+        observed: platform.observed(),
+        publications: publisher.results(),
+        faults: planned,
+        driver_faults: driver_faults.get(),
+        skipped: callers.skipped(),
+        duration,
+    };
+    Ok(Report::new(evidence))
+}
+
+fn start_operators(site: &Site, options: &DemoOptions, publisher: &Rc<Publisher>) {
+    actix_rt::spawn(publisher.clone().watch_versions());
+    let weights =
+        site.settings.iter().filter(|(path, _)| path.kind == "team" && path.key == "weight");
+    for (path, _) in weights {
+        let path: SettingPath = path.clone();
+        actix_rt::spawn(publisher.clone().run_office(path, options.publish_every));
+    }
+    if options.wave {
+        let (wave, publisher) = (site.wave.clone(), publisher.clone());
+        let delay = options.duration.mul_f64(WAVE_START);
+        actix_rt::spawn(async move {
+            tokio::time::sleep(delay).await;
+            if let Err(error) = publisher.publish_all(&wave).await {
+                log::error!("the maintenance wave was not published: {error}");
+            }
+        });
+    }
+}
+
+async fn inject(
+    fault: Planned,
+    started: Instant,
+    injector: Rc<Injector>,
+    publisher: Rc<Publisher>,
+    driver_faults: Rc<Cell<u64>>,
+) {
+    tokio::time::sleep_until((started + fault.at).into()).await;
+    let by_driver = matches!(
+        fault.kind,
+        FaultKind::NodeKilled
+            | FaultKind::NodePaused
+            | FaultKind::CancelWave
+            | FaultKind::FloodLeast
+            | FaultKind::FloodMost
+    );
+    driver_faults.set(driver_faults.get() + u64::from(by_driver));
+    let is_outage = fault.kind == FaultKind::LogDown;
+    if is_outage {
+        publisher.set_log_down(true);
+    }
+    injector.run(fault).await;
+    if is_outage {
+        publisher.set_log_down(false);
+    }
+}
--- /dev/null
+++ b/crates/cj-demo/src/ledger.rs
@@ -0,0 +1,270 @@
+//! What the callers were told, compared with what the stand-ins ran.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use compact_str::CompactString;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use cj_standin::{Execution, Observed, body_key, expected_answer};
+use cj_types::{IdempotencyKey, JobId};
+
+use crate::workload::Workload;
+
+/// What a caller knows about one piece of work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// Sent; no answer yet.
+    Sent,
+    /// Told to ask again.
+    Pending,
+    /// Answered.
+    Done,
+    /// Refused as not run.
+    Refused,
+    /// Told, or has to assume, that it may have run.
+    Unknown,
+    /// Given up with evidence.
+    Parked,
+    /// Cancelled as not run.
+    Cancelled,
+    /// Unknown to the nodes although it was sent.
+    Missing,
+    /// No node could be reached, so it was never sent.
+    Unreachable,
+}
+
+/// One piece of work.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Index of the workload.
+    pub workload: usize,
+    /// Body as sent.
+    pub body: String,
+    /// What the caller knows.
+    pub fate: Fate,
+    /// True once a node said that the work is recorded.
+    pub accepted: bool,
+    /// True when a done answer was not the expected one.
+    pub wrong: bool,
+    /// Time since the start of the demonstration.
+    pub sent_at: Duration,
+    /// Time until the final answer.
+    pub latency: Option<Duration>,
+}
+
+/// Counts of one workload, or of all of them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Pieces of work sent.
+    pub sent: u64,
+    /// Recorded by a node, or answered.
+    pub accepted: u64,
+    /// Answered.
+    pub done: u64,
+    /// Answered within the deadline.
+    pub in_deadline: u64,
+    /// Refused as not run.
+    pub refused: u64,
+    /// May have run.
+    pub unknown: u64,
+    /// Given up with evidence.
+    pub parked: u64,
+    /// Cancelled as not run.
+    pub cancelled: u64,
+    /// Never sent, since no node could be reached.
+    pub unreachable: u64,
+    /// Still pending at the end.
+    pub open: u64,
+    /// Must-not-drop work that was accepted and has no known state any more.
+    pub lost: u64,
+    /// Non-idempotent work that ran more than once.
+    pub doubled: u64,
+    /// Refused or cancelled as not run, but it ran.
+    pub false_refusals: u64,
+    /// Answers that are incomplete, of another request, or of work that never ran to its end.
+    pub wrong_answers: u64,
+    /// 50th percentile of the time to the answer.
+    pub p50_ms: u64,
+    /// 99th percentile of the time to the answer.
+    pub p99_ms: u64,
+}
+
+impl Counts {
+    fn add(&mut self, other: &Counts) {
+        self.sent += other.sent;
+        self.accepted += other.accepted;
+        self.done += other.done;
+        self.in_deadline += other.in_deadline;
+        self.refused += other.refused;
+        self.unknown += other.unknown;
+        self.parked += other.parked;
+        self.cancelled += other.cancelled;
+        self.unreachable += other.unreachable;
+        self.open += other.open;
+        self.lost += other.lost;
+        self.doubled += other.doubled;
+        self.false_refusals += other.false_refusals;
+        self.wrong_answers += other.wrong_answers;
+    }
+}
+
+/// All work of a demonstration.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    workloads: Vec<Workload>,
+    entries: BTreeMap<JobId, Entry>,
+}
+
+impl Ledger {
+    /// An empty ledger.
+    pub fn new(workloads: Vec<Workload>) -> Self {
+        Ledger { workloads, entries: BTreeMap::new() }
+    }
+
+    /// Workloads by index.
+    pub fn workloads(&self) -> &[Workload] {
+        &self.workloads
+    }
+
+    /// Enters a new piece of work; returns its id and body.
+    pub fn open(
+        &mut self,
+        workload: usize,
+        key: IdempotencyKey,
+        sent_at: Duration,
+    ) -> (JobId, String) {
+        let job = JobId { caller: self.workloads[workload].caller.clone(), key };
+        // The body names the job, so that an answer to another request can't be taken for this one's.
+        let body = format!("{job} of {}", self.workloads[workload].name);
+        let entry = Entry {
+            workload,
+            body: body.clone(),
+            fate: Fate::Sent,
+            accepted: false,
+            wrong: false,
+            sent_at,
+            latency: None,
+        };
+        self.entries.insert(job.clone(), entry);
+        (job, body)
+    }
+
+    /// Notes what the caller knows now.
+    pub fn note(&mut self, job: &JobId, fate: Fate) {
+        if let Some(entry) = self.entries.get_mut(job) {
+            entry.fate = fate;
+        }
+    }
+
+    /// Notes that a node said that the work is recorded.
+    pub fn accept(&mut self, job: &JobId) {
+        if let Some(entry) = self.entries.get_mut(job) {
+            (entry.accepted, entry.fate) = (true, Fate::Pending);
+        }
+    }
+
+    /// Notes the answer and checks it against the request.
+    pub fn answer(&mut self, job: &JobId, answer: &[u8], latency: Duration) {
+        let Some(entry) = self.entries.get_mut(job) else { return };
+        let body = entry.body.as_bytes();
+        let own = expected_answer(&job.to_string(), body);
+        let recorded = self.workloads[entry.workload].is_recorded();
+        // A node passes no job key to the upstream for work that it doesn't record.
+        let keyless = !recorded && expected_answer("", body).as_bytes() == answer;
+        entry.wrong = own.as_bytes() != answer && !keyless;
+        (entry.fate, entry.latency) = (Fate::Done, Some(latency));
+    }
+
+    /// One entry.
+    pub fn entry(&self, job: &JobId) -> Option<&Entry> {
+        self.entries.get(job)
+    }
+
+    /// Entries by job.
+    pub fn entries(&self) -> impl Iterator<Item = (&JobId, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Recorded work that is pending, for cancellation.
+    pub fn pending(&self) -> Vec<JobId> {
+        let recorded = |entry: &Entry| self.workloads[entry.workload].is_recorded();
+        let pending = self.entries.iter().filter(|(_, e)| e.fate == Fate::Pending && recorded(e));
+        pending.map(|(job, _)| job.clone()).collect()
+    }
+
+    /// Compares the ledger with the runs that the stand-ins saw: counts per workload, and in total.
+    pub fn check(&self, observed: &Observed) -> (BTreeMap<CompactString, Counts>, Counts) {
+        let mut all: Vec<Counts> = vec![Counts::default(); self.workloads.len()];
+        let mut times = vec![histogram(); self.workloads.len() + 1];
+        for (job, entry) in &self.entries {
+            let workload = &self.workloads[entry.workload];
+            count(&mut all[entry.workload], workload, entry, runs(job, entry, observed));
+            if let Some(latency) = entry.latency {
+                let millis = latency.as_millis() as u64;
+                times[entry.workload].saturating_record(millis);
+                times[self.workloads.len()].saturating_record(millis);
+            }
+        }
+        let mut total = Counts::default();
+        let mut by_name = BTreeMap::new();
+        for ((workload, mut counts), times) in self.workloads.iter().zip(all).zip(&times) {
+            total.add(&counts);
+            percentiles(&mut counts, times);
+            by_name.insert(workload.name.clone(), counts);
+        }
+        percentiles(&mut total, &times[self.workloads.len()]);
+        (by_name, total)
+    }
+}
+
+/// Histogram of milliseconds up to an hour with two significant digits.
+pub(crate) fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, 3_600_000, 2).expect("the bounds are valid")
+}
+
+fn percentiles(counts: &mut Counts, times: &Histogram<u64>) {
+    counts.p50_ms = times.value_at_quantile(0.5);
+    counts.p99_ms = times.value_at_quantile(0.99);
+}
+
+/// Runs under the job id and, for work whose job id the upstream never learned, under its body.
+fn runs(job: &JobId, entry: &Entry, observed: &Observed) -> Execution {
+    let find = |key: &str| observed.executions.get(key).copied().unwrap_or_default();
+    let (by_job, by_body) = (find(&job.to_string()), find(&body_key(entry.body.as_bytes())));
+    Execution {
+        starts: by_job.starts + by_body.starts,
+        resumed: by_job.resumed + by_body.resumed,
+        ends: by_job.ends + by_body.ends,
+    }
+}
+
+fn count(counts: &mut Counts, workload: &Workload, entry: &Entry, runs: Execution) {
+    counts.sent += 1;
+    counts.accepted += u64::from(entry.accepted || entry.fate == Fate::Done);
+    let known = match entry.fate {
+        Fate::Done => &mut counts.done,
+        Fate::Refused => &mut counts.refused,
+        Fate::Unknown => &mut counts.unknown,
+        Fate::Parked => &mut counts.parked,
+        Fate::Cancelled => &mut counts.cancelled,
+        Fate::Unreachable => &mut counts.unreachable,
+        Fate::Pending | Fate::Sent => &mut counts.open,
+        // Work that no node ever confirmed may have been withdrawn or may be in flight.
+        Fate::Missing if !entry.accepted || !workload.must_not_drop => &mut counts.unknown,
+        Fate::Missing => &mut counts.lost,
+    };
+    *known += 1;
+    if entry.accepted && matches!(entry.fate, Fate::Refused | Fate::Unreachable) {
+        counts.lost += u64::from(workload.must_not_drop);
+    }
+    if !workload.idempotent && runs.starts > 1 {
+        counts.doubled += 1;
+    }
+    let denied = matches!(entry.fate, Fate::Refused | Fate::Cancelled | Fate::Unreachable);
+    counts.false_refusals += u64::from(denied && runs.starts > 0);
+    let done = entry.fate == Fate::Done;
+    counts.wrong_answers += u64::from(done && (entry.wrong || runs.ends == 0));
+    let in_time = entry.latency.is_some_and(|latency| latency <= workload.deadline);
+    counts.in_deadline += u64::from(done && in_time);
+}
--- /dev/null
+++ b/crates/cj-demo/src/nodes.rs
@@ -0,0 +1,135 @@
+//! The entry nodes under test, as the driver sees them.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use futures::future::LocalBoxFuture;
+use rand::{Rng, seq::IndexedRandom};
+
+use cj_types::Result;
+
+/// A running entry node.
+pub struct NodeHandle {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Ends the node at once, without a graceful shutdown.
+    pub kill: Box<dyn FnOnce()>,
+    /// Halts the node's execution for the given time.
+    pub pause: Box<dyn Fn(Duration)>,
+    /// Shuts the node down gracefully.
+    pub stop: Box<dyn FnOnce() -> LocalBoxFuture<'static, ()>>,
+}
+
+struct Slot {
+    handle: Option<NodeHandle>,
+    starts: u64,
+    paused_until: Instant,
+}
+
+/// One start of a node and its addresses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodeRef {
+    /// Number of the node.
+    pub index: usize,
+    /// Number of the start, from 1.
+    pub start: u64,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+}
+
+type StartNode = Rc<dyn Fn(usize) -> LocalBoxFuture<'static, Result<NodeHandle>>>;
+
+/// All entry nodes.
+pub struct Nodes {
+    start_node: StartNode,
+    slots: RefCell<Vec<Slot>>,
+    restarts: Cell<u64>,
+}
+
+impl Nodes {
+    /// Starts `count` nodes. Fails when one of them doesn't start.
+    pub async fn start(count: usize, start_node: StartNode) -> Result<Rc<Self>> {
+        let nodes = Nodes { start_node, slots: RefCell::default(), restarts: Cell::new(0) };
+        let now = Instant::now();
+        let starts = (0..count).map(|index| (nodes.start_node)(index));
+        for handle in futures::future::join_all(starts).await {
+            let slot = Slot { handle: Some(handle?), starts: 1, paused_until: now };
+            nodes.slots.borrow_mut().push(slot);
+        }
+        Ok(Rc::new(nodes))
+    }
+
+    /// Running nodes, paused ones included.
+    pub fn running(&self) -> Vec<NodeRef> {
+        let slots = self.slots.borrow();
+        let running = slots.iter().enumerate().filter_map(|(index, slot)| {
+            let handle = slot.handle.as_ref()?;
+            let (callers, operators) = (handle.callers, handle.operators);
+            Some(NodeRef { index, start: slot.starts, callers, operators })
+        });
+        running.collect()
+    }
+
+    /// Running nodes that the driver hasn't paused.
+    pub fn responsive(&self) -> Vec<NodeRef> {
+        let now = Instant::now();
+        let slots = self.slots.borrow();
+        let awake = |node: &NodeRef| slots[node.index].paused_until <= now;
+        self.running().into_iter().filter(awake).collect()
+    }
+
+    /// Picks a running node, another one than `avoid` when there is one.
+    pub fn pick<R>(&self, rng: &mut R, avoid: Option<usize>) -> Option<NodeRef>
+    where
+        R: Rng,
+    {
+        let running = self.running();
+        let others: Vec<&NodeRef> = running.iter().filter(|n| Some(n.index) != avoid).collect();
+        others.choose(rng).map(|node| **node).or_else(|| running.first().copied())
+    }
+
+    /// Ends a node without a graceful shutdown.
+    pub fn kill(&self, index: usize) {
+        let handle = self.slots.borrow_mut()[index].handle.take();
+        if let Some(handle) = handle {
+            (handle.kill)();
+        }
+    }
+
+    /// Halts a node for some time.
+    pub fn pause(&self, index: usize, time: Duration) {
+        let slot = &mut self.slots.borrow_mut()[index];
+        if let Some(handle) = &slot.handle {
+            slot.paused_until = Instant::now() + time;
+            (handle.pause)(time);
+        }
+    }
+
+    /// Starts a killed node again. Fails when it doesn't start.
+    pub async fn restart(&self, index: usize) -> Result<()> {
+        if self.slots.borrow()[index].handle.is_some() {
+            return Ok(());
+        }
+        let handle = (self.start_node)(index).await?;
+        let slot = &mut self.slots.borrow_mut()[index];
+        slot.handle = Some(handle);
+        slot.starts += 1;
+        self.restarts.set(self.restarts.get() + 1);
+        Ok(())
+    }
+
+    /// Shuts all nodes down gracefully.
+    pub async fn stop(&self) {
+        let handles: Vec<NodeHandle> =
+            self.slots.borrow_mut().iter_mut().filter_map(|slot| slot.handle.take()).collect();
+        futures::future::join_all(handles.into_iter().map(|handle| (handle.stop)())).await;
+    }
+}
--- /dev/null
+++ b/crates/cj-demo/src/publisher.rs
@@ -0,0 +1,291 @@
+//! Operators of both offices: publications and the time until they are in force on all nodes.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use awc::Client;
+use compact_str::{CompactString, ToCompactString};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::Deserialize;
+
+use cj_record::{SettingPath, SettingRecord, SignedSetting};
+use cj_types::{Error, ErrorKind, Result, Version};
+
+use crate::{
+    client,
+    nodes::{NodeRef, Nodes},
+    site::{Office, SettingValue},
+};
+
+/// Time limit of one call to an operator address.
+const CALL_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time after which a publication that isn't in force everywhere is given up and counted.
+const FORCE_LIMIT: Duration = Duration::from_secs(30);
+
+/// Interval of questions about a verdict.
+const VERDICT_POLL: Duration = Duration::from_millis(20);
+
+/// Interval of questions about the settings version of every node.
+const STATUS_POLL: Duration = Duration::from_millis(200);
+
+/// Attempts for one of the first settings.
+const FIRST_ATTEMPTS: u32 = 40;
+
+/// Start of the reason of a publication that names an outdated version; the version in force follows.
+const STALE_REASON: &str = "stale: the version in force is ";
+
+#[derive(Deserialize)]
+struct Accepted {
+    offset: u64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Verdict {
+    #[serde(default)]
+    rejected: Option<String>,
+}
+
+/// Fields of `GET /status` that the driver reads.
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct Status {
+    settings_offset: u64,
+    /// True once a node has caught up and serves.
+    #[serde(default)]
+    serving: Option<bool>,
+}
+
+/// What became of a publication.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Published {
+    /// In force on all nodes after this time from its acceptance.
+    InForce(Duration),
+    /// Refused with a reason.
+    Rejected(String),
+    /// Not accepted, or not known to be.
+    Unanswered,
+    /// Accepted but not in force on all nodes within the limit.
+    Late,
+}
+
+/// Results of all publications.
+#[derive(Clone, Debug, Default)]
+pub struct Publications {
+    /// Times until in force on all nodes.
+    pub times: Vec<Duration>,
+    /// The same for publications made while the log was down, when no record can be read by any node.
+    pub times_log_down: Vec<Duration>,
+    /// Refused with a reason.
+    pub rejected: u64,
+    /// Not accepted.
+    pub unanswered: u64,
+    /// Not in force everywhere within the limit.
+    pub late: u64,
+    /// Times that a node reported a lower settings version than before.
+    pub reverted: u64,
+}
+
+/// Operators of both offices.
+pub struct Publisher {
+    client: Client,
+    nodes: Rc<Nodes>,
+    offices: Vec<Office>,
+    versions: RefCell<BTreeMap<SettingPath, Version>>,
+    rng: RefCell<Pcg64Mcg>,
+    results: RefCell<Publications>,
+    /// Number of log outages that began, to set publications apart that overlap with one.
+    outages: Cell<u64>,
+    log_down: Cell<bool>,
+    stopping: Cell<bool>,
+}
+
+impl Publisher {
+    /// Operators of the given offices.
+    pub fn new(nodes: Rc<Nodes>, offices: Vec<Office>, seed: u64) -> Rc<Self> {
+        Rc::new(Publisher {
+            client: client::client(),
+            nodes,
+            offices,
+            versions: RefCell::default(),
+            rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
+            results: RefCell::default(),
+            outages: Cell::new(0),
+            log_down: Cell::new(false),
+            stopping: Cell::new(false),
+        })
+    }
+
+    /// Results so far.
+    pub fn results(&self) -> Publications {
+        self.results.borrow().clone()
+    }
+
+    /// Ends all loops.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Tells whether the log is down.
+    pub fn set_log_down(&self, down: bool) {
+        if down && !self.log_down.get() {
+            self.outages.set(self.outages.get() + 1);
+        }
+        self.log_down.set(down);
+    }
+
+    /// Waits until all nodes report their status. Fails after `limit`.
+    pub async fn wait_ready(&self, limit: Duration) -> Result<()> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            let states = self.nodes.running().into_iter().map(|node| self.status(node));
+            let states = futures::future::join_all(states).await;
+            if states.iter().all(|s| s.is_some_and(|s| s.serving != Some(false))) {
+                return Ok(());
+            }
+            tokio::time::sleep(STATUS_POLL).await;
+        }
+        let reason = ErrorKind::Failed("an entry node did not become ready".into());
+        Err(Error::new(reason, "see its log; check that it reaches the stand-ins"))
+    }
+
+    /// Publishes settings in order and waits until all are in force. Fails when one is refused.
+    pub async fn publish_all(&self, settings: &[SettingValue]) -> Result<()> {
+        for (path, value) in settings {
+            let mut last = Published::Unanswered;
+            for _ in 0..FIRST_ATTEMPTS {
+                last = self.publish(path, value).await;
+                if matches!(last, Published::InForce(_)) {
+                    break;
+                }
+                tokio::time::sleep(STATUS_POLL).await;
+            }
+            if !matches!(last, Published::InForce(_)) {
+                let reason = ErrorKind::Failed(format!("setting {path}: {last:?}").into());
+                return Err(Error::new(reason, "check the settings and the nodes' logs"));
+            }
+        }
+        Ok(())
+    }
+
+    /// Publishes one value with the version that this office saw last.
+    pub async fn publish(&self, path: &SettingPath, value: &CompactString) -> Published {
+        let expected = self.versions.borrow().get(path).copied().unwrap_or_default();
+        let outages = self.outages.get();
+        let began_down = self.log_down.get();
+        let Some(offset) = self.send(path, value, expected).await else {
+            self.results.borrow_mut().unanswered += 1;
+            return Published::Unanswered;
+        };
+        let published = self.wait_in_force(offset).await;
+        let mut results = self.results.borrow_mut();
+        match &published {
+            Published::InForce(time) if began_down || self.outages.get() > outages => {
+                results.times_log_down.push(*time);
+            }
+            Published::InForce(time) => results.times.push(*time),
+            Published::Rejected(reason) => {
+                results.rejected += 1;
+                if let Some(version) = reason.strip_prefix(STALE_REASON)
+                    && let Ok(version) = version.parse()
+                {
+                    self.versions.borrow_mut().insert(path.clone(), version);
+                }
+            }
+            Published::Late => results.late += 1,
+            Published::Unanswered => results.unanswered += 1,
+        }
+        if matches!(published, Published::InForce(_)) {
+            self.versions.borrow_mut().insert(path.clone(), expected.next());
+        }
+        published
+    }
+
+    /// Publishes a new weight of a team of one office again and again.
+    pub async fn run_office(self: Rc<Self>, path: SettingPath, every: Duration) {
+        let mut weight = 1_u32;
+        while !self.stopping.get() {
+            tokio::time::sleep(every).await;
+            weight = weight % 3 + 1;
+            self.publish(&path, &weight.to_compact_string()).await;
+        }
+    }
+
+    /// Watches the settings version of every node.
+    pub async fn watch_versions(self: Rc<Self>) {
+        let mut highest: BTreeMap<usize, (u64, u64)> = BTreeMap::new();
+        while !self.stopping.get() {
+            for node in self.nodes.responsive() {
+                let Some(status) = self.status(node).await else { continue };
+                let (start, seen) = highest.entry(node.index).or_insert((node.start, 0));
+                let restarted = *start != node.start;
+                // A restarted node may report a lower version until it has caught up and serves.
+                if restarted && status.serving != Some(true) && status.settings_offset < *seen {
+                    continue;
+                }
+                if status.settings_offset < *seen {
+                    self.results.borrow_mut().reverted += 1;
+                    log::error!("node {} went back to settings {status:?}", node.index);
+                }
+                (*start, *seen) = (node.start, status.settings_offset);
+            }
+            tokio::time::sleep(STATUS_POLL).await;
+        }
+    }
+
+    async fn status(&self, node: NodeRef) -> Option<Status> {
+        client::get_json(&self.client, node.operators, "/status", CALL_LIMIT).await
+    }
+
+    async fn send(&self, path: &SettingPath, value: &str, expected: Version) -> Option<u64> {
+        let office = self.offices.iter().find(|office| office.id == path.office)?;
+        let (path, value) = (path.clone(), Some(value.into()));
+        let nonce = self.rng.borrow_mut().random();
+        let record = SettingRecord { path, value, expected, nonce };
+        let body = SignedSetting::sign(&record, &office.key).ok()?.encode().ok()?;
+        let node = self.nodes.pick(&mut *self.rng.borrow_mut(), None)?;
+        let url = format!("http://{}/settings", node.operators);
+        let exchange = async {
+            let mut response = self.client.post(url).send_body(body).await.ok()?;
+            let body = response.body().await.ok()?;
+            let accepted = response.status().is_success();
+            accepted.then(|| serde_json::from_slice::<Accepted>(&body).ok()).flatten()
+        };
+        let accepted = tokio::time::timeout(CALL_LIMIT, exchange).await.ok().flatten();
+        accepted.map(|accepted| accepted.offset)
+    }
+
+    /// Waits until every responsive node knows the verdict.
+    async fn wait_in_force(&self, offset: u64) -> Published {
+        let accepted = Instant::now();
+        let path = format!("/settings/verdict/{offset}");
+        let mut known = BTreeSet::new();
+        while accepted.elapsed() < FORCE_LIMIT {
+            let nodes = self.nodes.responsive();
+            let missing = nodes.iter().filter(|node| !known.contains(&(node.index, node.start)));
+            let asked = missing.map(|node| async {
+                let call = client::get_json(&self.client, node.operators, &path, CALL_LIMIT);
+                (node.index, node.start, call.await)
+            });
+            let answers: Vec<(usize, u64, Option<Verdict>)> =
+                futures::future::join_all(asked).await;
+            for (index, start, verdict) in answers {
+                let Some(verdict) = verdict else { continue };
+                if let Some(reason) = verdict.rejected {
+                    return Published::Rejected(reason);
+                }
+                known.insert((index, start));
+            }
+            let is_known = |node: &NodeRef| known.contains(&(node.index, node.start));
+            if !known.is_empty() && nodes.iter().all(is_known) {
+                return Published::InForce(accepted.elapsed());
+            }
+            tokio::time::sleep(VERDICT_POLL).await;
+        }
+        Published::Late
+    }
+}
--- /dev/null
+++ b/crates/cj-demo/src/site.rs
@@ -0,0 +1,294 @@
+//! Both organisations on one platform: pools, VMs, workloads and the settings of both offices.
+
+use std::time::Duration;
+
+use compact_str::{CompactString, ToCompactString, format_compact};
+use ed25519_dalek::SigningKey;
+use rand::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use cj_record::SettingPath;
+use cj_standin::PlatformOptions;
+use cj_types::{Accelerators, Mebibytes, Millicores, OfficeId, Resources, Result};
+
+use crate::workload::{Shape, Urgency, Workload};
+
+/// Mean service time of the small site's minions; long, so that a flood exceeds the capacity at a bounded rate.
+const SERVICE_TIME: Duration = Duration::from_millis(200);
+
+/// Mean service time of reconciliations, which are slow.
+const SLOW_SERVICE_TIME: Duration = Duration::from_millis(400);
+
+/// Declared run time of a separation.
+const SEPARATION_RUN: Duration = Duration::from_millis(800);
+
+/// Concurrent requests per minion.
+const SLOTS: u32 = 4;
+
+/// Connections per minion over all entry nodes.
+const CONNECTIONS: u32 = 64;
+
+/// Mean load as a share of the capacity, so that a burst to five times the mean exceeds the capacity.
+const MEAN_LOAD: f64 = 0.3;
+
+/// Declared processors and memory of a separation.
+const SEPARATION: Resources =
+    Resources { cores: Millicores(8000), memory: Mebibytes(32_768), accelerators: Accelerators(0) };
+
+/// A worker of Kartica Skupna Tiskarna.
+const WORKER: Resources = Resources {
+    cores: Millicores(64_000),
+    memory: Mebibytes(262_144),
+    accelerators: Accelerators(0),
+};
+
+/// An operators' office with the key that signs its settings.
+#[derive(Clone, Debug)]
+pub struct Office {
+    /// Name.
+    pub id: OfficeId,
+    /// Signing key.
+    pub key: SigningKey,
+}
+
+impl Office {
+    /// Public key, for the settings files of the nodes.
+    pub fn public_key(&self) -> [u8; 32] {
+        self.key.verifying_key().to_bytes()
+    }
+}
+
+/// Number of VMs per pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SiteSize {
+    /// Minions per service.
+    pub minions: usize,
+    /// Workers in the pool of separations.
+    pub workers: usize,
+    /// Workers in the spare pool.
+    pub spare: usize,
+    /// VMs per pool that planned actions may take out at once.
+    pub slack: usize,
+}
+
+impl SiteSize {
+    /// Fits a laptop: 33 VMs.
+    pub const SMALL: SiteSize = SiteSize { minions: 5, workers: 6, spare: 2, slack: 1 };
+    /// The size of section 1 of `docs/design.md`.
+    pub const FULL: SiteSize = SiteSize { minions: 10, workers: 40, spare: 8, slack: 2 };
+}
+
+/// A value of a settings path, in the order of publication.
+pub type SettingValue = (SettingPath, CompactString);
+
+/// Both organisations on one platform.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Options of the platform; ports and speeds may be changed before it's started.
+    pub platform: PlatformOptions,
+    /// Workloads of both organisations.
+    pub workloads: Vec<Workload>,
+    /// Both offices.
+    pub offices: Vec<Office>,
+    /// Settings that make the workloads and pools known, in the order of publication.
+    pub settings: Vec<SettingValue>,
+    /// A maintenance wave over all pools, published once the demonstration runs.
+    pub wave: Vec<SettingValue>,
+}
+
+struct Line {
+    name: &'static str,
+    office: usize,
+    idempotent: bool,
+    must_not_drop: bool,
+    urgency: Urgency,
+    rank: u32,
+    deadline_ms: u64,
+    service_time: Duration,
+    task: bool,
+}
+
+const fn line(
+    name: &'static str,
+    office: usize,
+    rules: (bool, bool),
+    urgency: Urgency,
+    rank: u32,
+    deadline_ms: u64,
+) -> Line {
+    let (idempotent, must_not_drop) = rules;
+    let service_time = SERVICE_TIME;
+    Line {
+        name,
+        office,
+        idempotent,
+        must_not_drop,
+        urgency,
+        rank,
+        deadline_ms,
+        service_time,
+        task: false,
+    }
+}
+
+const LINES: [Line; 6] = [
+    line("proofs", 0, (true, false), Urgency::Most, 0, 2_000),
+    Line { task: true, ..line("separations", 0, (false, true), Urgency::Least, 3, 600_000) },
+    line("tallies", 1, (true, true), Urgency::Most, 0, 2_000),
+    line("yields", 1, (true, false), Urgency::Middle, 1, 2_000),
+    line("readings", 1, (false, false), Urgency::Middle, 2, 5_000),
+    Line {
+        service_time: SLOW_SERVICE_TIME,
+        ..line("reconciliations", 1, (true, true), Urgency::Least, 3, 600_000)
+    },
+];
+
+const OFFICES: [&str; 2] = ["kartica", "saltangsverket"];
+const TEAMS: [&str; 2] = ["houses", "pans"];
+const ZONES: [&[&str]; 2] = [&["k1", "k2", "k3", "k4"], &["s1", "s2", "s3"]];
+const SPARE_POOL: &str = "presses-spare";
+const WORKER_POOL: &str = "presses";
+
+impl Site {
+    /// Builds the site. The offices' keys derive from the seed. Fails only on invalid names.
+    pub fn new(size: SiteSize, seed: u64) -> Result<Site> {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut offices = Vec::new();
+        for name in OFFICES {
+            let mut secret = [0; 32];
+            rng.fill_bytes(&mut secret);
+            offices.push(Office { id: name.parse()?, key: SigningKey::from_bytes(&secret) });
+        }
+        let mut platform =
+            PlatformOptions { slots: SLOTS, service_time: SERVICE_TIME, ..Default::default() };
+        let mut workloads = Vec::new();
+        let mut settings = Vec::new();
+        for (office, team) in offices.iter().zip(TEAMS) {
+            object(&mut settings, office, "team", team, &[("quota", "100%"), ("weight", "1")])?;
+        }
+        for line in &LINES {
+            let min = |count: usize| (count - size.slack.min(count)) as u32;
+            let zones = ZONES[line.office];
+            platform = if line.task {
+                platform
+                    .with_workers(WORKER_POOL, size.workers, min(size.workers), zones, WORKER)?
+                    .with_workers(SPARE_POOL, size.spare, 0, zones, WORKER)?
+            } else {
+                platform.with_minions(
+                    line.name,
+                    line.name,
+                    size.minions,
+                    min(size.minions),
+                    zones,
+                )?
+            };
+            platform.service_times.insert(line.name.parse()?, line.service_time);
+            workloads.push(workload(line, size)?);
+            line_settings(&mut settings, line, &offices[line.office], size)?;
+        }
+        let wave = wave(&offices)?;
+        Ok(Site { platform, workloads, offices, settings, wave })
+    }
+}
+
+fn workload(line: &Line, size: SiteSize) -> Result<Workload> {
+    let (shape, capacity) = if line.task {
+        let shape = Shape::Task { run: SEPARATION_RUN, resources: SEPARATION };
+        let per_worker = f64::from(WORKER.cores.0 / SEPARATION.cores.0);
+        (shape, size.workers as f64 * per_worker / SEPARATION_RUN.as_secs_f64())
+    } else {
+        let slots = size.minions as f64 * f64::from(SLOTS);
+        (Shape::Request, slots / line.service_time.as_secs_f64())
+    };
+    // Every run of recorded work costs log appends, and their total rate is limited.
+    let rate = if line.idempotent && !line.must_not_drop { capacity * MEAN_LOAD } else { 8.0 };
+    Ok(Workload {
+        name: line.name.into(),
+        service: line.name.parse()?,
+        class: line.name.parse()?,
+        caller: format!("{}-{}", OFFICES[line.office], line.name).parse()?,
+        team: TEAMS[line.office].parse()?,
+        rate: rate.min(capacity * MEAN_LOAD),
+        capacity,
+        deadline: Duration::from_millis(line.deadline_ms),
+        idempotent: line.idempotent,
+        must_not_drop: line.must_not_drop,
+        shape,
+        urgency: line.urgency,
+    })
+}
+
+fn line_settings(
+    settings: &mut Vec<SettingValue>,
+    line: &Line,
+    office: &Office,
+    size: SiteSize,
+) -> Result<()> {
+    let yes = |value: bool| if value { "yes" } else { "no" };
+    let (deadline, rank) =
+        (format_compact!("{}ms", line.deadline_ms), line.rank.to_compact_string());
+    let class = [
+        ("cap", "100%"),
+        ("deadline", deadline.as_str()),
+        ("idempotent", yes(line.idempotent)),
+        ("must_not_drop", yes(line.must_not_drop)),
+        ("share", "50%"),
+        ("task", yes(line.task)),
+        ("urgency", rank.as_str()),
+    ];
+    object(settings, office, "class", line.name, &class)?;
+    let pool = if line.task { WORKER_POOL } else { line.name };
+    let count = if line.task { size.workers } else { size.minions };
+    let (min, target) = ((count - size.slack).to_compact_string(), count.to_compact_string());
+    let team = TEAMS[line.office];
+    let mut values = vec![
+        ("classes", line.name),
+        ("hysteresis", "20s"),
+        ("min_available", min.as_str()),
+        ("owner", team),
+        ("target", target.as_str()),
+    ];
+    if line.task {
+        let spare = size.spare.to_compact_string();
+        let spare = [("min_available", "0"), ("owner", team), ("spare", "yes"), ("target", &spare)];
+        object(settings, office, "pool", SPARE_POOL, &spare)?;
+        values.insert(0, ("borrows", SPARE_POOL));
+    }
+    object(settings, office, "pool", pool, &values)?;
+    let (slots, connections) = (SLOTS.to_compact_string(), CONNECTIONS.to_compact_string());
+    let service = [("connections", connections.as_str()), ("pool", pool), ("slots", &slots)];
+    object(settings, office, "service", line.name, &service)
+}
+
+fn wave(offices: &[Office]) -> Result<Vec<SettingValue>> {
+    let mut settings = Vec::new();
+    for (index, office) in offices.iter().enumerate() {
+        let own = LINES.iter().filter(|line| line.office == index);
+        let pools: Vec<&str> =
+            own.map(|line| if line.task { WORKER_POOL } else { line.name }).collect();
+        let pools = pools.join(", ");
+        let values = [
+            ("domain", "rack"),
+            ("drain_limit", "10s"),
+            ("pools", pools.as_str()),
+            ("reboot_limit", "10s"),
+            ("start", "2020-01-01T00:00:00Z"),
+        ];
+        object(&mut settings, office, "wave", &format!("{}-wave", office.id), &values)?;
+    }
+    Ok(settings)
+}
+
+fn object(
+    settings: &mut Vec<SettingValue>,
+    office: &Office,
+    kind: &str,
+    name: &str,
+    values: &[(&str, &str)],
+) -> Result<()> {
+    for (key, value) in values {
+        let path: SettingPath = format!("{}/{kind}/{name}/{key}", office.id).parse()?;
+        settings.push((path, (*value).into()));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cj-demo/tests/demo/driver.rs
@@ -0,0 +1,81 @@
+//! Whole demonstrations against fake nodes.
+
+use std::{sync::Arc, time::Duration};
+
+use cj_demo::{DemoOptions, FaultKind, Report, Site, SiteSize, run};
+use cj_standin::Platform;
+
+use crate::fake::{Fake, Flaw, SHORT};
+
+async fn demonstrate(flaw: Flaw, faults: Vec<FaultKind>) -> Report {
+    let size = SiteSize { minions: 2, workers: 2, spare: 1, slack: 1 };
+    let mut site = Site::new(size, 7).expect("a site");
+    site.platform.service_time = Duration::from_millis(5);
+    site.platform.service_times.clear();
+    let platform = Arc::new(Platform::start(site.platform.clone()).expect("platform"));
+    let options = DemoOptions {
+        nodes: 2,
+        duration: SHORT,
+        settle: SHORT,
+        warm_up: Duration::ZERO,
+        faults,
+        burst: Duration::ZERO,
+        publish_every: Duration::from_millis(100),
+        wave: false,
+        seed: 7,
+    };
+    let fake = Fake::new(platform.clone(), flaw);
+    let start_node = move |_| std::future::ready(fake.start());
+    let report = run(site, options, platform.clone(), start_node).await.expect("a report");
+    platform.stop();
+    report
+}
+
+/// Guards against a report that fails without a fault, and against checks that compare nothing.
+#[actix_rt::test]
+async fn a_correct_node_passes() {
+    let report = demonstrate(Flaw::None, Vec::new()).await;
+    assert!(report.ok, "{report}");
+    assert!(report.settings_measured > 70, "{report}");
+    for (name, counts) in &report.workloads {
+        assert!(counts.done > 0 && counts.done == counts.sent, "{name}: {counts:?}");
+    }
+}
+
+/// Guards against checks that can't fail: each fault of a node must show in its own counter.
+#[actix_rt::test]
+async fn flaws_are_found() {
+    type Counter = fn(&Report) -> u64;
+    let table: [(Flaw, &str, Counter); 6] = [
+        (Flaw::RunsTwice, "readings", |r| r.doubled),
+        (Flaw::RefusesAfterRun, "yields", |r| r.false_refusals),
+        (Flaw::ForgetsJobs, "separations", |r| r.lost),
+        (Flaw::ForeignAnswers, "proofs", |r| r.wrong_answers),
+        (Flaw::ShortAnswers, "tallies", |r| r.wrong_answers),
+        (Flaw::RevertsSettings, "", |r| r.settings_reverted),
+    ];
+    let reports = table.iter().map(|(flaw, ..)| demonstrate(*flaw, Vec::new()));
+    let reports = futures::future::join_all(reports).await;
+    for ((flaw, workload, counter), report) in table.iter().zip(reports) {
+        assert!(counter(&report) > 0, "{flaw:?} was not found\n{report}");
+        assert!(!report.ok, "{flaw:?}\n{report}");
+        if let Some(counts) = report.workloads.get(*workload) {
+            let found = [counts.doubled, counts.false_refusals, counts.lost, counts.wrong_answers];
+            assert!(
+                found.iter().sum::<u64>() > 0,
+                "{flaw:?} was not found in {workload}\n{report}"
+            );
+        }
+    }
+}
+
+/// Guards against faults that are planned but never injected or never ended.
+#[actix_rt::test]
+async fn all_faults_are_injected_and_ended() {
+    let kinds = FaultKind::parse_list("all").expect("names");
+    let report = demonstrate(Flaw::None, kinds).await;
+    // Lost answers set two switches, and killed upstreams are a minion and a worker.
+    assert_eq!(report.faults_injected, 2 * (11 + 2), "{report}");
+    assert_eq!(report.faults.len(), 22);
+    assert!(report.done > 0, "{report}");
+}
