Add the demo command

Cause: the README's main job needs one command that shows the whole system. Change: demo runs stand-ins, entry nodes and callers in one process; the VM list gives whole cores.

--- a/crates/cj-node/src/platform.rs
+++ b/crates/cj-node/src/platform.rs
@@ -8,8 +8,8 @@
 
 use cj_record::{VmFacts, VmKind};
 use cj_types::{
-    BootId, DataCentreId, Error, ErrorKind, OpId, PoolId, RackId, Resources, Result, Token,
-    UnixMillis, VmId,
+    Accelerators, BootId, DataCentreId, Error, ErrorKind, Mebibytes, Millicores, OpId, PoolId,
+    RackId, Resources, Result, Token, UnixMillis, VmId,
 };
 
 /// Time limit of one call.
@@ -46,9 +46,12 @@
     pub state: ListedState,
     /// Boot id.
     pub boot: BootId,
-    /// Total resources.
-    #[serde(flatten)]
-    pub resources: Resources,
+    /// Whole cores.
+    pub cores: u32,
+    /// Memory in mebibytes.
+    pub memory: u32,
+    /// Accelerators.
+    pub accelerators: u32,
     /// Minion or worker.
     pub kind: ListedKind,
 }
@@ -85,7 +88,11 @@
                 ListedKind::Minion => VmKind::Minion,
                 ListedKind::Worker => VmKind::Worker,
             },
-            capacity: listed.resources,
+            capacity: Resources {
+                cores: Millicores(listed.cores.saturating_mul(1000)),
+                memory: Mebibytes(listed.memory),
+                accelerators: Accelerators(listed.accelerators),
+            },
             boot: listed.boot,
         }
     }
--- a/crates/copperjunction/src/commands/command.rs
+++ b/crates/copperjunction/src/commands/command.rs
@@ -8,7 +8,7 @@
 
 use crate::output::{Exit, report_error, usage};
 
-use super::{bench, check, explain, keygen, publish, status};
+use super::{bench, check, demo, explain, keygen, publish, status};
 
 const PROGRAM: &str = "copperjunction";
 
@@ -23,6 +23,7 @@
   publish   publish settings of an office
   status    show the state of the fleet as a node sees it
   explain   tell why a job, a VM or a setting was treated as it was
+  demo      run stand-ins and entry nodes in one process and report
   bench     run a benchmark
 
 Options:
@@ -32,7 +33,7 @@
 Exit codes: 0 ok, 1 failed, 2 wrong use.
 
 Example:
-  copperjunction check --node examples/node.ini
+  copperjunction demo --seed 1 --duration 20s
 ";
 
 /// A command.
@@ -51,6 +52,7 @@
     publish::COMMAND,
     status::COMMAND,
     explain::COMMAND,
+    demo::COMMAND,
     bench::COMMAND,
 ];
 
--- /dev/null
+++ b/crates/copperjunction/src/commands/demo.rs
@@ -0,0 +1,226 @@
+//! `demo`: runs stand-ins and entry nodes in one process and reports.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use lexopt::{Arg, Parser};
+
+use cj_demo::{DemoOptions, FaultKind, NodeHandle, Site, SiteSize};
+use cj_node::{NodeThread, logging};
+use cj_settings::{
+    NodeSettings,
+    node::{LogTarget, PeerKey},
+};
+use cj_standin::Platform;
+use cj_types::{Error, ErrorKind, OfficeId, Result};
+
+use crate::{
+    client::block_on,
+    output::{Exit, Report, progress, usage},
+};
+
+use super::{
+    bench::number,
+    check::text,
+    command::{Command, wrong_use},
+};
+
+pub(super) const COMMAND: Command = Command { name: "demo", help: HELP, run };
+
+const HELP: &str = "\
+Runs the whole system in one process: stand-ins of the platform, entry nodes on loopback, callers and operators of both
+organisations, a maintenance wave, and faults. Reports what the callers and the stand-ins saw.
+
+Usage: copperjunction demo [OPTIONS]
+
+Options:
+  --seed N            seed of arrivals, faults and choices [1]
+  --duration 20s      time in which work arrives [20s]
+  --nodes N           number of entry nodes [3]
+  --size small|full   small: 33 VMs; full: the sizes of both organisations [small]
+  --faults LIST       all, none, or names separated by commas [none]: log-down, log-slow, lost-answers, node-killed,
+                      node-paused, upstream-killed, bad-worker, stale-list, cancel-wave, flood-least, flood-most
+  --log LEVEL         log lines of the nodes on standard error [off]
+  --report text|json  form of the report [text]; json is the last line of standard output
+  -h, --help          show this help
+
+Exits with 1 when a promise is broken.
+
+Example:
+  copperjunction demo --seed 1 --duration 20s --faults all
+";
+
+/// Smallest number of entry nodes; with fewer, a killed node would leave no one to carry on and to compare with.
+const MIN_NODES: usize = 2;
+
+struct Options {
+    demo: DemoOptions,
+    size: SiteSize,
+    level: log::LevelFilter,
+    report: Report,
+}
+
+fn run(parser: &mut Parser) -> Result<Exit> {
+    let Some(options) = options(parser)? else {
+        print!("{HELP}");
+        return Ok(Exit::Ok);
+    };
+    logging::install(options.level, &LogTarget::Stderr)?;
+    block_on(demonstrate(options))
+}
+
+fn options(parser: &mut Parser) -> Result<Option<Options>> {
+    let demo = DemoOptions { duration: Duration::from_secs(20), ..DemoOptions::default() };
+    let (size, level, report) = (SiteSize::SMALL, log::LevelFilter::Off, Report::Text);
+    let mut options = Options { demo, size, level, report };
+    while let Some(arg) = parser.next().map_err(|e| wrong_use(&e))? {
+        match arg {
+            Arg::Long("seed") => options.demo.seed = number(parser)?,
+            Arg::Long("duration") => options.demo.duration = duration(&text(parser)?)?,
+            Arg::Long("nodes") => options.demo.nodes = number(parser)?,
+            Arg::Long("size") => options.size = size_of(&text(parser)?)?,
+            Arg::Long("faults") => options.demo.faults = FaultKind::parse_list(&text(parser)?)?,
+            Arg::Long("log") => options.level = level_of(&text(parser)?)?,
+            Arg::Long("report") => options.report = text(parser)?.parse()?,
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
+            other => return Err(wrong_use(&other.unexpected())),
+        }
+    }
+    if options.demo.nodes < MIN_NODES {
+        return Err(usage("too few entry nodes", "use at least 2"));
+    }
+    Ok(Some(options))
+}
+
+fn duration(text: &str) -> Result<Duration> {
+    let wrong = |_| usage(format!("`{text}` is no duration"), "use a form such as `20s`");
+    humantime::parse_duration(text).map_err(wrong)
+}
+
+fn size_of(text: &str) -> Result<SiteSize> {
+    match text {
+        "small" => Ok(SiteSize::SMALL),
+        "full" => Ok(SiteSize::FULL),
+        _ => Err(usage(format!("unknown size `{text}`"), "use `small` or `full`")),
+    }
+}
+
+fn level_of(text: &str) -> Result<log::LevelFilter> {
+    let wrong = |_| usage(format!("unknown level `{text}`"), "use off, error, warn, info or debug");
+    text.parse().map_err(wrong)
+}
+
+async fn demonstrate(options: Options) -> Result<Exit> {
+    let site = Site::new(options.size, options.demo.seed)?;
+    let platform = Arc::new(Platform::start(site.platform.clone())?);
+    let cluster = Rc::new(Cluster::new(&site, &platform, options.demo.nodes)?);
+    let seconds = options.demo.duration.as_secs();
+    progress(&format!("{} entry nodes, work for {seconds} s", options.demo.nodes));
+    let start = move |index| {
+        let cluster = cluster.clone();
+        async move { cluster.start(index).await }
+    };
+    let report = cj_demo::run(site, options.demo, platform.clone(), start).await?;
+    platform.stop();
+    match options.report {
+        Report::Text => print!("{report}"),
+        Report::Json => {
+            let json = serde_json::to_string(&report).map_err(|e| {
+                Error::new(ErrorKind::Failed(e.to_string().into()), "report this as a defect")
+            })?;
+            println!("{json}");
+        }
+    }
+    Ok(if report.ok { Exit::Ok } else { Exit::Failed })
+}
+
+/// Settings of the entry nodes and the peer addresses known so far.
+struct Cluster {
+    log: SocketAddr,
+    control: SocketAddr,
+    offices: BTreeMap<OfficeId, [u8; 32]>,
+    centres: Vec<&'static str>,
+    /// Peer ports of the first starts. A later start takes a free port and learns the others from these.
+    first: RefCell<BTreeMap<usize, SocketAddr>>,
+    peers: RefCell<Vec<SocketAddr>>,
+}
+
+impl Cluster {
+    fn new(site: &Site, platform: &Platform, nodes: usize) -> Result<Self> {
+        let offices = site.offices.iter().map(|o| (o.id.clone(), o.public_key())).collect();
+        let first = free_addresses(nodes)?;
+        Ok(Cluster {
+            log: platform.log_address(),
+            control: platform.vm_address(),
+            offices,
+            centres: vec!["k1", "k2", "k3", "k4"],
+            peers: RefCell::new(first.clone()),
+            first: RefCell::new(first.into_iter().enumerate().collect()),
+        })
+    }
+
+    fn settings(&self, index: usize) -> Result<NodeSettings> {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Ok(NodeSettings {
+            node: format!("node-{}", index + 1).parse()?,
+            region: "demo".parse()?,
+            centre: self.centres[index % self.centres.len()].parse()?,
+            cluster: "demo".into(),
+            caller: any,
+            peer: self.first.borrow_mut().remove(&index).unwrap_or(any),
+            operator: any,
+            metrics: any,
+            log: self.log,
+            control: self.control,
+            peers: self.peers.borrow().clone(),
+            key: PeerKey([7; 32]),
+            offices: self.offices.clone(),
+            level: log::LevelFilter::Off,
+            target: LogTarget::Stderr,
+        })
+    }
+
+    async fn start(&self, index: usize) -> Result<NodeHandle> {
+        let node = NodeThread::start(self.settings(index)?).await?;
+        let addresses = node.addresses();
+        if !self.peers.borrow().contains(&addresses.peer) {
+            self.peers.borrow_mut().push(addresses.peer);
+        }
+        let node = Rc::new(RefCell::new(Some(node)));
+        let (killed, paused, stopped) = (node.clone(), node.clone(), node);
+        Ok(NodeHandle {
+            callers: addresses.caller,
+            operators: addresses.operator,
+            kill: Box::new(move || drop(killed.borrow_mut().take())),
+            pause: Box::new(move |time| {
+                if let Some(node) = &*paused.borrow() {
+                    node.pause(time);
+                }
+            }),
+            stop: Box::new(move || {
+                Box::pin(async move {
+                    let node = stopped.borrow_mut().take();
+                    if let Some(node) = node {
+                        node.stop().await;
+                    }
+                })
+            }),
+        })
+    }
+}
+
+/// Addresses with ports that are free now.
+fn free_addresses(count: usize) -> Result<Vec<SocketAddr>> {
+    let failed = |e: std::io::Error| {
+        Error::new(ErrorKind::Io(e.to_string().into()), "check that loopback ports are free")
+    };
+    let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(failed);
+    let listeners = (0..count).map(bind).collect::<Result<Vec<_>>>()?;
+    listeners.iter().map(|l| l.local_addr().map_err(failed)).collect()
+}
--- a/crates/copperjunction/src/commands/mod.rs
+++ b/crates/copperjunction/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod check;
 mod command;
+mod demo;
 mod explain;
 mod keygen;
 mod publish;
