Read settings verdicts in the form that the entry node gives

Cause: the operator API of the entry node answers a verdict as in-force, rejected, pending or forgotten; the driver took any answer without a reason as in force, so a pending record would have counted at once. Change: the driver reads the four forms; the fake node answers pending at the first question and checks versions. Conclusion: the measured time until in force needs an explicit verdict of every node.

--- a/crates/cj-demo/src/publisher.rs
+++ b/crates/cj-demo/src/publisher.rs
@@ -45,10 +45,18 @@
     offset: u64,
 }
 
+/// Answer to `GET /settings/verdict/{offset}`.
 #[derive(Clone, Debug, Deserialize)]
-struct Verdict {
-    #[serde(default)]
-    rejected: Option<String>,
+#[serde(tag = "verdict", rename_all = "kebab-case")]
+enum Verdict {
+    InForce,
+    Rejected {
+        reason: String,
+    },
+    /// The node hasn't read the record yet.
+    Pending,
+    /// The node has read the record but no longer keeps the verdict.
+    Forgotten,
 }
 
 /// Fields of `GET /status` that the driver reads.
@@ -157,12 +165,14 @@
     pub async fn publish_all(&self, settings: &[SettingValue]) -> Result<()> {
         for (path, value) in settings {
             let mut last = Published::Unanswered;
-            for _ in 0..FIRST_ATTEMPTS {
+            for attempt in 0..FIRST_ATTEMPTS {
                 last = self.publish(path, value).await;
-                if matches!(last, Published::InForce(_)) {
-                    break;
+                match last {
+                    Published::InForce(_) => break,
+                    // The refusal told the version in force.
+                    Published::Rejected(_) if attempt == 0 => {}
+                    _ => tokio::time::sleep(STATUS_POLL).await,
                 }
-                tokio::time::sleep(STATUS_POLL).await;
             }
             if !matches!(last, Published::InForce(_)) {
                 let reason = ErrorKind::Failed(format!("setting {path}: {last:?}").into());
@@ -274,11 +284,13 @@
             let answers: Vec<(usize, u64, Option<Verdict>)> =
                 futures::future::join_all(asked).await;
             for (index, start, verdict) in answers {
-                let Some(verdict) = verdict else { continue };
-                if let Some(reason) = verdict.rejected {
-                    return Published::Rejected(reason);
+                match verdict {
+                    Some(Verdict::InForce | Verdict::Forgotten) => {
+                        known.insert((index, start));
+                    }
+                    Some(Verdict::Rejected { reason }) => return Published::Rejected(reason),
+                    Some(Verdict::Pending) | None => {}
                 }
-                known.insert((index, start));
             }
             let is_known = |node: &NodeRef| known.contains(&(node.index, node.start));
             if !known.is_empty() && nodes.iter().all(is_known) {
--- a/crates/cj-demo/tests/demo/driver.rs
+++ b/crates/cj-demo/tests/demo/driver.rs
@@ -42,6 +42,15 @@
     }
 }
 
+/// Guards against counting a publication as in force that was refused, and against a publisher that stays at an old
+/// version.
+#[actix_rt::test]
+async fn later_versions_are_found_out() {
+    let report = demonstrate(Flaw::LaterVersions, Vec::new()).await;
+    assert!(report.ok, "{report}");
+    assert!(report.settings_rejected > 70 && report.settings_measured > 70, "{report}");
+}
+
 /// Guards against checks that can't fail: each fault of a node must show in its own counter.
 #[actix_rt::test]
 async fn flaws_are_found() {
--- a/crates/cj-demo/tests/demo/fake.rs
+++ b/crates/cj-demo/tests/demo/fake.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 
 use cj_demo::NodeHandle;
+use cj_record::{SettingPath, SettingRecord, SignedSetting};
 use cj_standin::{
     Platform, VmKind, VmRow,
     http::{Call, Reply, Server},
@@ -30,6 +31,8 @@
     ForeignAnswers,
     ShortAnswers,
     RevertsSettings,
+    /// Not a fault of the node: the settings were published before, which the publisher has to find out.
+    LaterVersions,
 }
 
 #[derive(Default)]
@@ -38,6 +41,9 @@
     tasks: BTreeMap<String, SocketAddr>,
     last: Option<Bytes>,
     settings: u64,
+    versions: BTreeMap<SettingPath, u64>,
+    /// Number of questions about a verdict, and the verdict.
+    verdicts: Vec<(u32, serde_json::Value)>,
     statuses: u64,
 }
 
@@ -95,14 +101,11 @@
                 Reply::json(StatusCode::OK, &json!({ "settings_offset": offset }))
             }
             (&Method::POST, ["settings"]) => {
-                let offset = self.state(|state| {
-                    state.settings += 1;
-                    state.settings - 1
-                });
-                Reply::json(StatusCode::OK, &json!({ "offset": offset }))
+                let offset = self.publish(&call.body);
+                Reply::json(StatusCode::ACCEPTED, &json!({ "offset": offset }))
             }
-            (&Method::GET, ["settings", "verdict", _]) => {
-                Reply::json(StatusCode::OK, &json!({ "rejected": null }))
+            (&Method::GET, ["settings", "verdict", offset]) => {
+                Reply::json(StatusCode::OK, &self.verdict(offset.parse().expect("an offset")))
             }
             (&Method::POST, ["v1", service, class]) => self.work(&call, service, class).await,
             (&Method::GET, ["v1", "jobs", caller, key]) => {
@@ -115,6 +118,35 @@
         }
     }
 
+    /// Takes a settings record and its verdict; returns the record's offset.
+    fn publish(&self, body: &[u8]) -> usize {
+        let signed = SignedSetting::decode(body).expect("a record");
+        let record: SettingRecord = postcard::from_bytes(&signed.body).expect("a record");
+        self.state(|state| {
+            let first = if self.flaw == Flaw::LaterVersions { 3 } else { 0 };
+            let version = state.versions.entry(record.path).or_insert(first);
+            let verdict = if record.expected.0 == *version {
+                *version += 1;
+                json!({ "verdict": "in-force" })
+            } else {
+                let reason = format!("stale: the version in force is {version}");
+                json!({ "verdict": "rejected", "reason": reason })
+            };
+            state.verdicts.push((0, verdict));
+            state.settings += 1;
+            state.verdicts.len() - 1
+        })
+    }
+
+    /// The verdict, pending at the first question.
+    fn verdict(&self, offset: usize) -> serde_json::Value {
+        self.state(|state| {
+            let (asked, verdict) = &mut state.verdicts[offset];
+            *asked += 1;
+            if *asked == 1 { json!({ "verdict": "pending" }) } else { verdict.clone() }
+        })
+    }
+
     async fn work(&self, call: &Call, service: &str, class: &str) -> Reply {
         let header = |name: &str| call.header(name).unwrap_or_default().to_owned();
         let job = format!("{}/{}", header("x-caller"), header("idempotency-key"));
