List capacities in thousandths of a core

Cause: the client of the entry node now reads capacities as thousandths; the stand-in listed whole cores, so that 64 cores counted as 64 thousandths and every task was refused as impossible. Conclusion: all numbers of cores on the wire have the same unit.

--- a/crates/cj-standin/src/fleet.rs
+++ b/crates/cj-standin/src/fleet.rs
@@ -11,9 +11,7 @@
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 
-use cj_types::{
-    Accelerators, BootId, DataCentreId, Mebibytes, PoolId, RackId, Resources, ServiceId, VmId,
-};
+use cj_types::{BootId, DataCentreId, PoolId, RackId, Resources, ServiceId, VmId};
 
 use crate::{
     http::{Call, Handler, Reply, lock},
@@ -55,12 +53,9 @@
     pub state: VmState,
     /// Changes with every boot.
     pub boot: BootId,
-    /// Whole cores.
-    pub cores: u32,
-    /// Memory in MiB.
-    pub memory: Mebibytes,
-    /// Accelerators.
-    pub accelerators: Accelerators,
+    /// Processors in thousandths of a core, memory in MiB, accelerators.
+    #[serde(flatten)]
+    pub resources: Resources,
     /// What it runs.
     pub kind: VmKind,
     /// Service of a minion.
@@ -143,7 +138,6 @@
 
 pub(crate) struct Vm {
     pub(crate) row: VmRow,
-    pub(crate) capacity: Resources,
     pub(crate) failed: bool,
     pub(crate) rebooting: bool,
     pub(crate) in_flight: u32,
@@ -163,16 +157,13 @@
             zone: options.zone.clone(),
             state: VmState::Live,
             boot: BootId(1),
-            cores: options.resources.cores.0 / 1000,
-            memory: options.resources.memory,
-            accelerators: options.resources.accelerators,
+            resources: options.resources,
             kind: options.kind,
             service: service.filter(|_| options.kind == VmKind::Minion),
         };
         Vm {
             history: VecDeque::from([(Instant::now(), row.clone())]),
             row,
-            capacity: options.resources,
             failed: false,
             rebooting: false,
             in_flight: 0,
--- a/crates/cj-standin/src/worker.rs
+++ b/crates/cj-standin/src/worker.rs
@@ -459,7 +459,7 @@
     let name = start.task.clone();
     let bad = shared.faults.read(|switches| switches.bad_workers.contains(id));
     let done_before = fleet.checkpoints.get(&name).copied();
-    let free = vm.capacity;
+    let free = vm.row.resources;
     let result = vm.worker.start(start, free, bad, done_before, &shared.options);
     match &result {
         Err((StatusCode::CONFLICT, _)) => fleet.seen.fenced += 1,
--- a/crates/cj-standin/tests/wire/vms.rs
+++ b/crates/cj-standin/tests/wire/vms.rs
@@ -24,6 +24,9 @@
         "service": "proofs",
     });
     assert_eq!(row, Some(&expected));
+    let worker = list.as_array().and_then(|rows| rows.iter().find(|row| row["vm"] == "w-0"));
+    let capacity = worker.map(|row| (&row["cores"], &row["memory"], &row["service"]));
+    assert_eq!(capacity, Some((&json!(4000), &json!(4096), &json!(null))));
     let probe = get(address, "/v1/vms/p-0").await.json();
     assert_eq!((&probe["state"], &probe["drained"]), (&json!("leaving"), &json!(true)));
     assert_eq!(get(address, "/v1/vms/none").await.status, 404);
