Borrow reported free slots and measure routing under floods

Cause: a node with an apportioned share leaves slots of other nodes idle, and a limit on a team's slots at one moment holds a team within its quota below its demand, because a node has only a few slots per class.

Change: a node that has used its share borrows a slot that an answer of the last 50 ms reports as free, leaving 2 free; a refusal of a borrowed slot sends the request back to the front of its queue without a retry. Quotas count the slots in use averaged over 1 s, with twice the quota at one moment. A team skipped for its quota keeps its place in the fair queue.

--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -1,5 +1,11 @@
 //! Benchmarks behind `copperjunction bench`. Each file holds one benchmark and returns a JSON report.
 
+pub mod cancel;
+mod fake;
+pub mod flood;
+pub mod route;
+pub mod storm;
+
 use cj_types::Result;
 
 /// Options common to all benchmarks; each benchmark uses those that apply to it.
@@ -17,4 +23,5 @@
 pub type Benchmark = fn(&Options) -> Result<serde_json::Value>;
 
 /// All benchmarks by the name used on the command line.
-pub const BENCHMARKS: &[(&str, Benchmark)] = &[];
+pub const BENCHMARKS: &[(&str, Benchmark)] =
+    &[("cancel", cancel::run), ("flood", flood::run), ("route", route::run), ("storm", storm::run)];
--- a/crates/cj-route/src/queue.rs
+++ b/crates/cj-route/src/queue.rs
@@ -13,6 +13,11 @@
 const OVERLOAD_INTERVAL: Duration = Duration::from_millis(100);
 /// Removed tickets that a queue may hold beyond the number of waiting ones before it is compacted.
 const STALE_SLACK: usize = 32;
+/// Time over which the slots in use are averaged for the quota. A node has few slots per class, so a limit on the slots in
+/// use at one moment would hold a team that is within its quota below its demand.
+const QUOTA_WINDOW: Duration = Duration::from_secs(1);
+/// Largest use at one moment, as a multiple of the quota.
+const QUOTA_BURST: f64 = 2.0;
 
 /// Requests of one team in one class.
 pub(crate) struct TeamQueue {
@@ -30,9 +35,31 @@
     /// Expected service time of the waiting tickets in seconds.
     pub(crate) backlog: f64,
     above_since: Option<Instant>,
+    /// Slots in use, averaged up to `averaged`.
+    average: f64,
+    averaged: Instant,
 }
 
 impl TeamQueue {
+    /// Slots in use, averaged over the recent past.
+    fn average(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.averaged);
+        let kept = (-elapsed.as_secs_f64() / QUOTA_WINDOW.as_secs_f64()).exp();
+        self.average * kept + self.in_use as f64 * (1.0 - kept)
+    }
+
+    /// True while the team uses less than its quota of `slots`.
+    fn within(&self, slots: f64, now: Instant) -> bool {
+        let quota = self.quota * slots;
+        (self.in_use as f64) < (QUOTA_BURST * quota).max(1.0) && self.average(now) < quota
+    }
+
+    fn set_in_use(&mut self, in_use: usize, now: Instant) {
+        self.average = self.average(now);
+        self.averaged = now;
+        self.in_use = in_use;
+    }
+
     pub(crate) fn tickets(&self) -> impl Iterator<Item = Ticket> {
         self.queue.iter().copied()
     }
@@ -90,7 +117,10 @@
     }
 
     /// Index of a team, which is added with the given weight and quota when it is new.
-    pub(crate) fn team(&mut self, id: &TeamId, terms: impl FnOnce() -> (f64, f64)) -> usize {
+    pub(crate) fn team<F>(&mut self, id: &TeamId, terms: F, now: Instant) -> usize
+    where
+        F: FnOnce() -> (f64, f64),
+    {
         if let Some(&team) = self.index.get(id) {
             return team;
         }
@@ -105,11 +135,21 @@
             live: 0,
             backlog: 0.0,
             above_since: None,
+            average: 0.0,
+            averaged: now,
         });
         self.index.insert(id.clone(), self.teams.len() - 1);
         self.teams.len() - 1
     }
 
+    /// Brings the virtual time of a team that has been idle up to date.
+    pub(crate) fn wake(&mut self, team: usize) {
+        let queue = &mut self.teams[team];
+        if queue.live == 0 {
+            queue.tag = queue.tag.max(self.now);
+        }
+    }
+
     /// Teams with waiting tickets.
     pub(crate) fn active(&self) -> &[usize] {
         &self.active
@@ -119,7 +159,6 @@
     pub(crate) fn push(&mut self, team: usize, ticket: Ticket, cost: f64, front: bool) {
         let queue = &mut self.teams[team];
         if queue.live == 0 {
-            queue.tag = queue.tag.max(self.now);
             self.active.push(team);
         }
         if front {
@@ -158,9 +197,9 @@
 
     /// Team whose request is next: the lowest virtual time among the teams within their quota, or among all waiting
     /// teams when none is. `slots` is the number of slots that the class may count on.
-    pub(crate) fn next_team(&self, slots: f64) -> Option<usize> {
+    pub(crate) fn next_team(&self, slots: f64, now: Instant) -> Option<usize> {
         let usable = slots.max(self.in_use as f64 + 1.0);
-        let within = |t: &TeamQueue| (t.in_use as f64) < (t.quota * usable).max(1.0);
+        let within = |t: &TeamQueue| t.within(usable, now);
         let best = |only_within: bool| {
             self.active
                 .iter()
@@ -193,20 +232,19 @@
     }
 
     /// Charges a team for a request that is dispatched with the expected cost in seconds.
-    pub(crate) fn charge(&mut self, team: usize, cost: f64) {
+    pub(crate) fn charge(&mut self, team: usize, cost: f64, now: Instant) {
         let queue = &mut self.teams[team];
-        queue.tag = queue.tag.max(self.now);
-        self.now = queue.tag;
+        self.now = self.now.max(queue.tag);
         queue.tag += cost / queue.weight;
-        queue.in_use += 1;
+        queue.set_in_use(queue.in_use + 1, now);
         self.in_use += 1;
     }
 
     /// Ends the use of a slot and corrects the charge by the time that was really used.
-    pub(crate) fn release(&mut self, team: usize, cost: f64, used: f64) {
+    pub(crate) fn release(&mut self, team: usize, cost: f64, used: f64, now: Instant) {
         let queue = &mut self.teams[team];
         queue.tag += (used - cost) / queue.weight;
-        queue.in_use -= 1;
+        queue.set_in_use(queue.in_use - 1, now);
         self.in_use -= 1;
     }
 
--- a/crates/cj-route/src/router.rs
+++ b/crates/cj-route/src/router.rs
@@ -47,7 +47,7 @@
 enum Stage {
     Waiting,
     Backoff,
-    Running { upstream: UpstreamKey, since: Instant },
+    Running { upstream: UpstreamKey, since: Instant, borrowed: bool },
 }
 
 struct Entry {
@@ -61,6 +61,8 @@
     queued: Instant,
     attempts: u32,
     may_have_run: bool,
+    /// False once a borrowed slot turned out to be taken.
+    may_borrow: bool,
     stage: Stage,
     /// The one timer that counts; others in the heap are outdated.
     timer: Option<Instant>,
@@ -223,7 +225,8 @@
         }
         let view = &self.view;
         let queue = &mut self.pools[pool].classes[class];
-        let team = queue.team(&request.team, || terms(view.teams.get(&request.team)));
+        let team = queue.team(&request.team, || terms(view.teams.get(&request.team)), now);
+        queue.wake(team);
         let times = self.services[service].times(class);
         let (mean, p50) = (times.mean.as_secs_f64(), times.p50);
         let remaining = request.deadline.saturating_duration_since(now);
@@ -240,14 +243,14 @@
             queued: now,
             attempts: 0,
             may_have_run: false,
+            may_borrow: true,
             stage: Stage::Waiting,
             timer: None,
         };
         match self.next_class(pool, now) {
             // Nobody of the pool waits for a slot that this class may use.
             None if self.may_start(pool, class) => {
-                let wish =
-                    Wish { avoid: entry.request.avoid.as_ref(), centre: &entry.request.centre };
+                let wish = wish(&entry);
                 let upstreams = &self.pools[pool].upstreams;
                 if let Some(chosen) = upstreams.choose(&wish, &mut self.rng, now) {
                     return self.admit(entry, chosen, now);
@@ -302,14 +305,14 @@
     /// Takes the end of an attempt. A ticket that is unknown or not at an upstream is counted and has no effect.
     pub fn complete(&mut self, ticket: Ticket, result: Completion, now: Instant) -> Vec<Action> {
         let running = self.tickets.get(ticket).map(|e| e.stage);
-        let Some(Stage::Running { upstream, since }) = running else {
+        let Some(Stage::Running { upstream, since, borrowed }) = running else {
             self.counters.late += 1;
             return Vec::new();
         };
         let mut actions = std::mem::take(&mut self.pending);
         let took = now.saturating_duration_since(since);
         let pool = self.tickets[ticket].pool;
-        self.release(ticket, upstream, took);
+        self.release(ticket, upstream, since, now);
         let sample = self.sample(ticket, result, took);
         let upstreams = &mut self.pools[pool].upstreams;
         if let Completion::Done { load: Some(load) } | Completion::NotRun { load: Some(load) } =
@@ -327,6 +330,9 @@
                 self.tickets.remove(ticket);
                 self.counters.done += 1;
             }
+            Completion::NotRun { load: Some(_) } if borrowed => {
+                self.wait_for_share(ticket, now, &mut actions);
+            }
             Completion::NotRun { .. } | Completion::Failed => {
                 actions.extend(self.retry(ticket, result, upstream, now));
             }
@@ -353,6 +359,14 @@
         }
     }
 
+    /// Queues a request again whose borrowed slot was taken. The refusal proves that it did not run, and from now on it
+    /// waits for a slot of this node's share, so it costs no retry.
+    fn wait_for_share(&mut self, ticket: Ticket, now: Instant, actions: &mut Vec<Action>) {
+        self.tickets[ticket].may_borrow = false;
+        self.waiting += 1;
+        self.requeue(ticket, now, actions);
+    }
+
     /// Schedules another attempt, or ends the ticket.
     fn retry(
         &mut self,
@@ -374,7 +388,8 @@
         let p50 = self.services[entry.service].times(entry.class).p50;
         let remaining = entry.request.deadline.saturating_duration_since(now);
         let safe = entry.request.idempotent || !entry.may_have_run;
-        let refusal = if !safe || entry.attempts >= MAX_ATTEMPTS {
+        let most = MAX_ATTEMPTS + u32::from(!entry.may_borrow);
+        let refusal = if !safe || entry.attempts >= most {
             Some(Refusal::Failed)
         } else if remaining <= backoff + p50 {
             Some(Refusal::Deadline)
@@ -409,8 +424,8 @@
                 self.tickets.remove(ticket);
                 std::mem::take(&mut self.pending)
             }
-            Stage::Running { upstream, since } => {
-                self.release(ticket, upstream, now.saturating_duration_since(since));
+            Stage::Running { upstream, since, .. } => {
+                self.release(ticket, upstream, since, now);
                 self.tickets.remove(ticket);
                 let mut actions = std::mem::take(&mut self.pending);
                 self.dispatch(pool, now, &mut actions);
@@ -566,7 +581,7 @@
             let tickets = &self.tickets;
             let waits = |t| tickets.get(t).is_some_and(|e| e.stage == Stage::Waiting);
             let queue = &mut self.pools[pool].classes[class];
-            let team = queue.next_team(slots).expect("a waiting class has a waiting team");
+            let team = queue.next_team(slots, now).expect("a waiting class has a waiting team");
             let ticket = queue.front(team, waits).expect("a waiting team has a ticket");
             let entry = &self.tickets[ticket];
             let remaining = entry.request.deadline.saturating_duration_since(now);
@@ -575,7 +590,7 @@
                 actions.extend(self.give_up(ticket, Refusal::Deadline, MIN_RETRY_AFTER));
                 continue;
             }
-            let wish = Wish { avoid: entry.request.avoid.as_ref(), centre: &entry.request.centre };
+            let wish = wish(entry);
             let Some(chosen) = self.pools[pool].upstreams.choose(&wish, &mut self.rng, now) else {
                 return;
             };
@@ -601,11 +616,12 @@
     fn start(&mut self, ticket: Ticket, chosen: &Chosen, reason: &str, now: Instant) -> VmId {
         let entry = &mut self.tickets[ticket];
         entry.attempts += 1;
-        entry.stage = Stage::Running { upstream: chosen.key, since: now };
+        entry.stage =
+            Stage::Running { upstream: chosen.key, since: now, borrowed: chosen.borrowed };
         entry.timer = None;
         let pool = &mut self.pools[entry.pool];
         pool.upstreams.start(chosen.key);
-        pool.classes[entry.class].charge(entry.team, entry.cost);
+        pool.classes[entry.class].charge(entry.team, entry.cost, now);
         self.counters.dispatched += 1;
         self.counters.borrowed += u64::from(chosen.borrowed);
         let name = |key| pool.upstreams.get(key).expect("candidates exist").vm.clone();
@@ -620,11 +636,12 @@
     }
 
     /// Accounts for the end of an attempt.
-    fn release(&mut self, ticket: Ticket, upstream: UpstreamKey, took: Duration) {
+    fn release(&mut self, ticket: Ticket, upstream: UpstreamKey, since: Instant, now: Instant) {
+        let used = now.saturating_duration_since(since).as_secs_f64();
         let entry = &self.tickets[ticket];
         let pool = &mut self.pools[entry.pool];
         pool.upstreams.finish(upstream);
-        pool.classes[entry.class].release(entry.team, entry.cost, took.as_secs_f64());
+        pool.classes[entry.class].release(entry.team, entry.cost, used, now);
     }
 
     /// Takes a ticket out of its queue or its backoff.
@@ -710,7 +727,7 @@
         }
     }
 
-    /// Puts a ticket whose backoff is over in front of its team's queue.
+    /// Puts a ticket that has been sent before in front of its team's queue.
     fn requeue(&mut self, ticket: Ticket, now: Instant, actions: &mut Vec<Action>) {
         let entry = &mut self.tickets[ticket];
         let (pool, class, team, cost) = (entry.pool, entry.class, entry.team, entry.cost);
@@ -771,6 +788,11 @@
     }
 }
 
+fn wish(entry: &Entry) -> Wish<'_> {
+    let Request { avoid, centre, .. } = &entry.request;
+    Wish { avoid: avoid.as_ref(), centre, may_borrow: entry.may_borrow }
+}
+
 /// Takes over the class settings and brings the guarantees to at most the whole pool.
 fn update_classes(pool: &mut Pool, view: &PoolView) {
     for class in &mut pool.classes {
--- a/crates/cj-route/src/times.rs
+++ b/crates/cj-route/src/times.rs
@@ -8,8 +8,8 @@
 const MAX_MICROS: u64 = 3_600_000_000;
 /// Samples per window. Two windows are kept, so that quantiles follow a change within this many requests.
 const WINDOW: u64 = 512;
-/// Samples between two computations of the quantiles.
-const REFRESH: u64 = 16;
+/// Samples between two computations of the quantiles, which cost about as much as ten decisions.
+const REFRESH: u64 = 64;
 /// Service time assumed before the first answer; short, so that nothing is refused without evidence.
 const PRIOR: Duration = Duration::from_millis(1);
 
@@ -39,7 +39,8 @@
     pub(crate) fn record(&mut self, time: Duration) {
         self.current.saturating_record((time.as_micros() as u64).clamp(1, MAX_MICROS));
         let samples = self.current.len();
-        if samples.is_multiple_of(REFRESH) || (self.previous.is_empty() && samples < REFRESH) {
+        let early = self.previous.is_empty() && samples.is_power_of_two();
+        if early || samples.is_multiple_of(REFRESH) {
             self.refresh();
         }
         if samples >= WINDOW {
--- a/crates/cj-route/src/upstreams.rs
+++ b/crates/cj-route/src/upstreams.rs
@@ -17,10 +17,11 @@
     view::{PoolEntry, PoolView},
 };
 
-/// Age up to which a reported load is believed.
-const REPORT_LIFETIME: Duration = Duration::from_millis(500);
-/// Slots that a borrower leaves free for the owners of the slots.
-const BORROW_HEADROOM: u32 = 1;
+/// Age up to which a reported load is believed. 500 ms doubles the refusals of borrowed slots under bursts.
+const REPORT_LIFETIME: Duration = Duration::from_millis(50);
+/// Slots that a borrower leaves free for the owners of the slots. With 1, several nodes see the same free slot and ten
+/// times as many requests are refused under bursts.
+const BORROW_HEADROOM: u32 = 2;
 /// Samples from the free list for a request that avoids an upstream, so that another failure domain is likely found.
 const AVOID_SAMPLES: usize = 8;
 /// Failures in a row that make an upstream an outlier.
@@ -132,6 +133,7 @@
 pub(crate) struct Wish<'a> {
     pub(crate) avoid: Option<&'a VmId>,
     pub(crate) centre: &'a DataCentreId,
+    pub(crate) may_borrow: bool,
 }
 
 /// Upstreams of one pool.
@@ -308,7 +310,8 @@
         if !self.free.is_empty() {
             return Some(self.sample(wish, rng, now));
         }
-        (self.selection == Selection::Borrowing).then(|| self.borrow(rng, now)).flatten()
+        let may_borrow = self.selection == Selection::Borrowing && wish.may_borrow;
+        may_borrow.then(|| self.borrow(rng, now)).flatten()
     }
 
     fn sample(&self, wish: &Wish<'_>, rng: &mut Pcg64Mcg, now: Instant) -> Chosen {
