--- a/crates/cj-bench/src/fake.rs
+++ b/crates/cj-bench/src/fake.rs
@@ -100,7 +100,7 @@
     /// Time from arrival to the start at an upstream in microseconds; a request that never starts counts with its
     /// whole deadline.
     pub(crate) start: Histogram<u64>,
-    /// In-deadline answers per second of arrival.
+    /// In-deadline answers by the second in which they came.
     pub(crate) per_second: Vec<u64>,
 }
 
@@ -436,7 +436,9 @@
             if time <= entry.deadline && entry.arrived >= self.warm_up {
                 let tally = &mut self.tallies[entry.source];
                 tally.good += 1;
-                tally.per_second[(entry.arrived / 1_000_000) as usize] += 1;
+                if let Some(second) = tally.per_second.get_mut((time / 1_000_000) as usize) {
+                    *second += 1;
+                }
             }
         }
         let now = self.at(time);
--- a/crates/cj-route/src/router.rs
+++ b/crates/cj-route/src/router.rs
@@ -456,7 +456,7 @@
     /// waits and no upstream is ejected.
     pub fn next_poll(&self) -> Option<Instant> {
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
-        let busy = self.waiting > 0 || self.pools.iter().any(|p| p.upstreams.ejected() > 0);
+        let busy = self.waiting > 0 || self.pools.iter().any(|p| p.upstreams.any_ejected());
         let review = busy.then(|| self.reviewed.map(|at| at + REVIEW_INTERVAL)).flatten();
         [timer, review].into_iter().flatten().min()
     }
--- a/crates/cj-route/src/upstreams.rs
+++ b/crates/cj-route/src/upstreams.rs
@@ -30,20 +30,24 @@
 const FAILURE_WEIGHT: f64 = 0.1;
 /// Failure rate at which an upstream is compared with its peers.
 const FAILURE_RATE: f64 = 0.3;
-/// Failure rate beyond the peers' median, as a factor and an absolute distance, at which an upstream is ejected.
+/// Failure rate beyond the peers', as a factor and an absolute distance, at which an upstream is ejected.
 const PEER_FACTOR: f64 = 2.0;
 const PEER_DISTANCE: f64 = 0.2;
-/// Slowdown against the peers' median at which an upstream is ejected, and attempts needed to judge it.
+/// Slowdown against the peers at which an upstream is ejected, and attempts needed to judge it.
 const SLOW_FACTOR: f64 = 4.0;
 const SLOW_SAMPLES: u32 = 30;
 /// Shortest ejection; doubles with each further one up to the longest.
 const EJECTION: Duration = Duration::from_secs(5);
 const MAX_EJECTION: Duration = Duration::from_secs(80);
+/// Time that an outlier gets nothing when no more may be ejected. Its slots then fail no more requests than they would serve.
+const REST: Duration = Duration::from_millis(250);
 /// Successes in a row that end the probation after an ejection; until then the upstream gets one request at a time.
 const PROBATION: u32 = 3;
-/// Age at which the peers' medians are computed again.
-const MEDIAN_LIFETIME: Duration = Duration::from_millis(10);
-/// Attempts after which a peer counts in the medians. Four failures in a row exceed [`FAILURE_RATE`], so peers that all
+/// Age at which the rates of the peers are computed again.
+const PEERS_LIFETIME: Duration = Duration::from_millis(10);
+/// One in this many peers has to be healthy for a comparison. With the median, half of a pool that fails hides itself.
+const HEALTHY_PART: usize = 3;
+/// Attempts after which a peer counts. Four failures in a row exceed [`FAILURE_RATE`], so peers that all
 /// fail are seen to fail.
 const PEER_SAMPLES: u32 = 4;
 /// Peers that are needed for a comparison.
@@ -73,6 +77,8 @@
     samples: u32,
     failures: u32,
     ejected_until: Option<Instant>,
+    /// True when it is only out for a moment and doesn't count as ejected.
+    resting: bool,
     ejections: u32,
     probation: u32,
 }
@@ -150,7 +156,9 @@
     free: Vec<UpstreamKey>,
     capacity: usize,
     ejected: usize,
-    medians: Option<(Instant, Option<(f64, f64)>)>,
+    resting: bool,
+    /// Failure rate and slowness of the healthier peers, and when they were computed.
+    peers: Option<(Instant, Option<(f64, f64)>)>,
 }
 
 impl Upstreams {
@@ -165,7 +173,8 @@
             free: Vec::new(),
             capacity: 0,
             ejected: 0,
-            medians: None,
+            resting: false,
+            peers: None,
         }
     }
 
@@ -187,8 +196,9 @@
         self.index.get(vm).and_then(|&key| self.all.get(key))
     }
 
-    pub(crate) fn ejected(&self) -> usize {
-        self.ejected
+    /// True while an upstream is to be readmitted.
+    pub(crate) fn any_ejected(&self) -> bool {
+        self.ejected > 0 || self.resting
     }
 
     /// Takes over a new view. Upstreams that it doesn't name leave.
@@ -222,7 +232,7 @@
             self.all.iter().filter(|(_, u)| !u.leaving).map(|(k, _)| k).collect();
         members.sort_by(|a, b| self.all[*a].vm.cmp(&self.all[*b].vm));
         self.members = members;
-        self.medians = None;
+        self.peers = None;
         self.recount();
     }
 
@@ -255,6 +265,7 @@
             samples: 0,
             failures: 0,
             ejected_until: None,
+            resting: false,
             ejections: 0,
             probation: 0,
         });
@@ -267,9 +278,12 @@
         self.free.clear();
         self.capacity = 0;
         self.ejected = 0;
+        self.resting = false;
         for (key, upstream) in &mut self.all {
             self.capacity += upstream.usable();
-            self.ejected += usize::from(!upstream.leaving && upstream.ejected_until.is_some());
+            let ejected = upstream.ejected_until.is_some() && !upstream.resting;
+            self.ejected += usize::from(ejected && !upstream.leaving);
+            self.resting |= upstream.resting;
             upstream.free_at = None;
             if upstream.in_flight < upstream.usable() {
                 upstream.free_at = Some(self.free.len());
@@ -431,39 +445,45 @@
         if !failing && !slow {
             return false;
         }
-        let Some((peer_rate, peer_slowness)) = self.peer_medians(now) else {
+        let Some((peer_rate, peer_slowness)) = self.peer_rates(now) else {
             return false;
         };
         let worse = peer_rate < FAILURE_RATE && rate > PEER_FACTOR * peer_rate + PEER_DISTANCE;
         (failing && worse) || (slow && slowness > SLOW_FACTOR * peer_slowness)
     }
 
-    /// Median failure rate and slowness of the upstreams with enough attempts, or `None` when they are too few.
-    fn peer_medians(&mut self, now: Instant) -> Option<(f64, f64)> {
-        if let Some((at, medians)) = self.medians
-            && now.saturating_duration_since(at) < MEDIAN_LIFETIME
+    /// Failure rate and slowness that a third of the upstreams with enough attempts don't exceed, or `None` when they
+    /// are too few.
+    fn peer_rates(&mut self, now: Instant) -> Option<(f64, f64)> {
+        if let Some((at, rates)) = self.peers
+            && now.saturating_duration_since(at) < PEERS_LIFETIME
         {
-            return medians;
+            return rates;
         }
         let peers = self.members.iter().map(|&k| &self.all[k]);
         let peers: Vec<_> = peers.filter(|u| u.samples >= PEER_SAMPLES).collect();
-        let median = |value: fn(&Upstream) -> f64| {
+        let healthy = |value: fn(&Upstream) -> f64| {
             let mut values: Vec<f64> = peers.iter().map(|u| value(u)).collect();
-            let middle = values.len() / 2;
-            *values.select_nth_unstable_by(middle, f64::total_cmp).1
+            let place = values.len() / HEALTHY_PART;
+            *values.select_nth_unstable_by(place, f64::total_cmp).1
         };
-        let medians =
-            (peers.len() > MIN_PEERS).then(|| (median(|u| u.failure_rate), median(|u| u.slowness)));
-        self.medians = Some((now, medians));
-        medians
+        let enough = peers.len() > MIN_PEERS;
+        let rates = enough.then(|| (healthy(|u| u.failure_rate), healthy(|u| u.slowness)));
+        self.peers = Some((now, rates));
+        rates
     }
 
-    /// Ejects an upstream unless a third of the pool is ejected already.
+    /// Ejects an upstream. Once a third of the pool is ejected, an outlier only rests for a moment, since an upstream
+    /// that fails fast is always free and would draw most of the requests.
     fn eject(&mut self, key: UpstreamKey, now: Instant) -> bool {
-        if self.ejected >= self.members.len() / 3 {
+        let floor = self.ejected >= self.members.len() / 3;
+        let upstream = &mut self.all[key];
+        if floor {
+            upstream.resting = true;
+            upstream.ejected_until = Some(now + REST);
+            self.recount();
             return false;
         }
-        let upstream = &mut self.all[key];
         let length = EJECTION.saturating_mul(1 << upstream.ejections.min(4)).min(MAX_EJECTION);
         upstream.ejected_until = Some(now + length);
         upstream.ejections += 1;
@@ -473,18 +493,19 @@
 
     /// Returns upstreams whose ejection is over, on probation.
     pub(crate) fn readmit(&mut self, now: Instant) {
-        if self.ejected == 0 {
+        if !self.any_ejected() {
             return;
         }
         for upstream in self.all.values_mut() {
             if upstream.ejected_until.is_some_and(|until| until <= now) {
                 upstream.ejected_until = None;
+                upstream.resting = false;
                 upstream.probation = PROBATION;
                 (upstream.failures, upstream.failure_rate) = (0, 0.0);
                 (upstream.samples, upstream.slowness) = (0, 1.0);
             }
         }
-        self.medians = None;
+        self.peers = None;
         self.recount();
     }
 
