--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cancel;
 mod fake;
 pub mod flood;
+pub mod fold;
 pub mod route;
 pub mod storm;
 
@@ -23,5 +24,10 @@
 pub type Benchmark = fn(&Options) -> Result<serde_json::Value>;
 
 /// All benchmarks by the name used on the command line.
-pub const BENCHMARKS: &[(&str, Benchmark)] =
-    &[("cancel", cancel::run), ("flood", flood::run), ("route", route::run), ("storm", storm::run)];
+pub const BENCHMARKS: &[(&str, Benchmark)] = &[
+    ("cancel", cancel::run),
+    ("flood", flood::run),
+    ("fold", fold::run),
+    ("route", route::run),
+    ("storm", storm::run),
+];
--- /dev/null
+++ b/crates/cj-settings/src/ini.rs
@@ -0,0 +1,224 @@
+//! Reading of INI text with the place of every value, and the fleet's INI file.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use compact_str::{CompactString, format_compact};
+use ini::{Ini, ParseOption};
+
+use cj_record::SettingPath;
+use cj_types::{Error, ErrorKind, OfficeId};
+
+use crate::{
+    object::{keys_of, suggest},
+    values::{PathError, References, check_values},
+};
+
+/// One `key = value` of a file with its section and place.
+pub(crate) struct Item {
+    pub(crate) section: CompactString,
+    pub(crate) key: CompactString,
+    pub(crate) value: CompactString,
+    pub(crate) line: usize,
+}
+
+/// Largest settings file in bytes; far above 12,000 settings.
+pub const MAX_FILE_BYTES: usize = 4 * 1024 * 1024;
+
+/// An error at a place of a file. `key` names section and key.
+pub(crate) fn error_at(
+    file: &str,
+    line: usize,
+    section: &str,
+    key: &str,
+    problem: impl Into<CompactString>,
+    help: impl Into<CompactString>,
+) -> Error {
+    let key = match (section, key) {
+        ("", key) => key.into(),
+        (section, "") => format_compact!("[{section}]"),
+        (section, key) => format_compact!("[{section}] {key}"),
+    };
+    Error::new(ErrorKind::Setting { file: file.into(), line, key, problem: problem.into() }, help)
+}
+
+/// Reads all items of a file. Fails on wrong syntax; reports keys outside a section and repeated keys.
+pub(crate) fn items(file: &str, text: &str) -> Result<Vec<Item>, Vec<Error>> {
+    if text.len() > MAX_FILE_BYTES {
+        let help = "split the file by office";
+        return Err(vec![error_at(file, 0, "", "file", "larger than 4 MiB", help)]);
+    }
+    let malformed = malformed_lines(file, text);
+    if !malformed.is_empty() {
+        return Err(malformed);
+    }
+    // Values hold no control characters and span no lines, so backslashes and quotes stand for themselves.
+    let options =
+        ParseOption { enabled_escape: false, enabled_quote: false, ..ParseOption::default() };
+    let ini = Ini::load_from_str_opt(text, options)
+        .map_err(|e| vec![error_at(file, e.line + 1, "", "syntax", e.msg.as_ref(), FORM)])?;
+    let mut lines = key_lines(text);
+    let mut items: Vec<Item> = Vec::new();
+    for (section, properties) in ini.iter() {
+        let section = CompactString::from(section.unwrap_or_default().trim());
+        for (key, value) in properties.iter() {
+            let (key, value) = (CompactString::from(key.trim()), value.into());
+            let place = lines.get_mut(&(section.clone(), key.clone()));
+            let line = place.and_then(VecDeque::pop_front).unwrap_or(0);
+            items.push(Item { section: section.clone(), key, value, line });
+        }
+    }
+    let errors = misplaced(file, &items);
+    if errors.is_empty() { Ok(items) } else { Err(errors) }
+}
+
+const FORM: &str = "write `[section]` and `key = value` lines; comments start with `;` or `#`";
+
+/// Lines that are neither a section, a value nor a comment. The INI library would join such a line with the next one
+/// and report another place.
+fn malformed_lines(file: &str, text: &str) -> Vec<Error> {
+    let valid = |line: &str| match line.trim() {
+        "" => true,
+        line if line.starts_with([';', '#']) => true,
+        line if line.starts_with('[') => line.contains(']'),
+        line => line.find(['=', ':']).is_some_and(|i| i > 0 && line[i..].starts_with('=')),
+    };
+    let wrong = text.lines().zip(1..).filter(|(line, _)| !valid(line));
+    wrong.map(|(_, number)| error_at(file, number, "", "syntax", "malformed line", FORM)).collect()
+}
+
+/// Line numbers of every section and key. The INI library reports no places.
+fn key_lines(text: &str) -> BTreeMap<(CompactString, CompactString), VecDeque<usize>> {
+    let mut lines: BTreeMap<_, VecDeque<usize>> = BTreeMap::new();
+    let mut section = CompactString::default();
+    for (index, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(rest) = line.strip_prefix('[') {
+            section = rest.split(']').next().unwrap_or_default().trim().into();
+        } else if let Some((key, _)) = line.split_once(['=', ':'])
+            && !line.starts_with([';', '#'])
+        {
+            lines.entry((section.clone(), key.trim().into())).or_default().push_back(index + 1);
+        }
+    }
+    lines
+}
+
+fn misplaced(file: &str, items: &[Item]) -> Vec<Error> {
+    let mut seen = BTreeMap::new();
+    let mut errors = Vec::new();
+    for item in items {
+        let Item { section, key, line, .. } = item;
+        if section.is_empty() {
+            let help = "put a line such as `[pool proofs]` above it";
+            errors.push(error_at(file, *line, "", key, "outside a section", help));
+        }
+        if let Some(first) = seen.insert((section, key), *line) {
+            let problem = format_compact!("already set on line {first}");
+            errors.push(error_at(file, *line, section, key, problem, "remove one of the lines"));
+        }
+    }
+    errors
+}
+
+/// One office's file of fleet settings.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetFile<'a> {
+    /// Name shown in errors.
+    pub file: &'a str,
+    /// Content.
+    pub text: &'a str,
+    /// Office that owns all its settings.
+    pub office: &'a OfficeId,
+}
+
+/// Reads an office's part of the fleet settings, with sections such as `[pool proofs]`. Every value is checked; every
+/// problem is reported with file, line, section, key and remedy. References between objects are not checked, because
+/// they may lead to the other office's settings; [`read_fleet_files`] checks them.
+pub fn read_fleet_ini(
+    file: &str,
+    text: &str,
+    office: &OfficeId,
+) -> Result<BTreeMap<SettingPath, CompactString>, Vec<Error>> {
+    read_files(&[FleetFile { file, text, office }], References::Skip)
+}
+
+/// Reads the files of all offices and checks them together, references between objects included.
+pub fn read_fleet_files(
+    files: &[FleetFile<'_>],
+) -> Result<BTreeMap<SettingPath, CompactString>, Vec<Error>> {
+    read_files(files, References::Check)
+}
+
+fn read_files(
+    files: &[FleetFile<'_>],
+    references: References,
+) -> Result<BTreeMap<SettingPath, CompactString>, Vec<Error>> {
+    let mut values = BTreeMap::new();
+    let mut places = Places::new();
+    let mut errors = Vec::new();
+    for FleetFile { file, text, office } in files.iter().copied() {
+        let items = items(file, text).unwrap_or_else(|found| {
+            errors.extend(found);
+            Vec::new()
+        });
+        for item in items {
+            match path_of(office, &item) {
+                Ok(path) => {
+                    places.insert(path.clone(), (file, item.line));
+                    values.insert(path, item.value);
+                }
+                Err((problem, help)) => {
+                    errors.push(error_at(file, item.line, &item.section, &item.key, problem, help));
+                }
+            }
+        }
+    }
+    // Without all values, references would seem to lead nowhere.
+    let references = if errors.is_empty() { references } else { References::Skip };
+    if let Err(found) = check_values(&values, references) {
+        errors.extend(found.into_iter().map(|error| located(error, &places)));
+    }
+    errors.sort_by_key(place_of);
+    if errors.is_empty() { Ok(values) } else { Err(errors) }
+}
+
+/// File and line of every value.
+type Places<'a> = BTreeMap<SettingPath, (&'a str, usize)>;
+
+fn place_of(error: &Error) -> (CompactString, usize) {
+    match &error.kind {
+        ErrorKind::Setting { file, line, .. } => (file.clone(), *line),
+        _ => Default::default(),
+    }
+}
+
+type Problem = (CompactString, CompactString);
+
+fn path_of(office: &OfficeId, item: &Item) -> Result<SettingPath, Problem> {
+    let header = item.section.split_whitespace().collect::<Vec<_>>();
+    let [kind, name] = header[..] else {
+        let help = "write the kind and one name, such as `[pool proofs]`";
+        return Err(("the section needs a kind and a name".into(), help.into()));
+    };
+    let known = keys_of(kind).map_err(|help| ("unknown kind of section".into(), help))?;
+    if !known.contains(&item.key.as_str()) {
+        return Err(("unknown key".into(), suggest(&item.key, known.iter().copied())));
+    }
+    Ok(SettingPath {
+        office: office.clone(),
+        kind: kind.into(),
+        name: name.into(),
+        key: item.key.clone(),
+    })
+}
+
+fn located(PathError { path, error }: PathError, places: &Places<'_>) -> Error {
+    // A missing key is reported at the first line of its section.
+    let same = |other: &SettingPath| {
+        other.office == path.office && other.kind == path.kind && other.name == path.name
+    };
+    let section = || places.iter().filter(|(p, _)| same(p)).map(|(_, place)| *place).min();
+    let (file, line) = places.get(&path).copied().or_else(section).unwrap_or(("", 0));
+    let header = format_compact!("{} {}", path.kind, path.name);
+    error_at(file, line, &header, &error.key, error.problem, error.help)
+}
--- a/crates/cj-standin/src/lib.rs
+++ b/crates/cj-standin/src/lib.rs
@@ -1,1 +1,24 @@
-//! Part of copperjunction; see `docs/design.md`.
+//! Small stand-ins of the systems outside copperjunction: the append-only log, VM control, workers and upstreams.
+//!
+//! They keep the wire contract of section 9 of `docs/design.md`, offer fault switches, and count what they see.
+
+pub mod faults;
+pub mod fleet;
+pub mod http;
+pub mod log;
+pub mod minion;
+pub mod observed;
+pub mod options;
+pub mod platform;
+pub mod worker;
+
+pub use faults::{Fault, Faults};
+pub use fleet::{
+    Action, LEAVING_BOUND, OpKey, Operation, OperationResult, VmProbe, VmRow, VmState,
+};
+pub use log::{LogOptions, ReadPage};
+pub use minion::{body_key, expected_answer};
+pub use observed::{Breach, Execution, Observed, PoolSeen};
+pub use options::{PlatformOptions, PoolOptions, VmKind, VmOptions};
+pub use platform::Platform;
+pub use worker::{FAILING_SPEC, StartTask, TaskCall, TaskRow, TaskState, UsageReport};
