--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -1,6 +1,11 @@
 //! Benchmarks behind `copperjunction bench`. Each file holds one benchmark and returns a JSON report.
 
+pub mod cancel;
+mod fake;
+pub mod flood;
 pub mod fold;
+pub mod route;
+pub mod storm;
 
 use cj_types::Result;
 
@@ -19,4 +24,10 @@
 pub type Benchmark = fn(&Options) -> Result<serde_json::Value>;
 
 /// All benchmarks by the name used on the command line.
-pub const BENCHMARKS: &[(&str, Benchmark)] = &[("fold", fold::run)];
+pub const BENCHMARKS: &[(&str, Benchmark)] = &[
+    ("cancel", cancel::run),
+    ("flood", flood::run),
+    ("fold", fold::run),
+    ("route", route::run),
+    ("storm", storm::run),
+];
