Keep the names of forgotten writers, and count ended leases as failures

Cause: a first batch was refused when it was older than 24 h of fold time, so one node with a fast clock, which drags fold time along, kept every other node from joining. An idempotent job whose lease ended was queued again without limit, even when its cancellation was requested. Expire of an idempotent job counts as a failed attempt. Done and cancelled jobs drop their payload.

--- a/crates/cj-fold/src/apply.rs
+++ b/crates/cj-fold/src/apply.rs
@@ -63,6 +63,7 @@
             keys,
             verdicts: Default::default(),
             writers: BTreeMap::new(),
+            forgotten: Default::default(),
             jobs: BTreeMap::new(),
             vms: BTreeMap::new(),
             lent: BTreeMap::new(),
--- a/crates/cj-fold/src/apply/jobs.rs
+++ b/crates/cj-fold/src/apply/jobs.rs
@@ -160,10 +160,10 @@
             return reject("the lease has not ended");
         }
         if self.job(id)?.idempotent {
-            // Running it again is safe, and nobody else would end its unknown outcome.
-            self.record(source, id, "queued again: the lease ended".into());
-            self.set_phase(id, JobPhase::Queued);
-            return source.accepted();
+            // Running it again is safe, and nobody else would end its unknown outcome. It counts as a failure, so that
+            // a job that stops its holders is parked in the end, and one that was cancelled does not run again.
+            let reason = "the lease ended".into();
+            return self.settle(source, id, claim, Outcome::Failed { reason });
         }
         let reason = CompactString::from("the lease ended without an outcome");
         self.record(source, id, "outcome unknown: the lease ended".into());
@@ -323,6 +323,10 @@
         self.index.remove_claim(&job.phase);
         self.index.add_claim(&phase);
         job.phase = phase;
+        if matches!(job.phase, JobPhase::Done { .. } | JobPhase::Cancelled { .. }) {
+            // Nothing runs it again; its body hash is enough to recognise a second submission.
+            job.payload = Vec::new();
+        }
         if let Some(at) = job.ended_at() {
             self.index.open.remove(id);
             self.index.ended.push_back((at, id.clone()));
--- a/crates/cj-fold/src/apply/writers.rs
+++ b/crates/cj-fold/src/apply/writers.rs
@@ -1,38 +1,35 @@
 //! Writers, their sequence numbers, and fold time.
 
 use cj_record::BatchHeader;
-use cj_types::{Sequence, UnixMillis};
+use cj_types::{NodeIncarnation, Sequence, UnixMillis};
 
 use crate::{
-    rules::{JOB_RETENTION, MAX_STEP, WRITER_RETENTION},
+    rules::{JOB_RETENTION, MAX_FORGOTTEN, MAX_STEP, WRITER_RETENTION},
     state::{State, Writer},
 };
 
 const FIRST: Sequence = Sequence(1);
 
-/// Forgotten writers are removed once per this span of fold time; until then they are treated as unknown.
+/// Silent writers are removed once per this span of fold time; until then their batches are ignored.
 const PRUNE_MILLIS: u64 = 3_600_000;
 
 impl State {
-    /// Takes the batch into the order, or returns false when it's a copy or its writer is unknown.
+    /// Takes the batch into the order, or returns false when it's a copy or its writer is unknown. The time of the batch
+    /// does not decide this, so that one fast clock can't keep other nodes from joining.
     pub(super) fn admit(&mut self, header: &BatchHeader) -> bool {
-        let known = self.writers.get(&header.writer).filter(|w| !self.is_forgotten(w));
-        let valid = match known {
-            Some(writer) => header.seq > writer.last_seq,
-            // A first batch of a forgotten writer is older than the retention and must not count as a new one.
-            None => header.seq == FIRST && header.at + WRITER_RETENTION >= self.now,
+        let valid = match self.writers.get(&header.writer) {
+            Some(writer) => header.seq > writer.last_seq && !self.is_silent(writer),
+            None => header.seq == FIRST && !self.forgotten.contains(&header.writer),
         };
-        if !valid {
-            return false;
+        if valid {
+            self.advance(header.at);
+            let writer = Writer { last_seq: header.seq, last_at: self.now };
+            self.writers.insert(header.writer.clone(), writer);
         }
-        let last_at = known.map_or(header.at, |w| w.last_at.max(header.at));
-        self.advance(header.at);
-        let writer = Writer { last_seq: header.seq, last_at: last_at.max(self.now) };
-        self.writers.insert(header.writer.clone(), writer);
-        true
+        valid
     }
 
-    fn is_forgotten(&self, writer: &Writer) -> bool {
+    fn is_silent(&self, writer: &Writer) -> bool {
         writer.last_at + WRITER_RETENTION < self.now
     }
 
@@ -46,8 +43,19 @@
         }
         self.drop_ended();
         if before.0 / PRUNE_MILLIS != self.now.0 / PRUNE_MILLIS {
-            let oldest = self.now - WRITER_RETENTION;
-            self.writers.retain(|_, writer| writer.last_at >= oldest);
+            self.forget_silent();
+        }
+    }
+
+    fn forget_silent(&mut self) {
+        let silent = self.writers.iter().filter(|(_, writer)| self.is_silent(writer));
+        let silent: Vec<NodeIncarnation> = silent.map(|(writer, _)| writer.clone()).collect();
+        for writer in silent {
+            self.writers.remove(&writer);
+            if self.forgotten.len() == MAX_FORGOTTEN {
+                self.forgotten.pop_front();
+            }
+            self.forgotten.push_back(writer);
         }
     }
 
--- a/crates/cj-fold/src/rules.rs
+++ b/crates/cj-fold/src/rules.rs
@@ -8,6 +8,10 @@
 /// Time after which a writer that has been silent is forgotten.
 pub const WRITER_RETENTION: Duration = Duration::from_secs(24 * 3600);
 
+/// Number of forgotten writers whose names are kept. At 100 restarts of entry nodes a day it covers more than a month,
+/// far more than the retention of the log or the life of a resent batch.
+pub const MAX_FORGOTTEN: usize = 4096;
+
 /// Time for which ended jobs are kept.
 pub const JOB_RETENTION: Duration = Duration::from_secs(24 * 3600);
 
--- a/crates/cj-fold/src/state.rs
+++ b/crates/cj-fold/src/state.rs
@@ -39,6 +39,8 @@
     pub verdicts: VecDeque<SettingVerdict>,
     /// Writers and their last batch.
     pub writers: BTreeMap<NodeIncarnation, Writer>,
+    /// Writers that were forgotten, oldest first. A late copy of their first batch must not count as a new one.
+    pub forgotten: VecDeque<NodeIncarnation>,
     /// Jobs, ended ones included until their retention ends.
     pub jobs: BTreeMap<JobId, Job>,
     /// VMs.
@@ -84,8 +86,7 @@
 pub struct Writer {
     /// Highest sequence number folded.
     pub last_seq: Sequence,
-    /// Latest fold time or batch time of the writer. Batch times count too, so that a writer with a fast clock is
-    /// forgotten only when every copy of its first batch is too old to be taken for a new one.
+    /// Fold time of that batch.
     pub last_at: UnixMillis,
 }
 
--- a/crates/cj-fold/tests/fleet.rs
+++ b/crates/cj-fold/tests/fleet.rs
@@ -216,6 +216,25 @@
     let outcome = Outcome::Done { status: 200, answer: vec![] };
     world.accept(Entry::Finish { job: id("cook/1"), token, outcome });
     world.accept(drained("p1", op));
+    world.set("north/pool/reserve/classes", Some("batch"));
+    let job = Submit { claim: Some((id("s1"), 60_000)), ..submit("cook/2", "batch", "reserve") };
+    world.accept(Entry::Submit(job));
+    let lend = world.move_entry("s1", "proofs");
+    refuse(&mut world, lend, "claimed on the VM");
+}
+
+/// One batch must not start two operations of a VM under one id, because the platform takes the id for a repetition.
+#[test]
+fn an_operation_id_is_never_used_twice() {
+    let mut world = World::new();
+    let op = world.next();
+    let generation = world.vm("p1").generation.next().next();
+    let again = Entry::Drain { vm: id("p1"), generation, purpose: wave() };
+    let undrain = Entry::Undrain { vm: id("p1"), op: OpId(op) };
+    let first = world.drain("p1", wave());
+    let verdicts = world.batch("n1", vec![first, undrain, again]);
+    let accepted = |v: &cj_fold::Verdict| matches!(v, cj_fold::Verdict::Accepted { .. });
+    assert_eq!(verdicts.iter().map(accepted).collect::<Vec<_>>(), [true, false, false]);
 }
 
 #[test]
--- a/crates/cj-fold/tests/jobs.rs
+++ b/crates/cj-fold/tests/jobs.rs
@@ -219,6 +219,7 @@
     world.accept(Entry::Submit(submit(JOB, "batch", "proofs")));
     world.accept(Entry::Submit(submit("cook/2", "batch", "proofs")));
     world.accept(Entry::Cancel { job: id(JOB) });
+    assert!(world.state.jobs[&id::<JobId>(JOB)].payload.is_empty(), "kept for a day for nothing");
     world.wait(24 * 3600 - 1);
     assert_eq!(world.state.jobs.len(), 2);
     world.wait(1);
--- a/crates/cj-fold/tests/takeover.rs
+++ b/crates/cj-fold/tests/takeover.rs
@@ -56,3 +56,32 @@
     assert_eq!(world.state.jobs[&id::<JobId>(JOB)].phase, JobPhase::Queued);
     world.state.check_invariants().unwrap();
 }
+
+/// A job that stops every node that runs it must not be queued for ever.
+#[test]
+fn an_idempotent_job_whose_leases_end_on_three_targets_is_parked() {
+    let mut world = World::new();
+    let mut token = claimed(&mut world, "urgent", false);
+    for (attempt, target) in [(2, "p2"), (3, "p3")] {
+        world.wait(20);
+        world.accept(Entry::Expire { job: id(JOB), token });
+        token = Token(world.next());
+        world.accept(Entry::Claim { job: id(JOB), attempt, target: id(target), lease_ms: LEASE });
+    }
+    world.wait(20);
+    world.accept(Entry::Expire { job: id(JOB), token });
+    let job = &world.state.jobs[&id::<JobId>(JOB)];
+    assert!(matches!(job.phase, JobPhase::Parked { .. }), "{:?}", job.phase);
+    assert_eq!(job.payload, [7], "an operator needs the payload to submit it again");
+}
+
+#[test]
+fn a_cancelled_job_does_not_run_again_when_its_lease_ends() {
+    let mut world = World::new();
+    let token = claimed(&mut world, "urgent", false);
+    world.accept(Entry::Cancel { job: id(JOB) });
+    world.wait(20);
+    world.accept(Entry::Expire { job: id(JOB), token });
+    let job = &world.state.jobs[&id::<JobId>(JOB)];
+    assert!(matches!(job.phase, JobPhase::Parked { .. }), "{:?}", job.phase);
+}
