--- a/crates/cj-log/src/copies.rs
+++ b/crates/cj-log/src/copies.rs
@@ -11,7 +11,7 @@
 use log::{error, warn};
 use tokio::sync::Notify;
 
-use cj_fold::State;
+use cj_fold::{State, rules::MAX_SETTING_BYTES};
 use cj_record::{Entry, SignedSetting};
 use cj_types::{Clock, Error, ErrorKind, Offset, StreamId};
 use ed25519_dalek::VerifyingKey;
@@ -30,8 +30,6 @@
 const COPY_LIMIT: Duration = Duration::from_secs(4);
 /// Most copies proposed at once.
 const MAX_COPIES: usize = 64;
-/// Longest payload of a copy. A longer record can't be valid; its copy is cut off, so that it fits into a batch.
-const MAX_PAYLOAD: usize = 60 * 1024;
 const REREAD_DELAY: Duration = Duration::from_millis(20);
 
 /// Records of the `settings` stream that the region doesn't have yet.
@@ -120,15 +118,18 @@
         let copies = consecutive
             .take_while(|((offset, (_, seen)), expected)| offset.0 == *expected && due(*seen))
             .take(MAX_COPIES)
-            .map(|((offset, (bytes, _)), _)| Entry::SettingsCopy {
-                offset: *offset,
-                payload: bytes[..bytes.len().min(MAX_PAYLOAD)].to_vec(),
-            });
+            .map(|((offset, (bytes, _)), _)| copy(*offset, bytes));
         let wait = if records.is_empty() { READ_WAIT } else { COPY_DELAY / 4 };
         (copies.collect(), wait)
     }
 }
 
+/// A record that is too large for the fold doesn't fit into a batch, either; its copy is empty and gets rejected.
+fn copy(offset: Offset, bytes: &[u8]) -> Entry {
+    let payload = if bytes.len() > MAX_SETTING_BYTES { Vec::new() } else { bytes.to_vec() };
+    Entry::SettingsCopy { offset, payload }
+}
+
 fn is_signed(state: &State, bytes: &[u8]) -> bool {
     let Ok(signed) = SignedSetting::decode(bytes) else { return false };
     let keys = state.keys.get(&signed.office).into_iter().flatten();
--- a/crates/cj-log/src/http.rs
+++ b/crates/cj-log/src/http.rs
@@ -4,7 +4,7 @@
 
 use awc::{
     Client, Connector,
-    error::{PayloadError, SendRequestError},
+    error::{ConnectError, PayloadError, SendRequestError},
     http::{StatusCode, Uri},
 };
 use serde::Deserialize;
@@ -106,10 +106,24 @@
 }
 
 fn send_error(error: &SendRequestError) -> Error {
+    let not_sent = match error {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(error) => is_unconnected(error),
+        _ => false,
+    };
+    if not_sent { refused(error.to_string()) } else { unanswered(error.to_string()) }
+}
+
+/// True when no connection was made. `Disconnected` isn't such a case: it is also reported when the log closes the
+/// connection after it took the request.
+fn is_unconnected(error: &ConnectError) -> bool {
     match error {
-        // Nothing of the request has left: no connection was made.
-        SendRequestError::Url(_) | SendRequestError::Connect(_) => refused(error.to_string()),
-        _ => unanswered(error.to_string()),
+        ConnectError::Resolver(_)
+        | ConnectError::NoRecords
+        | ConnectError::Unresolved
+        | ConnectError::Timeout => true,
+        ConnectError::Io(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
     }
 }
 
