--- a/crates/cj-member/src/gossip.rs
+++ b/crates/cj-member/src/gossip.rs
@@ -26,7 +26,8 @@
     pub wanted: Vec<NodeId>,
 }
 
-/// A node that spreads reports by gossip.
+/// A node that spreads reports by gossip. Two process starts of one node aren't ordered, so a report of the earlier one
+/// that arrives first through a third node can hide its successor until it is forgotten.
 #[derive(Clone, Debug)]
 pub struct Gossip {
     /// What the node knows.
