Run the planner through the fold in two benchmarks

Cause: the targets for rollout time, moves and buffer cost need figures, and the fold brought rules that the planner has to match: windows and failure domains of every wave that covers a pool, hysteresis by the last pool, and a boot id that only a reboot changes.

Change: the planner follows these rules; it reboots a working VM only after a probe shows its known boot id, returns a VM whose permitted reboot never happened to service, plans nothing while fold time lags, and moves borrowed VMs straight on to the next borrower when the spare pool is empty. cj-bench gets `rollout` and `buffer`, small fakes of the platform, an audit of the invariants that shares no code with the planner, and `usage_svg`.

--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -1,5 +1,10 @@
 //! Benchmarks behind `copperjunction bench`. Each file holds one benchmark and returns a JSON report.
 
+pub mod buffer;
+pub mod fleet;
+pub mod rollout;
+pub mod usage_svg;
+
 use cj_types::Result;
 
 /// Options common to all benchmarks; each benchmark uses those that apply to it.
@@ -17,4 +22,4 @@
 pub type Benchmark = fn(&Options) -> Result<serde_json::Value>;
 
 /// All benchmarks by the name used on the command line.
-pub const BENCHMARKS: &[(&str, Benchmark)] = &[];
+pub const BENCHMARKS: &[(&str, Benchmark)] = &[("buffer", buffer::run), ("rollout", rollout::run)];
--- a/crates/cj-fleet/src/health.rs
+++ b/crates/cj-fleet/src/health.rs
@@ -42,9 +42,7 @@
     if same || !settled || !vm.phase.is_active() || plan.concerns(&facts.vm) {
         return false;
     }
-    // The boot id stays: the list lags, and an old boot id would later pass for a completed reboot.
-    let facts = VmFacts { boot: vm.boot, ..facts.clone() };
-    plan.push(Entry::Register(facts), "the platform states other facts than recorded");
+    plan.push(Entry::Register(facts.clone()), "the platform states other facts than recorded");
     true
 }
 
@@ -96,10 +94,17 @@
             }
         }
         (_, VmPhase::Rebooting { since, .. }) => {
-            let limit = fleet.reboot_limit(vm);
-            let probe = fleet.evidence.probe(id, *since + limit, fleet.now);
-            if probe.is_some_and(|p| !p.healthy) {
-                push(false, None, "did not come back within the reboot limit");
+            let limit = fleet.reboot_limit(&vm.pool);
+            match fleet.evidence.probe(id, *since + limit, fleet.now) {
+                Some(probe) if !probe.healthy => {
+                    push(false, None, "did not come back within the reboot limit");
+                }
+                // The node that was permitted to reboot it stopped before the call. A probe returns the VM to service,
+                // and the wave drains it again under a new operation.
+                Some(probe) if probe.boot == Some(vm.boot) => {
+                    push(false, None, "was not rebooted within the reboot limit");
+                }
+                _ => {}
             }
         }
         _ => {}
--- a/crates/cj-fleet/src/lib.rs
+++ b/crates/cj-fleet/src/lib.rs
@@ -18,5 +18,5 @@
 
 pub use evidence::{Evidence, PROBE_MAX_AGE, Probe};
 pub use notice::Notice;
-pub use plan::{Plan, Proposal, plan, plan_all, wanted_probes};
-pub use usage::{TeamUsage, UsageLog, UsageSample};
+pub use plan::{Plan, Proposal, plan, plan_all, subject, wanted_probes};
+pub use usage::{TeamUsage, UsageLog, UsageSample, usage};
--- a/crates/cj-fleet/src/limits.rs
+++ b/crates/cj-fleet/src/limits.rs
@@ -9,15 +9,6 @@
 /// minutes; a VM that needs longer is replaced from the spare pool.
 pub(crate) const REPAIR_TIME: Duration = Duration::from_secs(600);
 
-/// Failures within this period count for taking a VM out of rotation.
-pub(crate) const FAILURE_PERIOD: Duration = Duration::from_secs(24 * 3600);
-
-/// A VM that failed this often within [`FAILURE_PERIOD`] is taken out of rotation.
-pub(crate) const TAKE_OUT_FAILURES: usize = 3;
-
-/// Part of a pool that may be out of rotation, as a divisor of its size; at least one VM may be.
-pub(crate) const TAKE_OUT_DIVISOR: usize = 10;
-
 /// Repairs under way at the same time in a region. It bounds the load on the platform when a data centre returns.
 pub(crate) const MAX_REPAIRS: usize = 64;
 
@@ -27,5 +18,5 @@
 /// Time between a decision and its record that is kept free before a forbidden window.
 pub(crate) const WINDOW_MARGIN: Duration = Duration::from_secs(5);
 
-/// A drain or reboot outside a wave is reported when it takes longer than this.
-pub(crate) const REPAIR_LIMIT: Duration = Duration::from_secs(600);
+/// A drain outside a wave is reported when it takes longer than this.
+pub(crate) const DRAIN_LIMIT: Duration = Duration::from_secs(600);
--- a/crates/cj-fleet/src/ops.rs
+++ b/crates/cj-fleet/src/ops.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use cj_fold::{Vm, VmPhase};
+use cj_fold::{Vm, VmPhase, rules};
 use cj_record::{Entry, Purpose};
 use cj_types::{OpId, PoolId, UnixMillis, VmId};
 
@@ -23,18 +23,13 @@
             Purpose::Wave(wave) => self.state.fleet.waves.get(wave).map(|w| w.drain_limit),
             _ => None,
         }
-        .unwrap_or(limits::REPAIR_LIMIT)
+        .unwrap_or(limits::DRAIN_LIMIT)
     }
 
-    /// Reboot limit of the operation on a VM.
-    pub(crate) fn reboot_limit(&self, vm: &Vm) -> Duration {
-        match &vm.phase {
-            VmPhase::Rebooting { purpose: Purpose::Wave(wave), .. } => {
-                self.state.fleet.waves.get(wave).map(|w| w.reboot_limit)
-            }
-            _ => None,
-        }
-        .unwrap_or(limits::REPAIR_LIMIT)
+    /// Time that a reboot may take in a pool; the fold accepts no failure report before.
+    pub(crate) fn reboot_limit(&self, pool: &PoolId) -> Duration {
+        let limits = self.covering(pool).map(|w| w.reboot_limit);
+        limits.max().unwrap_or(rules::DEFAULT_REBOOT_LIMIT)
     }
 }
 
@@ -45,6 +40,10 @@
         if fleet.suspects.contains_key(id) {
             continue;
         }
+        if let Some(op) = recovered(fleet, id, vm) {
+            plan.push(Entry::Undrain { vm: id.clone(), op }, "answers again before its repair");
+            continue;
+        }
         match (&vm.phase, ended.get(id)) {
             (VmPhase::Draining { op, .. } | VmPhase::Drained { op, .. }, Some(reason)) => {
                 plan.push(Entry::Undrain { vm: id.clone(), op: *op }, reason.clone());
@@ -56,7 +55,7 @@
                 drain_step(fleet, id, *op, purpose, *since, plan);
             }
             (VmPhase::Drained { op, purpose, .. }, None) => {
-                drained_step(id, vm, *op, purpose, plan);
+                drained_step(fleet, id, vm, *op, purpose, plan);
             }
             (VmPhase::Rebooting { op, since, .. }, _) => {
                 reboot_step(fleet, id, vm, *op, *since, plan);
@@ -92,12 +91,31 @@
     }
 }
 
-fn drained_step(id: &VmId, vm: &Vm, op: OpId, purpose: &Purpose, plan: &mut Plan) {
+fn drained_step(
+    fleet: &Fleet<'_>,
+    id: &VmId,
+    vm: &Vm,
+    op: OpId,
+    purpose: &Purpose,
+    plan: &mut Plan,
+) {
     if let Purpose::Move(to) = purpose {
         let (vm_id, to, from) = (id.clone(), to.clone(), vm.pool.clone());
         let entry = Entry::Move { vm: vm_id, generation: vm.generation, from, to };
         plan.push(entry, "drained and no longer needed in its pool");
-    } else {
+        return;
+    }
+    if fleet.window_near(&vm.pool, |wave| wave.reboot_limit) {
+        return;
+    }
+    // A VM that restarted by itself while it drained would pass for rebooted at once, and the call would then hit a VM
+    // in service. A working VM therefore has to show its known boot id first.
+    let probe = fleet.evidence.probe(id, UnixMillis(0), fleet.now);
+    let ready = match purpose {
+        Purpose::Repair => probe.is_none_or(|p| !p.healthy),
+        _ => probe.is_some_and(|p| p.healthy && p.boot == Some(vm.boot)),
+    };
+    if ready {
         plan.push(Entry::Reboot { vm: id.clone(), op }, "drained; budget and windows hold");
     }
 }
@@ -115,12 +133,22 @@
         plan.push(Entry::Rebooted { vm: id.clone(), op, boot }, "the boot id changed");
         return;
     }
-    let (taken, limit) = (fleet.now.since(since), fleet.reboot_limit(vm));
+    let (taken, limit) = (fleet.now.since(since), fleet.reboot_limit(&vm.pool));
     if taken > limit {
         plan.notices.push(Notice::RebootOverLimit { vm: id.clone(), op, taken, limit });
     }
 }
 
+/// Operation of a failed VM that answers again before its reboot.
+fn recovered(fleet: &Fleet<'_>, id: &VmId, vm: &Vm) -> Option<OpId> {
+    let (VmPhase::Draining { op, purpose: Purpose::Repair, since }
+    | VmPhase::Drained { op, purpose: Purpose::Repair, since }) = &vm.phase
+    else {
+        return None;
+    };
+    fleet.evidence.probe(id, *since, fleet.now).is_some_and(|p| p.healthy).then_some(*op)
+}
+
 /// Drains that have to end without their act, with the reason.
 fn ended<'a>(fleet: &Fleet<'a>) -> BTreeMap<&'a VmId, CompactString> {
     let mut ended = BTreeMap::new();
@@ -136,7 +164,7 @@
                 CompactString::from("the availability budget is broken: ") + &margin_text(pool)
             } else if !is_wave(purpose) && returned < lacking {
                 "the pool needs the VM again".into()
-            } else if let Some(reason) = withdrawn(fleet, vm, purpose) {
+            } else if let Some(reason) = withdrawn(fleet, id, vm, purpose) {
                 reason.into()
             } else {
                 continue;
@@ -163,13 +191,16 @@
 }
 
 /// Why the act that a VM drains for is not allowed or not wanted any more.
-fn withdrawn(fleet: &Fleet<'_>, vm: &Vm, purpose: &Purpose) -> Option<&'static str> {
+fn withdrawn(fleet: &Fleet<'_>, id: &VmId, vm: &Vm, purpose: &Purpose) -> Option<&'static str> {
+    let restarted = probed_boot(fleet, id, vm.maintained).is_some_and(|boot| boot != vm.boot);
     match purpose {
         Purpose::Wave(id) => match fleet.state.fleet.waves.get(id) {
             None => Some("the wave was removed"),
             Some(wave) if !wave.pools.contains(&vm.pool) => Some("the pool left the wave"),
-            Some(wave) => window_near(fleet, &vm.pool, wave.reboot_limit)
-                .then_some("a forbidden window starts before the reboot would end"),
+            Some(_) if fleet.window_near(&vm.pool, |wave| wave.reboot_limit) => {
+                Some("a forbidden window starts before the reboot would end")
+            }
+            Some(_) => restarted.then_some("restarted without a plan while it drained"),
         },
         Purpose::Move(to) => {
             (!fleet.pools.contains_key(to)).then_some("the pool it drains for was removed")
@@ -177,9 +208,3 @@
         Purpose::Repair => None,
     }
 }
-
-/// True when an act of length `span` that starts now would reach into a forbidden window of the pool.
-pub(crate) fn window_near(fleet: &Fleet<'_>, pool: &PoolId, span: Duration) -> bool {
-    let end = fleet.now + span + limits::WINDOW_MARGIN;
-    fleet.windows(pool).any(|w| w.overlaps(fleet.now, end))
-}
--- a/crates/cj-fleet/src/plan.rs
+++ b/crates/cj-fleet/src/plan.rs
@@ -4,7 +4,7 @@
 
 use compact_str::CompactString;
 
-use cj_fold::State;
+use cj_fold::{State, rules};
 use cj_record::Entry;
 use cj_types::{PoolId, UnixMillis, VmId};
 
@@ -56,8 +56,8 @@
     }
 }
 
-/// VM that a fleet entry concerns.
-pub(crate) fn subject(entry: &Entry) -> Option<&VmId> {
+/// VM that a fleet entry concerns, or `None` for other entries.
+pub fn subject(entry: &Entry) -> Option<&VmId> {
     match entry {
         Entry::Register(facts) => Some(&facts.vm),
         Entry::Drain { vm, .. }
@@ -81,19 +81,25 @@
 /// Like [`plan`], with the notices for operators.
 ///
 /// The order of the rules is their precedence: unplanned failures consume the availability budgets first, then
-/// operations under way go on, failed VMs are repaired, deficits are covered, and only what is left goes to waves.
+/// operations under way go on, failed VMs are repaired, deficits are covered, and what is left goes to waves. Returns
+/// of borrowed VMs come last: their drain would occupy the failure domain that a wave could use.
 pub fn plan_all(state: &State, evidence: &Evidence, now: UnixMillis) -> Plan {
     let mut plan = Plan::default();
     if state.behind {
         return plan;
     }
+    // After an outage of the log, fold time follows in steps. Ages and limits mean nothing until it has caught up.
+    if now.since(state.now) > rules::MAX_STEP {
+        plan.push(Entry::Tick, "fold time lags behind the clock");
+        return plan;
+    }
     let mut fleet = Fleet::new(state, evidence, now);
     health::report(&fleet, &mut plan);
     ops::advance(&fleet, &mut plan);
     repair::repair(&fleet, &mut plan);
     spare::lend(&mut fleet, &mut plan);
-    spare::give_back(&mut fleet, &mut plan);
     wave::start_drains(&mut fleet, &mut plan);
+    spare::give_back(&mut fleet, &mut plan);
     health::register(&fleet, &mut plan);
     plan
 }
--- a/crates/cj-fleet/src/repair.rs
+++ b/crates/cj-fleet/src/repair.rs
@@ -4,7 +4,7 @@
 
 use compact_str::format_compact;
 
-use cj_fold::{Vm, VmPhase};
+use cj_fold::{Vm, VmPhase, rules};
 use cj_record::{Entry, Purpose};
 use cj_types::{UnixMillis, VmId};
 
@@ -25,6 +25,7 @@
     let mut left = limits::MAX_REPAIRS.saturating_sub(repairing);
     let mut trials = trials(fleet);
     for pool in pools {
+        let near = fleet.window_near(pool.id, |wave| wave.drain_limit + wave.reboot_limit);
         let mut out = pool.counts.out;
         for (id, vm, since) in waiting(pool) {
             if plan.concerns(id) {
@@ -33,6 +34,9 @@
             if take_out(fleet, pool, id, vm, &mut out, plan) {
                 continue;
             }
+            if near {
+                continue;
+            }
             if let Some(domain) = fleet.down.domain(vm) {
                 if !trials.insert(domain) {
                     continue;
@@ -85,11 +89,11 @@
     plan: &mut Plan,
 ) -> bool {
     // Failures of a whole rack or data centre say nothing about one VM.
-    let repeated = fleet.recent_failures(vm) >= limits::TAKE_OUT_FAILURES;
+    let repeated = fleet.recent_failures(vm) >= rules::REPEATED_FAILURES;
     if !repeated || fleet.down.domain(vm).is_some() {
         return false;
     }
-    let limit = (pool.vms.len() / limits::TAKE_OUT_DIVISOR).max(1) as u32;
+    let limit = (pool.vms.len() / rules::OUT_OF_ROTATION_DIVISOR).max(1) as u32;
     if *out >= limit {
         let pool = pool.id.clone();
         plan.notices.push(Notice::TakeOutLimit { vm: id.clone(), pool, out: *out });
--- a/crates/cj-fleet/src/usage.rs
+++ b/crates/cj-fleet/src/usage.rs
@@ -1,14 +1,11 @@
 //! Use of the spare pool per borrowing team.
 
-use std::{
-    collections::{BTreeMap, btree_map::Entry},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use cj_fold::State;
-use cj_types::{PoolId, TeamId, UnixMillis, VmId};
+use cj_types::{TeamId, UnixMillis};
 
 /// Use of the spare pool by one team.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,32 +27,30 @@
     pub borrowed: BTreeMap<TeamId, u32>,
 }
 
-/// Follows the shared state and sums up the use of the spare pool per team.
+/// Use of the spare pool per team up to fold time, running loans included.
+pub fn usage(state: &State) -> BTreeMap<TeamId, TeamUsage> {
+    let mut teams: BTreeMap<TeamId, TeamUsage> = BTreeMap::new();
+    for (team, lent) in state.lent_total() {
+        teams.entry(team).or_default().lent = lent;
+    }
+    for (team, borrowed) in borrowed(state) {
+        teams.entry(team).or_default().borrowed = borrowed;
+    }
+    for (team, moves) in &state.lent_moves {
+        teams.entry(team.clone()).or_default().moves = *moves;
+    }
+    teams
+}
+
+/// Changes of the number of borrowed VMs over time, for reports.
 #[derive(Clone, Debug, Default)]
 pub struct UsageLog {
-    pools: BTreeMap<VmId, PoolId>,
-    moves: BTreeMap<TeamId, u64>,
     samples: Vec<UsageSample>,
 }
 
 impl UsageLog {
-    /// Takes in the state. Moves between two calls are counted once per VM, so it should be called after every record.
+    /// Takes in the state; it should be called after every record.
     pub fn observe(&mut self, state: &State) {
-        for (id, vm) in &state.vms {
-            match self.pools.entry(id.clone()) {
-                Entry::Vacant(slot) => _ = slot.insert(vm.pool.clone()),
-                Entry::Occupied(mut slot) if *slot.get() != vm.pool => {
-                    let from = slot.insert(vm.pool.clone());
-                    for pool in [&from, &vm.pool] {
-                        let borrower = state.fleet.pools.get(pool).filter(|p| !p.spare);
-                        if let Some(pool) = borrower {
-                            *self.moves.entry(pool.owner.clone()).or_default() += 1;
-                        }
-                    }
-                }
-                Entry::Occupied(_) => {}
-            }
-        }
         let sample = UsageSample { at: state.now, borrowed: borrowed(state) };
         if self.samples.last().is_none_or(|last| last.borrowed != sample.borrowed) {
             self.samples.push(sample);
@@ -66,21 +61,6 @@
     pub fn samples(&self) -> &[UsageSample] {
         &self.samples
     }
-
-    /// Use per team up to the given state.
-    pub fn report(&self, state: &State) -> BTreeMap<TeamId, TeamUsage> {
-        let mut teams: BTreeMap<TeamId, TeamUsage> = BTreeMap::new();
-        for (team, lent) in &state.lent {
-            teams.entry(team.clone()).or_default().lent = *lent;
-        }
-        for (team, borrowed) in borrowed(state) {
-            teams.entry(team).or_default().borrowed = borrowed;
-        }
-        for (team, moves) in &self.moves {
-            teams.entry(team.clone()).or_default().moves = *moves;
-        }
-        teams
-    }
 }
 
 fn borrowed(state: &State) -> BTreeMap<TeamId, u32> {
--- a/crates/cj-fleet/src/view.rs
+++ b/crates/cj-fleet/src/view.rs
@@ -1,13 +1,13 @@
 //! The state of the fleet summed up per pool, with the failures that one node's evidence shows.
 
 use std::{
-    cell::OnceCell,
     collections::{BTreeMap, BTreeSet},
+    time::Duration,
 };
 
-use cj_fold::{JobPhase, State, Vm, VmPhase};
+use cj_fold::{State, Vm, VmPhase, rules};
 use cj_record::{Purpose, VmFacts};
-use cj_settings::{DailyWindow, PoolSettings, WaveSettings};
+use cj_settings::{DomainRule, PoolSettings, WaveSettings};
 use cj_types::{DataCentreId, PoolId, RackId, UnixMillis, VmId, WaveId};
 
 use crate::{Evidence, limits};
@@ -38,11 +38,30 @@
     pub(crate) counts: Counts,
     /// Active VMs that planned acts may still take; each proposed act lowers it.
     pub(crate) free: u32,
+    /// VMs that drain in other pools to move to this one.
+    pub(crate) arriving: u32,
+    /// Borrowed VMs that this plan sends away.
+    pub(crate) given: u32,
     /// Demand for VMs, at least the pool's target.
     pub(crate) wanted: u32,
+    /// Strictest failure-domain rule of the waves that include the pool.
+    pub(crate) rule: DomainRule,
+    /// Failure domain in which planned acts are under way.
+    pub(crate) open: Option<Domain<'a>>,
 }
 
-impl PoolView<'_> {
+impl<'a> PoolView<'a> {
+    /// True when a planned act on the VM keeps to the failure-domain rule.
+    pub(crate) fn admits(&self, vm: &Vm) -> bool {
+        self.open.is_none_or(|open| open == domain(self.rule, vm))
+    }
+
+    /// Notes a planned act on an active VM.
+    pub(crate) fn take(&mut self, vm: &'a Vm) {
+        self.free -= 1;
+        self.open = Some(domain(self.rule, vm));
+    }
+
     /// Active VMs missing to the availability budget.
     pub(crate) fn breach(&self) -> u32 {
         self.settings.min_available.saturating_sub(self.counts.active)
@@ -79,8 +98,6 @@
     pub(crate) suspects: BTreeMap<&'a VmId, Suspicion>,
     /// Racks and data centres whose VMs all failed.
     pub(crate) down: Down<'a>,
-    /// VMs on which a recorded job may be running; looked up on first use, since there can be many jobs.
-    claimed: OnceCell<BTreeSet<&'a VmId>>,
 }
 
 /// Why a VM is thought to have failed.
@@ -156,16 +173,8 @@
             .filter_map(|(id, vm)| Some((id, suspicion(id, vm, evidence, &listed, now)?)))
             .collect();
         let down = Down::new(state, &suspects);
-        let mut fleet = Fleet {
-            state,
-            evidence,
-            now,
-            pools: BTreeMap::new(),
-            listed,
-            suspects,
-            down,
-            claimed: OnceCell::new(),
-        };
+        let mut fleet =
+            Fleet { state, evidence, now, pools: BTreeMap::new(), listed, suspects, down };
         fleet.pools = fleet.summarise();
         fleet
     }
@@ -174,14 +183,34 @@
         let empty = |(id, settings): (&'a PoolId, &'a PoolSettings)| {
             let demand = self.evidence.demand.get(id).copied().unwrap_or(0);
             let wanted = settings.target.max(demand);
-            let counts = Counts::default();
-            (id, PoolView { id, settings, vms: Vec::new(), counts, free: 0, wanted })
+            let (vms, counts, rule) = (Vec::new(), Counts::default(), strictest(self.covering(id)));
+            (
+                id,
+                PoolView {
+                    id,
+                    settings,
+                    vms,
+                    counts,
+                    free: 0,
+                    arriving: 0,
+                    given: 0,
+                    wanted,
+                    rule,
+                    open: None,
+                },
+            )
         };
         let mut pools: BTreeMap<_, _> = self.state.fleet.pools.iter().map(empty).collect();
         for (id, vm) in &self.state.vms {
+            if let Some(pool) = destination(vm).and_then(|to| pools.get_mut(to)) {
+                pool.arriving += 1;
+            }
             if let Some(pool) = pools.get_mut(&vm.pool) {
                 pool.vms.push((id, vm));
                 self.count(&mut pool.counts, id, vm);
+                if is_planned(vm) {
+                    pool.open = Some(domain(pool.rule, vm));
+                }
             }
         }
         for pool in pools.values_mut() {
@@ -212,7 +241,7 @@
 
     /// Failures of a VM within the period that counts for taking it out.
     pub(crate) fn recent_failures(&self, vm: &Vm) -> usize {
-        let recent = |at: &&UnixMillis| self.now.since(**at) <= limits::FAILURE_PERIOD;
+        let recent = |at: &&UnixMillis| self.now.since(**at) <= rules::FAILURE_WINDOW;
         vm.failures.iter().filter(recent).count()
     }
 
@@ -227,14 +256,7 @@
     }
 
     fn is_claimed(&self, id: &VmId) -> bool {
-        let targets = || {
-            let claims = self.state.jobs.values().filter_map(|job| match &job.phase {
-                JobPhase::Claimed(claim) => Some(&claim.target),
-                _ => None,
-            });
-            claims.collect()
-        };
-        self.claimed.get_or_init(targets).contains(id)
+        self.state.claim_count(id) > 0
     }
 
     /// Waves that have started and include the pool.
@@ -246,11 +268,72 @@
         state.fleet.waves.iter().filter(move |(_, w)| w.start <= now && w.pools.contains(&pool))
     }
 
-    /// Forbidden windows of every wave that includes the pool, started or not.
-    pub(crate) fn windows(&self, pool: &PoolId) -> impl Iterator<Item = DailyWindow> {
-        let waves = self.state.fleet.waves.values().filter(|w| w.pools.contains(pool));
-        waves.flat_map(|w| w.forbidden.iter().copied())
+    /// Every wave that includes the pool, started or not. Their windows and failure-domain rules hold for all acts.
+    pub(crate) fn covering(&self, pool: &PoolId) -> impl Iterator<Item = &'a WaveSettings> {
+        let (state, pool) = (self.state, pool.clone());
+        state.fleet.waves.values().filter(move |w| w.pools.contains(&pool))
     }
+
+    /// True when an act that starts now and takes up to `span` of each wave would reach into a forbidden window.
+    pub(crate) fn window_near<F>(&self, pool: &PoolId, span: F) -> bool
+    where
+        F: Fn(&WaveSettings) -> Duration,
+    {
+        self.covering(pool).any(|wave| {
+            let end = self.now + span(wave) + limits::WINDOW_MARGIN;
+            wave.forbidden.iter().any(|w| w.overlaps(self.now, end))
+        })
+    }
+}
+
+/// Strictest failure-domain rule of several waves. A rack is the smaller domain, so its rule is the stricter one.
+fn strictest<'a, I>(waves: I) -> DomainRule
+where
+    I: Iterator<Item = &'a WaveSettings>,
+{
+    let rank = |rule: &DomainRule| match rule {
+        DomainRule::Any => 0,
+        DomainRule::DataCentre => 1,
+        DomainRule::Rack => 2,
+    };
+    waves.map(|w| w.domain).max_by_key(rank).unwrap_or(DomainRule::Any)
+}
+
+/// Failure domain of a VM under a rule; all VMs share one under [`DomainRule::Any`].
+pub(crate) fn domain(rule: DomainRule, vm: &Vm) -> Domain<'_> {
+    match rule {
+        DomainRule::Any => (None, None),
+        DomainRule::Rack => (Some(&vm.centre), Some(&vm.rack)),
+        DomainRule::DataCentre => (Some(&vm.centre), None),
+    }
+}
+
+/// Data centre and rack, as far as the rule looks at them.
+pub(crate) type Domain<'a> = (Option<&'a DataCentreId>, Option<&'a RackId>);
+
+/// Pool that a VM drains to move to.
+fn destination(vm: &Vm) -> Option<&PoolId> {
+    match &vm.phase {
+        VmPhase::Draining { purpose: Purpose::Move(to), .. }
+        | VmPhase::Drained { purpose: Purpose::Move(to), .. } => Some(to),
+        _ => None,
+    }
+}
+
+/// True when a working VM is out of service for a planned act.
+fn is_planned(vm: &Vm) -> bool {
+    vm.phase.op().is_some() && !is_failed(vm)
+}
+
+/// Fold time of the last reboot or move, zero when there was none.
+fn last_change(vm: &Vm) -> UnixMillis {
+    vm.maintained.max(vm.moved)
+}
+
+/// True when the platform's list must show the VM's last change by now. The time at which a VM was registered isn't
+/// known, so one that has not changed since needs a probe.
+pub(crate) fn is_settled(vm: &Vm, now: UnixMillis) -> bool {
+    vm.generation.0 > 1 && now.since(last_change(vm)) > limits::LIST_LAG
 }
 
 fn suspicion(
@@ -270,11 +353,11 @@
     if !in_service {
         return None;
     }
-    let changed = vm.maintained.max(vm.moved);
+    let changed = last_change(vm);
     match evidence.probe(id, changed, now) {
         Some(probe) => (!probe.healthy).then_some(Suspicion::Probe),
         None => {
-            let settled = now.since(changed) > limits::LIST_LAG;
+            let settled = is_settled(vm, now);
             let missing = !listed.is_empty() && !listed.contains_key(id);
             (settled && missing).then_some(Suspicion::List)
         }
