--- a/crates/cj-fleet/src/view.rs
+++ b/crates/cj-fleet/src/view.rs
@@ -20,6 +20,8 @@
 pub(crate) struct Counts {
     /// In service and not suspected to have failed.
     pub(crate) active: u32,
+    /// Suspected to have failed, but not recorded as failed.
+    pub(crate) suspected: u32,
     /// Draining or drained for a wave.
     pub(crate) draining: u32,
     /// Rebooting for a wave.
@@ -62,16 +64,19 @@
         self.open = Some(domain(self.rule, vm));
     }
 
-    /// Active VMs missing to the availability budget.
+    /// Active VMs missing to the availability budget by recorded failures. A suspicion alone, which a lost list may have
+    /// caused, stops new acts but undoes and lends nothing.
     pub(crate) fn breach(&self) -> u32 {
-        self.settings.min_available.saturating_sub(self.counts.active)
+        let Counts { active, suspected, .. } = self.counts;
+        self.settings.min_available.saturating_sub(active + suspected)
     }
 
     /// VMs that the pool lacks. VMs in a wave and failed VMs that a repair in place is expected to return don't count
     /// as lacking while the availability budget holds.
     pub(crate) fn deficit(&self) -> u32 {
-        let Counts { active, draining, rebooting, repairing, .. } = self.counts;
-        let lacking = self.wanted.saturating_sub(active + draining + rebooting + repairing);
+        let Counts { active, suspected, draining, rebooting, repairing, .. } = self.counts;
+        let present = active + suspected + draining + rebooting + repairing;
+        let lacking = self.wanted.saturating_sub(present);
         lacking.max(self.breach().saturating_sub(draining))
     }
 
@@ -222,6 +227,7 @@
     fn count(&self, counts: &mut Counts, id: &VmId, vm: &'a Vm) {
         let field = match &vm.phase {
             VmPhase::Active if !self.suspects.contains_key(id) => &mut counts.active,
+            VmPhase::Active => &mut counts.suspected,
             VmPhase::Draining { purpose: Purpose::Wave(_), .. }
             | VmPhase::Drained { purpose: Purpose::Wave(_), .. } => &mut counts.draining,
             VmPhase::Rebooting { purpose: Purpose::Wave(_), .. } => &mut counts.rebooting,
