--- a/crates/cj-bench/src/fleet/run.rs
+++ b/crates/cj-bench/src/fleet/run.rs
@@ -29,7 +29,7 @@
 /// Longest step of the virtual clock; fold time may advance by 60 s per batch.
 const MAX_STEP: Duration = Duration::from_secs(30);
 
-/// Shortest step: a plan, its append and its read-back.
+/// Usual shortest step: a plan, its append and its read-back.
 const TICK: Duration = Duration::from_secs(1);
 
 /// Key of the office that publishes the settings of a run.
@@ -54,6 +54,8 @@
     pub platform: Platform,
     /// Virtual time.
     pub now: UnixMillis,
+    /// Shortest step of the virtual clock.
+    pub tick: Duration,
     /// Checks of the invariants.
     pub audit: Audit,
     /// Use of the spare pool.
@@ -97,6 +99,7 @@
             state,
             platform,
             now: start,
+            tick: TICK,
             audit: Audit::default(),
             usage: UsageLog::default(),
             demand: BTreeMap::new(),
@@ -193,8 +196,8 @@
         self.audit.observe(&self.state, self.now, &self.demand);
         let idle = events == self.events;
         let next = self.platform.next_event(self.now).filter(|_| idle);
-        let longest = self.now + if idle { MAX_STEP } else { TICK };
-        self.now = next.unwrap_or(longest).clamp(self.now + TICK, longest);
+        let longest = self.now + if idle { MAX_STEP } else { self.tick };
+        self.now = next.unwrap_or(longest).clamp(self.now + self.tick, longest);
         Ok(())
     }
 
@@ -202,7 +205,7 @@
     pub fn step_until(&mut self, planner: Planner, until: UnixMillis) -> Result<()> {
         let before = self.now;
         self.step(planner)?;
-        self.now = self.now.min(until.max(before + TICK));
+        self.now = self.now.min(until.max(before + self.tick));
         Ok(())
     }
 
