--- a/crates/cj-node/src/platform.rs
+++ b/crates/cj-node/src/platform.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use awc::Client;
+use awc::{Client, error::SendRequestError};
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
 use cj_record::{VmFacts, VmKind};
 use cj_types::{
-    Accelerators, BootId, DataCentreId, Error, ErrorKind, Mebibytes, Millicores, OpId, PoolId,
-    RackId, Resources, Result, Token, UnixMillis, VmId,
+    BootId, DataCentreId, Error, ErrorKind, OpId, PoolId, RackId, Resources, Result, Token,
+    UnixMillis, VmId,
 };
 
 /// Time limit of one call.
@@ -46,12 +46,9 @@
     pub state: ListedState,
     /// Boot id.
     pub boot: BootId,
-    /// Whole cores.
-    pub cores: u32,
-    /// Memory in mebibytes.
-    pub memory: u32,
-    /// Accelerators.
-    pub accelerators: u32,
+    /// Total resources; cores in thousandths.
+    #[serde(flatten)]
+    pub resources: Resources,
     /// Minion or worker.
     pub kind: ListedKind,
 }
@@ -88,11 +85,7 @@
                 ListedKind::Minion => VmKind::Minion,
                 ListedKind::Worker => VmKind::Worker,
             },
-            capacity: Resources {
-                cores: Millicores(listed.cores.saturating_mul(1000)),
-                memory: Mebibytes(listed.memory),
-                accelerators: Accelerators(listed.accelerators),
-            },
+            capacity: listed.resources,
             boot: listed.boot,
         }
     }
@@ -320,8 +313,12 @@
     T: Serialize,
 {
     let call = async {
-        let mut response =
-            client.post(url).send_json(body).await.map_err(|e| unanswered(service, e))?;
+        let sent = client.post(url).send_json(body).await;
+        let mut response = sent.map_err(|e| match e {
+            // Nothing was sent, so nothing can have taken effect.
+            SendRequestError::Connect(e) => refused(service, format_compact!("not connected: {e}")),
+            e => unanswered(service, e),
+        })?;
         let answer =
             response.body().limit(MAX_LIST_BYTES).await.map_err(|e| unanswered(service, e))?;
         let status = response.status();
