--- a/crates/cj-log/src/http.rs
+++ b/crates/cj-log/src/http.rs
@@ -36,6 +36,12 @@
     offset: Offset,
 }
 
+/// Answer to a read before the oldest retained record.
+#[derive(Deserialize)]
+struct Gone {
+    oldest: Offset,
+}
+
 impl HttpLog {
     /// Client for the log at `address` (`ip:port`).
     pub fn new(address: &str) -> Result<Self> {
@@ -81,9 +87,9 @@
         let limit = max_bytes + PAGE_OVERHEAD;
         if status == StatusCode::GONE {
             let body = answer.body().limit(limit).await.unwrap_or_default();
-            // Without a page in the answer only the lower bound is known.
+            // Without a readable answer only the lower bound is known.
             let oldest =
-                postcard::from_bytes::<ReadPage>(&body).map_or(from.next(), |page| page.oldest);
+                serde_json::from_slice::<Gone>(&body).map_or(from.next(), |gone| gone.oldest);
             return Err(gap(stream, from, oldest.max(from.next())));
         }
         if status != StatusCode::OK {
