Tell an unsent request from a lost connection, and keep request leases short

The HTTP client reports a connection that the server closes after it took the request as Connect(Disconnected), which the upstream and platform clients took for 'not connected'. The lease of a recorded request was as long as its deadline (600 s for reconciliations), so a claim of a killed node held its job and every caller that asked again for that time. Ruled out: the ledger (it counts refusals after an unanswered send as unknown) and lost events of the router (every router ticket of the stuck requests was absent; they waited for the end of recorded jobs). Change: is_unsent in cj-log is the one place that decides; the upstream client, the platform client and the demo's callers use it. Requests hold a lease of 10 s and renew it while they wait. Calls to VM control are remembered by VM and operation, since VMs drained by one batch share an operation id. A refusal by an upstream passes its load on to the router.

--- a/crates/cj-demo/src/client.rs
+++ b/crates/cj-demo/src/client.rs
@@ -3,10 +3,12 @@
 use std::{net::SocketAddr, time::Duration};
 
 use actix_http::{Method, StatusCode};
-use awc::{Client, Connector, error::SendRequestError};
+use awc::{Client, Connector};
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 
+use cj_log::is_unsent;
+
 /// Largest answer read.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
@@ -62,7 +64,7 @@
     let exchange = async {
         let mut response = match request.send_body(body).await {
             Ok(response) => response,
-            Err(SendRequestError::Connect(_)) => return Reply::NotConnected,
+            Err(e) if is_unsent(&e) => return Reply::NotConnected,
             Err(_) => return Reply::NoAnswer,
         };
         let status = response.status();
--- a/crates/cj-log/src/http.rs
+++ b/crates/cj-log/src/http.rs
@@ -112,23 +112,24 @@
 }
 
 fn send_error(error: &SendRequestError) -> Error {
-    let not_sent = match error {
-        SendRequestError::Url(_) => true,
-        SendRequestError::Connect(error) => is_unconnected(error),
-        _ => false,
-    };
-    if not_sent { refused(error.to_string()) } else { unanswered(error.to_string()) }
+    if is_unsent(error) { refused(error.to_string()) } else { unanswered(error.to_string()) }
 }
 
-/// True when no connection was made. `Disconnected` isn't such a case: it is also reported when the log closes the
-/// connection after it took the request.
-fn is_unconnected(error: &ConnectError) -> bool {
+/// True when nothing of the request can have reached the server. `Disconnected` isn't such a case: it is also reported
+/// when the server closes the connection after it took the request.
+pub fn is_unsent(error: &SendRequestError) -> bool {
     match error {
-        ConnectError::Resolver(_)
-        | ConnectError::NoRecords
-        | ConnectError::Unresolved
-        | ConnectError::Timeout => true,
-        ConnectError::Io(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(ConnectError::Io(error)) => {
+            error.kind() == std::io::ErrorKind::ConnectionRefused
+        }
+        SendRequestError::Connect(error) => matches!(
+            error,
+            ConnectError::Resolver(_)
+                | ConnectError::NoRecords
+                | ConnectError::Unresolved
+                | ConnectError::Timeout
+        ),
         _ => false,
     }
 }
--- a/crates/cj-log/src/lib.rs
+++ b/crates/cj-log/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod writer;
 
 pub use clock::RuntimeClock;
-pub use http::HttpLog;
+pub use http::{HttpLog, is_unsent};
 pub use memory::{Faults, MemoryLog};
 pub use replica::{Fault, IsOwner, Lag, Proposed, Replica, ReplicaOptions};
 pub use service::{LogService, ReadPage};
--- a/crates/cj-node/src/fleet.rs
+++ b/crates/cj-node/src/fleet.rs
@@ -29,10 +29,11 @@
 const MAX_PROBES: usize = 64;
 
 /// Calls to VM control that were made already, so that they are repeated only after a change of owner.
+/// VMs drained by one batch share an operation id.
 #[derive(Default)]
 struct Made {
-    drains: BTreeSet<OpId>,
-    reboots: BTreeSet<OpId>,
+    drains: BTreeSet<(VmId, OpId)>,
+    reboots: BTreeSet<(VmId, OpId)>,
 }
 
 /// Plans and acts until the node stops.
@@ -227,11 +228,11 @@
         match (done, act) {
             (Ok(()), Act::Drain(vm, op)) => {
                 log::info!(target: "decision", "vm={vm} op={op} drain called");
-                made.borrow_mut().drains.insert(op);
+                made.borrow_mut().drains.insert((vm, op));
             }
             (Ok(()), Act::Reboot(vm, op)) => {
                 log::info!(target: "decision", "vm={vm} op={op} reboot called");
-                made.borrow_mut().reboots.insert(op);
+                made.borrow_mut().reboots.insert((vm, op));
             }
             (Ok(()), Act::Undrain(vm, _)) => {
                 log::info!(target: "decision", "vm={vm} undrain called")
@@ -253,10 +254,10 @@
     let mut acts = Vec::new();
     for (id, vm) in &state.vms {
         match &vm.phase {
-            VmPhase::Draining { op, .. } if !made.drains.contains(op) => {
+            VmPhase::Draining { op, .. } if !made.drains.contains(&(id.clone(), *op)) => {
                 acts.push(Act::Drain(id.clone(), *op))
             }
-            VmPhase::Rebooting { op, .. } if !made.reboots.contains(op) => {
+            VmPhase::Rebooting { op, .. } if !made.reboots.contains(&(id.clone(), *op)) => {
                 acts.push(Act::Reboot(id.clone(), *op))
             }
             _ => {}
--- a/crates/cj-node/src/http/listener.rs
+++ b/crates/cj-node/src/http/listener.rs
@@ -61,6 +61,11 @@
         self.inner.stopping.get()
     }
 
+    /// Requests in flight.
+    pub fn in_flight(&self) -> usize {
+        self.inner.in_flight.get()
+    }
+
     /// Resolves once the shutdown has begun.
     pub async fn wait_begun(&self) {
         self.wait_until(|inner| inner.stopping.get()).await;
--- a/crates/cj-node/src/node.rs
+++ b/crates/cj-node/src/node.rs
@@ -36,7 +36,9 @@
 };
 
 /// Longest time that a graceful shutdown waits for requests in flight.
-const DRAIN_LIMIT: Duration = Duration::from_secs(60);
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+/// Longest time that a listener takes to close after that.
+const CLOSE_LIMIT: Duration = Duration::from_secs(2);
 
 /// Addresses that a node listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -127,15 +129,19 @@
             }
         };
         if tokio::time::timeout(DRAIN_LIMIT, idle).await.is_err() {
+            let (attended, sent) = (self.shared.attended.borrow(), self.shared.sent.borrow());
             log::warn!(
-                "requests still in flight after {DRAIN_LIMIT:?}; their claims end with their leases"
+                "still in flight after {DRAIN_LIMIT:?}: {} requests, jobs {attended:?}, claims {sent:?}",
+                self.shared.shutdown.in_flight(),
             );
         }
         self.shared.replica.stop();
-        let _ = tokio::time::timeout(DRAIN_LIMIT, self.replica).await;
+        let _ = tokio::time::timeout(CLOSE_LIMIT, self.replica).await;
         self.internal.begin();
-        for listener in self.listeners {
-            let _ = listener.await;
+        for mut listener in self.listeners {
+            if tokio::time::timeout(CLOSE_LIMIT, &mut listener).await.is_err() {
+                listener.abort();
+            }
         }
         self.shared.peers.stop();
         let _ = self.membership.await;
@@ -277,7 +283,10 @@
     C: Clock + 'static,
 {
     let started = node.now();
+    log::debug!(target: "request", "request={id} received {} {}", request.method(), request.path());
     let (class, answer) = handle_caller(&node, &id, &mut request).await;
+    let took = node.now().saturating_duration_since(started).as_millis();
+    log::debug!(target: "request", "request={id} answered status={} outcome={} ms={took}", answer.status.as_u16(), answer.outcome);
     record(&node, class, &answer, started);
     answer.into_response(&id)
 }
--- a/crates/cj-node/src/platform.rs
+++ b/crates/cj-node/src/platform.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use awc::{Client, error::SendRequestError};
+use awc::Client;
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
+use cj_log::is_unsent;
 use cj_record::{VmFacts, VmKind};
 use cj_types::{
     BootId, DataCentreId, Error, ErrorKind, OpId, PoolId, RackId, Resources, Result, Token,
@@ -314,10 +315,9 @@
 {
     let call = async {
         let sent = client.post(url).send_json(body).await;
-        let mut response = sent.map_err(|e| match e {
-            // Nothing was sent, so nothing can have taken effect.
-            SendRequestError::Connect(e) => refused(service, format_compact!("not connected: {e}")),
-            e => unanswered(service, e),
+        let mut response = sent.map_err(|e| match is_unsent(&e) {
+            true => refused(service, format_compact!("not connected: {e}")),
+            false => unanswered(service, e),
         })?;
         let answer =
             response.body().limit(MAX_LIST_BYTES).await.map_err(|e| unanswered(service, e))?;
--- a/crates/cj-node/src/upstream.rs
+++ b/crates/cj-node/src/upstream.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 
+use cj_log::is_unsent;
 use cj_types::{JobId, ServiceId, Token};
 
 /// Largest answer body that is passed on, in bytes.
@@ -44,6 +45,8 @@
     NotRun {
         /// Why.
         reason: CompactString,
+        /// Busy slots of the upstream, when it answered.
+        load: Option<u32>,
     },
     /// The request may have run.
     Unknown {
@@ -92,8 +95,8 @@
         }
         let mut response = match request.send_body(call.body.clone()).await {
             Ok(response) => response,
-            Err(awc::error::SendRequestError::Connect(e)) => {
-                return Reply::NotRun { reason: format_compact!("not connected: {e}") };
+            Err(e) if is_unsent(&e) => {
+                return Reply::NotRun { reason: format_compact!("not connected: {e}"), load: None };
             }
             Err(e) => return Reply::Unknown { reason: format_compact!("connection lost: {e}") },
         };
@@ -105,9 +108,10 @@
         let length: Option<usize> = header("content-length").and_then(|v| v.parse().ok());
         let status = response.status().as_u16();
         match response.body().limit(MAX_ANSWER_BYTES).await {
-            Ok(_) if refused => {
-                Reply::NotRun { reason: format_compact!("upstream refused with status {status}") }
-            }
+            Ok(_) if refused => Reply::NotRun {
+                reason: format_compact!("upstream refused with status {status}"),
+                load,
+            },
             Ok(body) if length.is_some_and(|n| n != body.len()) => {
                 Reply::Unknown { reason: "answer is shorter than announced".into() }
             }
--- a/crates/cj-node/src/work/recorded.rs
+++ b/crates/cj-node/src/work/recorded.rs
@@ -1,6 +1,6 @@
 //! Recorded work: non-idempotent or must-not-drop. It's submitted and claimed through the log before it runs.
 
-use std::{rc::Rc, time::Duration};
+use std::{convert::Infallible, rc::Rc, time::Duration};
 
 use actix_http::StatusCode;
 use compact_str::CompactString;
@@ -14,7 +14,7 @@
 
 use crate::{
     http::Answer,
-    shared::Shared,
+    shared::{Shared, sleep},
     upstream::{Call, Reply},
 };
 
@@ -27,8 +27,9 @@
     routed::refusal,
 };
 
-/// Added to the deadline for the length of a lease, for the way of the records through the log.
-const LEASE_MARGIN: Duration = Duration::from_secs(5);
+/// Length of a request's lease; its holder renews it. Short, so that another node can settle the job
+/// soon after its holder died.
+const REQUEST_LEASE: Duration = Duration::from_secs(10);
 /// Jobs of one class that may wait in the log; more are refused, so that a flood can't fill the shared state.
 const MAX_QUEUED_PER_CLASS: usize = 20_000;
 /// Demand of a task that declares none.
@@ -88,7 +89,7 @@
                 return give_up(node, work, &job, &reason.to_string(), retry_after).await;
             }
         };
-        let lease = Lease::new(node.now(), work.remaining(node.now()) + LEASE_MARGIN);
+        let lease = Lease::new(node.now(), REQUEST_LEASE);
         let step = if submitted {
             claim_again(node, work, &job, &upstream, lease).await
         } else {
@@ -253,9 +254,9 @@
             actix_rt::spawn(finish(node.clone(), job.clone(), token, outcome));
             Some(Answer::done(StatusCode::from_u16(status).unwrap_or(StatusCode::OK), body))
         }
-        Reply::NotRun { reason } => {
+        Reply::NotRun { reason, load } => {
             finish(node.clone(), job.clone(), token, Outcome::NotRun { reason }).await;
-            admitted.complete(Completion::NotRun { load: None });
+            admitted.complete(Completion::NotRun { load });
             None
         }
         Reply::Unknown { reason } if work.class.idempotent => {
@@ -275,7 +276,7 @@
 fn summary(reply: &Reply) -> CompactString {
     match reply {
         Reply::Answered { status, .. } => compact_str::format_compact!("answered status={status}"),
-        Reply::NotRun { reason } => compact_str::format_compact!("not-run reason={reason:?}"),
+        Reply::NotRun { reason, .. } => compact_str::format_compact!("not-run reason={reason:?}"),
         Reply::Unknown { reason } => compact_str::format_compact!("unknown reason={reason:?}"),
     }
 }
@@ -293,13 +294,16 @@
     C: Clock + 'static,
 {
     let Some(address) = node.address_of(upstream) else {
-        return Reply::NotRun { reason: "the upstream has no address".into() };
+        return Reply::NotRun { reason: "the upstream has no address".into(), load: None };
     };
     let now = node.now();
     let remaining = work.remaining(now);
     // Checked right before the send: the process may have been paused since the claim was read back.
     if !lease.holds(now) || remaining.is_zero() {
-        return Reply::NotRun { reason: "the lease or the deadline passed before the send".into() };
+        return Reply::NotRun {
+            reason: "the lease or the deadline passed before the send".into(),
+            load: None,
+        };
     }
     let call = Call {
         request_id: work.id.clone(),
@@ -309,7 +313,25 @@
         fence: Some((job.clone(), token)),
     };
     node.sent.borrow_mut().insert((job.clone(), token));
-    node.upstreams.send(&address, &call).await
+    tokio::select! {
+        reply = node.upstreams.send(&address, &call) => reply,
+        never = renew(node, job, token) => match never {},
+    }
+}
+
+/// Renews the lease of a request while it is being sent. Never returns: a lease that can't be renewed
+/// doesn't take back what was sent, so the answer is awaited all the same.
+async fn renew<L, C>(node: &Shared<L, C>, job: &JobId, token: Token) -> Infallible
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    loop {
+        sleep(REQUEST_LEASE / 3).await;
+        let lease_ms = REQUEST_LEASE.as_millis() as u32;
+        let entry = Entry::Renew { job: job.clone(), token, lease_ms };
+        node.replica.propose(entry, REQUEST_LEASE / 3).await;
+    }
 }
 
 /// Ends the caller's wait for a job that was submitted and is queued again.
--- a/crates/cj-node/src/work/routed.rs
+++ b/crates/cj-node/src/work/routed.rs
@@ -41,16 +41,16 @@
         };
         let reply = match node.address_of(&upstream) {
             Some(address) => node.upstreams.send(&address, &call(node, work)).await,
-            None => Reply::NotRun { reason: "the upstream has no address".into() },
+            None => Reply::NotRun { reason: "the upstream has no address".into(), load: None },
         };
         match reply {
             Reply::Answered { status, body, load } => {
                 admitted.complete(Completion::Done { load });
                 return Answer::done(StatusCode::from_u16(status).unwrap_or(StatusCode::OK), body);
             }
-            Reply::NotRun { reason } => {
+            Reply::NotRun { reason, load } => {
                 log::info!(target: "decision", "request={} upstream={upstream} result=not-run reason={reason:?}", work.id);
-                admitted.complete(Completion::NotRun { load: None });
+                admitted.complete(Completion::NotRun { load });
             }
             Reply::Unknown { reason } => {
                 log::info!(target: "decision", "request={} upstream={upstream} result=unknown reason={reason:?}", work.id);
