--- a/crates/cj-fold/src/snapshot.rs
+++ b/crates/cj-fold/src/snapshot.rs
@@ -20,6 +20,8 @@
 /// Number of incomplete snapshots that an assembler keeps.
 const MAX_PARTIAL: usize = 4;
 
+/// The last byte is the version of the encoded state. It changes with every field of the state, because the encoding
+/// does not describe itself.
 const MAGIC: [u8; 4] = *b"cjs1";
 
 #[derive(Serialize, Deserialize)]
