Box jobs in the map of the state

Cause: a job takes about 330 bytes in a node of the map, and nodes are half empty when keys ascend, so that jobs took most of a node's 64 MB. Change: State::jobs holds boxed jobs. The queue limit of the entry node counts open jobs instead of scanning all jobs of the last 24 h.

--- a/crates/cj-fold/src/apply.rs
+++ b/crates/cj-fold/src/apply.rs
@@ -220,6 +220,7 @@
 
     /// Jobs that have not ended: queued, claimed, or with an unknown outcome.
     pub fn open_jobs(&self) -> impl Iterator<Item = (&JobId, &Job)> {
-        self.index.open.iter().filter_map(|id| self.jobs.get_key_value(id))
+        let known = self.index.open.iter().filter_map(|id| self.jobs.get_key_value(id));
+        known.map(|(id, job)| (id, &**job))
     }
 }
--- a/crates/cj-fold/src/apply/jobs.rs
+++ b/crates/cj-fold/src/apply/jobs.rs
@@ -53,7 +53,7 @@
             failures: Vec::new(),
             phase,
         };
-        self.jobs.insert(submit.job, job);
+        self.jobs.insert(submit.job, Box::new(job));
         source.accepted()
     }
 
@@ -136,7 +136,7 @@
     ) -> Ruling {
         self.held_claim(source, id, token)?;
         let until = self.now + Duration::from_millis(lease_ms.into());
-        if let Some(Job { phase: JobPhase::Claimed(claim), .. }) = self.jobs.get_mut(id) {
+        if let Some(JobPhase::Claimed(claim)) = self.jobs.get_mut(id).map(|job| &mut job.phase) {
             claim.until = claim.until.max(until);
             claim.holder = source.writer.clone();
         }
@@ -277,7 +277,7 @@
     }
 
     fn job(&self, id: &JobId) -> Result<&Job, CompactString> {
-        self.jobs.get(id).ok_or_else(|| "the job does not exist".into())
+        self.jobs.get(id).map(|job| &**job).ok_or_else(|| "the job does not exist".into())
     }
 
     /// The claim of a claimed job, when the token is its own.
--- a/crates/cj-fold/src/state.rs
+++ b/crates/cj-fold/src/state.rs
@@ -41,8 +41,9 @@
     pub writers: BTreeMap<NodeIncarnation, Writer>,
     /// Writers that were forgotten, oldest first. A late copy of their first batch must not count as a new one.
     pub forgotten: VecDeque<NodeIncarnation>,
-    /// Jobs, ended ones included until their retention ends.
-    pub jobs: BTreeMap<JobId, Job>,
+    /// Jobs, ended ones included until their retention ends. They are boxed because nodes of the map are half empty when
+    /// keys ascend, as those of a caller's jobs do.
+    pub jobs: BTreeMap<JobId, Box<Job>>,
     /// VMs.
     pub vms: BTreeMap<VmId, Vm>,
     /// Spare VM time used by loans that were returned or billed so far, by borrowing team. [`State::lent_total`] adds
--- a/crates/cj-node/src/work/recorded.rs
+++ b/crates/cj-node/src/work/recorded.rs
@@ -346,7 +346,7 @@
         |job: &Job| job.is_ended() || matches!(job.phase, JobPhase::OutcomeUnknown { .. });
     loop {
         let changed = node.replica.changed();
-        let done = node.replica.state().jobs.get(job).is_none_or(settled);
+        let done = node.replica.state().jobs.get(job).is_none_or(|job| settled(job));
         let remaining = work.remaining(node.now());
         if done || remaining.is_zero() || work.class.task {
             return super::answer_job(node, job);
@@ -416,8 +416,9 @@
         log::info!(target: "decision", "job={job} request={} refused reason={reason:?}", work.id);
         return Some(Answer::bad_input(StatusCode::UNPROCESSABLE_ENTITY, &reason));
     }
-    let queued = |j: &&Job| j.class == submit.class && matches!(j.phase, JobPhase::Queued);
-    if state.jobs.values().filter(queued).count() >= MAX_QUEUED_PER_CLASS {
+    let queued =
+        |(_, j): &(_, &Job)| j.class == submit.class && matches!(j.phase, JobPhase::Queued);
+    if state.open_jobs().filter(queued).count() >= MAX_QUEUED_PER_CLASS {
         return Some(Answer::refused(
             "too many jobs of this class are waiting",
             Duration::from_secs(30),
