Assert budgets, pools and fold time inside the fold

Change: debug assertions after planned drains and moves, and on fold time. They are off in release builds, because all nodes of a region would stop at the same record. Conclusion: the random histories pass with the assertions on.

--- a/crates/cj-fold/src/apply/fleet.rs
+++ b/crates/cj-fold/src/apply/fleet.rs
@@ -73,7 +73,9 @@
             Purpose::Repair => "drains for repair".into(),
         };
         let (op, since) = (OpId(source.offset.0), self.now);
+        let planned = purpose != Purpose::Repair;
         self.set_vm(id, |vm| vm.phase = VmPhase::Draining { op, purpose, since });
+        debug_assert!(!planned || self.keeps_budget(id), "a planned drain broke the budget");
         self.record(source, id, text);
         source.accepted()
     }
@@ -189,6 +191,8 @@
             vm.billed = now;
             vm.phase = VmPhase::Active;
         });
+        debug_assert!(self.check_budget(from, 0).is_ok(), "a move broke the budget");
+        debug_assert!(self.index.pools[&to].members.contains(id), "a VM is in exactly one pool");
         self.record(source, id, format_compact!("moved from {from} to {to}"));
         source.accepted()
     }
@@ -361,6 +365,10 @@
         Ok(())
     }
 
+    fn keeps_budget(&self, id: &VmId) -> bool {
+        self.vms.get(id).is_some_and(|vm| self.check_budget(&vm.pool, 0).is_ok())
+    }
+
     fn check_idle(&self, id: &VmId) -> Result<(), CompactString> {
         match self.claim_count(id) {
             0 => Ok(()),
--- a/crates/cj-fold/src/apply/writers.rs
+++ b/crates/cj-fold/src/apply/writers.rs
@@ -22,7 +22,9 @@
             None => header.seq == FIRST && !self.forgotten.contains(&header.writer),
         };
         if valid {
+            let before = self.now;
             self.advance(header.at);
+            debug_assert!(self.now >= before, "fold time never goes back");
             let writer = Writer { last_seq: header.seq, last_at: self.now };
             self.writers.insert(header.writer.clone(), writer);
         }
