--- a/crates/cj-log/src/http.rs
+++ b/crates/cj-log/src/http.rs
@@ -4,7 +4,7 @@
 
 use awc::{
     Client, Connector,
-    error::{PayloadError, SendRequestError},
+    error::{ConnectError, PayloadError, SendRequestError},
     http::{StatusCode, Uri},
 };
 use serde::Deserialize;
@@ -36,6 +36,12 @@
     offset: Offset,
 }
 
+/// Answer to a read before the oldest retained record.
+#[derive(Deserialize)]
+struct Gone {
+    oldest: Offset,
+}
+
 impl HttpLog {
     /// Client for the log at `address` (`ip:port`).
     pub fn new(address: &str) -> Result<Self> {
@@ -81,9 +87,9 @@
         let limit = max_bytes + PAGE_OVERHEAD;
         if status == StatusCode::GONE {
             let body = answer.body().limit(limit).await.unwrap_or_default();
-            // Without a page in the answer only the lower bound is known.
+            // Without a readable answer only the lower bound is known.
             let oldest =
-                postcard::from_bytes::<ReadPage>(&body).map_or(from.next(), |page| page.oldest);
+                serde_json::from_slice::<Gone>(&body).map_or(from.next(), |gone| gone.oldest);
             return Err(gap(stream, from, oldest.max(from.next())));
         }
         if status != StatusCode::OK {
@@ -106,10 +112,24 @@
 }
 
 fn send_error(error: &SendRequestError) -> Error {
+    let not_sent = match error {
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(error) => is_unconnected(error),
+        _ => false,
+    };
+    if not_sent { refused(error.to_string()) } else { unanswered(error.to_string()) }
+}
+
+/// True when no connection was made. `Disconnected` isn't such a case: it is also reported when the log closes the
+/// connection after it took the request.
+fn is_unconnected(error: &ConnectError) -> bool {
     match error {
-        // Nothing of the request has left: no connection was made.
-        SendRequestError::Url(_) | SendRequestError::Connect(_) => refused(error.to_string()),
-        _ => unanswered(error.to_string()),
+        ConnectError::Resolver(_)
+        | ConnectError::NoRecords
+        | ConnectError::Unresolved
+        | ConnectError::Timeout => true,
+        ConnectError::Io(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
     }
 }
 
--- a/crates/cj-log/tests/replica.rs
+++ b/crates/cj-log/tests/replica.rs
@@ -372,7 +372,9 @@
     });
 }
 
-struct Liar(Rc<dyn RecordSource>, fn(&mut cj_log::RelayPage));
+type Change = fn(&mut cj_log::RelayPage);
+
+struct Liar(Rc<dyn RecordSource>, Change);
 
 impl RecordSource for Liar {
     fn records<'a>(
@@ -396,7 +398,7 @@
 /// Pages that don't continue this node's own sequence must change nothing.
 #[test]
 fn relayed_pages_out_of_sequence_are_not_applied() {
-    let cases: [(&str, fn(&mut cj_log::RelayPage)); 3] = [
+    let cases: [(&str, Change); 3] = [
         ("another history", |page| page.before = [9; 32]),
         ("later offsets", |page| page.records.iter_mut().for_each(|r| r.0 = r.0.next())),
         ("earlier offsets", |page| page.records.iter_mut().for_each(|r| r.0 = Offset(r.0.0 - 1))),
--- a/crates/cj-log/tests/writer.rs
+++ b/crates/cj-log/tests/writer.rs
@@ -23,6 +23,10 @@
         ("call lost", Faults { lose_call: 0.4, ..none.clone() }),
         ("answer lost", Faults { lose_answer: 0.4, ..none.clone() }),
         ("every answer lost", Faults { lose_answer: 1.0, ..none.clone() }),
+        (
+            "answer lost while reads are down",
+            Faults { lose_answer: 0.6, read_down: true, ..none.clone() },
+        ),
         ("acknowledged and forgotten", Faults { forget: 0.3, ..none.clone() }),
         ("late copies", duplicate.clone()),
         ("corrupt pages", Faults { corrupt: 0.2, ..none.clone() }),
--- a/crates/cj-node/src/work/finish.rs
+++ b/crates/cj-node/src/work/finish.rs
@@ -24,21 +24,27 @@
     L: LogService,
     C: Clock + 'static,
 {
-    let outcome = bounded(outcome);
+    record(&node, &job, token, bounded(outcome)).await;
+    node.sent.borrow_mut().remove(&(job, token));
+}
+
+async fn record<L, C>(node: &Shared<L, C>, job: &JobId, token: Token, outcome: Outcome)
+where
+    L: LogService,
+    C: Clock + 'static,
+{
     loop {
-        let Some(entry) = entry(&node, &job, token, &outcome) else { return };
+        let Some(entry) = entry(node, job, token, &outcome) else { return };
         match node.replica.propose(entry, FINISH_LIMIT).await {
             Proposed::Decided { verdict: Verdict::Rejected { reason }, .. } => {
                 log::warn!(target: "decision", "job={job} claim={token} outcome rejected reason={reason:?}");
-                // A lease that ended in between turns a finish into a resolution; anything else is final.
-                if !is_unknown(&node, &job, token) {
+                // A lease that ended in between turns a finish into a resolution; anything else is
+                // final.
+                if !is_unknown(node, job, token) {
                     return;
                 }
             }
-            Proposed::Decided { .. } => {
-                node.sent.borrow_mut().remove(&(job, token));
-                return;
-            }
+            Proposed::Decided { .. } => return,
             Proposed::Withdrawn | Proposed::Pending => sleep(RETRY_PAUSE).await,
         }
     }
