--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod flood;
 pub mod fold;
+pub mod place;
 pub mod rollout;
 pub mod route;
 pub mod storm;
@@ -33,6 +34,7 @@
     ("cancel", cancel::run),
     ("flood", flood::run),
     ("fold", fold::run),
+    ("place", place::run),
     ("rollout", rollout::run),
     ("route", route::run),
     ("storm", storm::run),
