Make the random runs find a reboot that was never carried out

Cause: with the rule for an unanswered reboot removed as a trial, the random runs still passed, and so they did without the undo before a window: no drain was slow, and the planner stopped when it had nothing open.

Change: one drain in ten takes ten times as long, one planner stops when the call of a permitted reboot was lost, and data centres fail.

--- a/crates/cj-bench/src/fleet/platform.rs
+++ b/crates/cj-bench/src/fleet/platform.rs
@@ -12,6 +12,9 @@
 use cj_record::VmFacts;
 use cj_types::{BootId, OpId, PoolId, UnixMillis, VmId};
 
+/// Factor of a slow drain; declared run times are wrong by up to this much.
+const SLOW_DRAIN: u32 = 10;
+
 /// Times and faults of the platform.
 #[derive(Clone, Debug)]
 pub struct Faults {
@@ -21,6 +24,8 @@
     pub reboot: Duration,
     /// Drains and reboots vary by this part of their time in both directions.
     pub jitter: f64,
+    /// Probability that a drain takes 10 times as long.
+    pub slow_drains: f64,
     /// Probability that a reboot doesn't repair a failed VM.
     pub repair_fails: f64,
     /// Probability that a call has no effect and gets no answer.
@@ -37,6 +42,7 @@
             drain: Duration::from_secs(120),
             reboot: Duration::from_secs(180),
             jitter: 0.0,
+            slow_drains: 0.0,
             repair_fails: 0.0,
             call_lost: 0.0,
             answer_lost: 0.0,
@@ -131,7 +137,8 @@
 
     /// Stops new work on a VM; what is in flight goes on for the drain time.
     pub fn drain(&mut self, vm: &VmId, now: UnixMillis) {
-        let time = self.vary(self.faults.drain);
+        let slow = self.rng.random_bool(self.faults.slow_drains);
+        let time = self.vary(self.faults.drain) * if slow { SLOW_DRAIN } else { 1 };
         if let Some(machine) = self.machines.get_mut(vm) {
             let time = if machine.idle { Duration::ZERO } else { time };
             machine.quiet = Some(now + time);
--- a/crates/cj-bench/tests/fleet.rs
+++ b/crates/cj-bench/tests/fleet.rs
@@ -6,6 +6,7 @@
 use cj_bench::fleet::{Faults, Layout, Run};
 use cj_fleet::plan;
 use cj_fold::VmPhase;
+use cj_record::Purpose;
 use cj_types::{Result, UnixMillis, VmId};
 use rand::{Rng, seq::IteratorRandom};
 
@@ -18,7 +19,8 @@
     Faults {
         jitter: 0.25,
         repair_fails: 0.1,
-        call_lost: 0.2,
+        slow_drains: 0.1,
+        call_lost: 0.4,
         answer_lost: 0.2,
         list_period: Duration::from_secs(40),
         ..Faults::default()
@@ -31,7 +33,7 @@
     Layout { wave: Some(START), forbidden, hysteresis, ..Layout::sized(vms) }
 }
 
-/// Random faults of one step: single VMs, a rack, a list that loses VMs, demand that changes.
+/// Random faults of one step: single VMs, a rack, a data centre, a list that loses VMs, demand that changes.
 fn disturb(run: &mut Run) {
     let ids: Vec<VmId> = run.state.vms.keys().cloned().collect();
     let any = |run: &mut Run| ids.iter().choose(&mut run.rng).cloned().expect("there are VMs");
@@ -45,6 +47,12 @@
         let of_rack = run.state.vms.iter().filter(|(_, vm)| vm.rack == rack);
         of_rack.for_each(|(id, _)| run.platform.fail(id));
     }
+    if run.rng.random_bool(0.002) {
+        let vm = any(run);
+        let centre = run.state.vms[&vm].centre.clone();
+        let of_centre = run.state.vms.iter().filter(|(_, vm)| vm.centre == centre);
+        of_centre.for_each(|(id, _)| run.platform.fail(id));
+    }
     if run.rng.random_bool(0.05) {
         let vm = any(run);
         run.platform.restore(&vm);
@@ -54,6 +62,13 @@
         run.platform.hidden =
             ids.iter().cloned().choose_multiple(&mut run.rng, count).into_iter().collect();
     }
+    if run.rng.random_bool(0.05) {
+        let draining = |vm: &&VmId| matches!(run.state.vms[*vm].phase, VmPhase::Draining { .. });
+        if let Some(vm) = ids.iter().filter(draining).choose(&mut run.rng) {
+            run.platform.fail(vm);
+            run.platform.restore(vm);
+        }
+    }
     if run.rng.random_bool(0.1) {
         let vm = any(run);
         let pool = run.state.vms[&vm].pool.clone();
@@ -63,19 +78,30 @@
     }
 }
 
-/// Disturbs a run for a number of steps and stops one of two nodes half-way.
+/// True when a wave's reboot is permitted and its call has not reached the platform.
+fn awaits_call(run: &Run) -> bool {
+    run.state.vms.iter().any(|(id, vm)| {
+        let probe = run.platform.probe(id, run.now);
+        matches!(vm.phase, VmPhase::Rebooting { purpose: Purpose::Wave(_), .. })
+            && probe.is_some_and(|p| p.boot == Some(vm.boot))
+    })
+}
+
+/// Disturbs a run for a number of steps. One of two nodes stops when the call of a permitted reboot was lost.
 fn chaos(vms: u32, steps: u32, seed: u64) -> Result<Run> {
     let mut run = Run::new(&layout(vms), faults(), 2, START, seed)?;
     if vms > 1000 {
         // Coarser steps, so that the run reaches the reboots in a short time.
         run.tick = Duration::from_secs(10);
     }
+    let mut nodes = 2;
     for step in 0..steps {
         disturb(&mut run);
         run.step(plan)?;
         assert!(run.audit.is_clean(), "seed {seed}, step {step}: {}", run.audit);
-        if step == steps / 2 {
+        if nodes > 1 && step > steps / 8 && awaits_call(&run) {
             run.stop_node();
+            nodes = 1;
         }
     }
     assert_eq!(run.platform.cut_off, 0, "seed {seed}: a planned reboot cut work off");
--- a/crates/cj-fleet/src/view.rs
+++ b/crates/cj-fleet/src/view.rs
@@ -123,11 +123,16 @@
 
 impl<'a> Down<'a> {
     fn new(state: &'a State, suspects: &BTreeMap<&VmId, Suspicion>) -> Self {
+        let lost =
+            |(id, vm): (&VmId, &Vm)| is_failed(vm) || suspects.get(id) == Some(&Suspicion::Probe);
+        if !state.vms.iter().any(lost) {
+            return Down::default();
+        }
         let mut racks: BTreeMap<&RackId, (u32, u32)> = BTreeMap::new();
         let mut centres: BTreeMap<&DataCentreId, (u32, u32)> = BTreeMap::new();
         let present = state.vms.iter().filter(|(_, vm)| !is_out(vm));
         for (id, vm) in present {
-            let failed = is_failed(vm) || suspects.get(id) == Some(&Suspicion::Probe);
+            let failed = lost((id, vm));
             for (all, lost) in
                 [racks.entry(&vm.rack).or_default(), centres.entry(&vm.centre).or_default()]
             {
