--- a/crates/cj-fold/src/apply/jobs.rs
+++ b/crates/cj-fold/src/apply/jobs.rs
@@ -138,6 +138,7 @@
         let until = self.now + Duration::from_millis(lease_ms.into());
         if let Some(Job { phase: JobPhase::Claimed(claim), .. }) = self.jobs.get_mut(id) {
             claim.until = claim.until.max(until);
+            claim.holder = source.writer.clone();
         }
         source.accepted()
     }
@@ -158,6 +159,12 @@
         if claim.until > self.now {
             return reject("the lease has not ended");
         }
+        if self.job(id)?.idempotent {
+            // Running it again is safe, and nobody else would end its unknown outcome. It counts as a failure, so that
+            // a job that stops its holders is parked in the end, and one that was cancelled does not run again.
+            let reason = "the lease ended".into();
+            return self.settle(source, id, claim, Outcome::Failed { reason });
+        }
         let reason = CompactString::from("the lease ended without an outcome");
         self.record(source, id, "outcome unknown: the lease ended".into());
         self.set_phase(id, JobPhase::OutcomeUnknown { claim, reason });
@@ -300,7 +307,9 @@
         token: Token,
     ) -> Result<&Claim, CompactString> {
         let claim = self.current_claim(source, id, token)?;
-        if claim.holder != *source.writer {
+        // A worker starts a task once per token and shows its state to every node, so that any node
+        // may look after a task whose holder is gone. A request is known to its holder only.
+        if claim.holder != *source.writer && !self.job(id)?.task {
             return reject(format_compact!("the claim is held by {}", claim.holder));
         }
         Ok(claim)
@@ -314,6 +323,10 @@
         self.index.remove_claim(&job.phase);
         self.index.add_claim(&phase);
         job.phase = phase;
+        if matches!(job.phase, JobPhase::Done { .. } | JobPhase::Cancelled { .. }) {
+            // Nothing runs it again; its body hash is enough to recognise a second submission.
+            job.payload = Vec::new();
+        }
         if let Some(at) = job.ended_at() {
             self.index.open.remove(id);
             self.index.ended.push_back((at, id.clone()));
