Forget VMs that the platform has replaced

Cause: the fold has a `Remove` entry and the platform replaces VMs daily; the state would keep them for ever.

Conclusion: two more cases in the table.

--- a/crates/cj-fleet/src/health.rs
+++ b/crates/cj-fleet/src/health.rs
@@ -72,6 +72,11 @@
 }
 
 fn report_vm(fleet: &Fleet<'_>, id: &VmId, vm: &Vm, doubted: bool, plan: &mut Plan) {
+    if !doubted && is_gone(fleet, id, vm) {
+        let entry = Entry::Remove { vm: id.clone(), generation: vm.generation };
+        plan.push(entry, "out of service and off the platform's list for a day");
+        return;
+    }
     let mut push = |healthy: bool, boot: Option<BootId>, reason: &str| {
         let generation = vm.generation;
         plan.push(Entry::Health { vm: id.clone(), generation, healthy, boot }, reason);
@@ -111,6 +116,17 @@
     }
 }
 
+/// True when the platform has most likely removed the VM: a probe fails after a long time off the list.
+fn is_gone(fleet: &Fleet<'_>, id: &VmId, vm: &Vm) -> bool {
+    let (VmPhase::Failed { since } | VmPhase::OutOfRotation { since }) = vm.phase else {
+        return false;
+    };
+    fleet.now.since(since) > limits::REMOVE_AFTER
+        && !fleet.listed.is_empty()
+        && !fleet.listed.contains_key(id)
+        && fleet.evidence.probe(id, since, fleet.now).is_some_and(|p| !p.healthy)
+}
+
 /// Boot id stated by a successful probe after `after`.
 pub(crate) fn probed_boot(fleet: &Fleet<'_>, id: &VmId, after: UnixMillis) -> Option<BootId> {
     fleet.evidence.probe(id, after, fleet.now).filter(|p| p.healthy)?.boot
@@ -123,6 +139,7 @@
             || match vm.phase {
                 VmPhase::Rebooting { .. }
                 | VmPhase::Failed { .. }
+                | VmPhase::OutOfRotation { .. }
                 | VmPhase::Drained { .. }
                 | VmPhase::Draining { purpose: Purpose::Repair, .. } => true,
                 VmPhase::Active => fleet.listed.get(id).is_some_and(|f| f.boot != vm.boot),
--- a/crates/cj-fleet/src/limits.rs
+++ b/crates/cj-fleet/src/limits.rs
@@ -20,3 +20,6 @@
 
 /// A drain outside a wave is reported when it takes longer than this.
 pub(crate) const DRAIN_LIMIT: Duration = Duration::from_secs(600);
+
+/// A VM that has been out of service and off the platform's list for this long is taken for removed or replaced.
+pub(crate) const REMOVE_AFTER: Duration = Duration::from_secs(24 * 3600);
--- a/crates/cj-fleet/src/plan.rs
+++ b/crates/cj-fleet/src/plan.rs
@@ -68,7 +68,8 @@
         | Entry::Undrain { vm, .. }
         | Entry::Health { vm, .. }
         | Entry::TakeOut { vm, .. }
-        | Entry::PutBack { vm, .. } => Some(vm),
+        | Entry::PutBack { vm, .. }
+        | Entry::Remove { vm, .. } => Some(vm),
         _ => None,
     }
 }
--- a/crates/cj-fleet/tests/planner.rs
+++ b/crates/cj-fleet/tests/planner.rs
@@ -205,6 +205,7 @@
             format!("{} {vm}", if *healthy { "healthy" } else { "failed" })
         }
         Entry::TakeOut { vm, .. } => format!("out {vm}"),
+        Entry::Remove { vm, .. } => format!("remove {vm}"),
         other => format!("{other:?}"),
     }
 }
@@ -373,6 +374,21 @@
             case().fails(&["a0"]).drained("a0", Purpose::Repair).probe("a0", true, 1),
             "undrain a0",
         ),
+        (
+            "replaced VMs that stay in the state for ever",
+            case()
+                .phase("a0", VmPhase::OutOfRotation { since: NOW - 25 * 60 * MINUTE })
+                .unlisted(&["a0"])
+                .probe("a0", false, 0),
+            "remove a0, move s0 to a",
+        ),
+        (
+            "a VM removed while its platform still lists it",
+            case()
+                .phase("a0", VmPhase::OutOfRotation { since: NOW - 25 * 60 * MINUTE })
+                .probe("a0", false, 0),
+            "move s0 to a",
+        ),
         (
             "new VMs that are never used",
             case().edit(|c| c.evidence.listed.push(facts("a4"))),
