Restore a broken budget by a loan before giving up a drain

A failure during a wave undid drains, whose time was lost, although a spare VM joins as fast as a drained one returns.

Change: returns that are no longer wanted stop first, then spare VMs are lent, and only what is still missing to the budget is taken from drains.

--- a/crates/cj-fleet/src/ops.rs
+++ b/crates/cj-fleet/src/ops.rs
@@ -13,7 +13,7 @@
     health::{margin_text, probed_boot},
     limits,
     plan::Plan,
-    view::{Fleet, Member},
+    view::{Fleet, Member, PoolView},
 };
 
 impl Fleet<'_> {
@@ -35,9 +35,10 @@
 
 /// Plans the next step of every operation under way.
 pub(crate) fn advance(fleet: &Fleet<'_>, plan: &mut Plan) {
-    let ended = ended(fleet);
+    let ended = ended(fleet, plan);
     for (id, vm) in &fleet.state.vms {
-        if fleet.suspects.contains_key(id) {
+        let rebooting = matches!(vm.phase, VmPhase::Rebooting { .. });
+        if fleet.suspects.contains_key(id) || plan.concerns(id) && !rebooting {
             continue;
         }
         if let Some(op) = recovered(fleet, id, vm) {
@@ -47,9 +48,6 @@
         match (&vm.phase, ended.get(id)) {
             (VmPhase::Draining { op, .. } | VmPhase::Drained { op, .. }, Some(reason)) => {
                 plan.push(Entry::Undrain { vm: id.clone(), op: *op }, reason.clone());
-                if !drain(vm).is_some_and(|(purpose, _)| is_wave(purpose)) {
-                    plan.keep(&vm.pool);
-                }
             }
             (VmPhase::Draining { op, purpose, since }, None) => {
                 drain_step(fleet, id, *op, purpose, *since, plan);
@@ -149,41 +147,61 @@
     fleet.evidence.probe(id, *since, fleet.now).is_some_and(|p| p.healthy).then_some(*op)
 }
 
+/// Keeps VMs that drain for a move while their pool needs them again: no second drain, and no move.
+pub(crate) fn keep_returns(fleet: &Fleet<'_>, plan: &mut Plan) {
+    for pool in fleet.pools.values() {
+        let leaving = drains(pool).into_iter().filter(|d| !is_wave(d.purpose));
+        let leaving = leaving.filter(|d| !fleet.suspects.contains_key(d.id));
+        for drain in leaving.take(pool.deficit() as usize) {
+            let entry = Entry::Undrain { vm: drain.id.clone(), op: drain.op };
+            plan.push(entry, "the pool needs the VM again");
+            plan.gain(pool.id);
+        }
+    }
+}
+
 /// Drains that have to end without their act, with the reason.
-fn ended<'a>(fleet: &Fleet<'a>) -> BTreeMap<&'a VmId, CompactString> {
+fn ended<'a>(fleet: &Fleet<'a>, plan: &Plan) -> BTreeMap<&'a VmId, CompactString> {
     let mut ended = BTreeMap::new();
     for pool in fleet.pools.values() {
-        let mut drains: Vec<(Member<'a>, (&Purpose, UnixMillis))> =
-            pool.vms.iter().filter_map(|m| Some((*m, drain(m.1)?))).collect();
-        drains.sort_by_key(|((id, _), (purpose, since))| (is_wave(purpose), Reverse(*since), *id));
-        let breach = pool.breach();
-        let lacking = pool.deficit();
-        let mut returned = 0;
-        for ((id, vm), (purpose, _)) in drains {
-            let reason = if returned < breach {
-                CompactString::from("the availability budget is broken: ") + &margin_text(pool)
-            } else if !is_wave(purpose) && returned < lacking {
-                "the pool needs the VM again".into()
-            } else if let Some(reason) = withdrawn(fleet, id, vm, purpose) {
+        // A loan restores the budget as fast as the end of a drain, and the work of the drain isn't lost.
+        let mut breach = pool.breach().saturating_sub(plan.gained(pool.id));
+        for drain in drains(pool) {
+            let reason = if let Some(reason) = withdrawn(fleet, drain.id, drain.vm, drain.purpose) {
                 reason.into()
+            } else if breach > 0 {
+                CompactString::from("the availability budget is broken: ") + &margin_text(pool)
             } else {
                 continue;
             };
-            returned += 1;
-            ended.insert(id, reason);
+            breach = breach.saturating_sub(1);
+            ended.insert(drain.id, reason);
         }
     }
     ended
 }
 
-/// Purpose and start of a drain that takes a working VM out of service.
-fn drain(vm: &Vm) -> Option<(&Purpose, UnixMillis)> {
-    match &vm.phase {
-        VmPhase::Draining { purpose, since, .. } | VmPhase::Drained { purpose, since, .. } => {
-            (*purpose != Purpose::Repair).then_some((purpose, *since))
+/// A drain that takes a working VM out of service.
+struct Drain<'a> {
+    id: &'a VmId,
+    vm: &'a Vm,
+    op: OpId,
+    purpose: &'a Purpose,
+    since: UnixMillis,
+}
+
+/// Drains of working VMs of a pool, the newest first: its end loses the least work.
+fn drains<'a>(pool: &PoolView<'a>) -> Vec<Drain<'a>> {
+    let drain = |(id, vm): &Member<'a>| match &vm.phase {
+        VmPhase::Draining { op, purpose, since } | VmPhase::Drained { op, purpose, since } => {
+            let (id, vm, op, since) = (*id, *vm, *op, *since);
+            (*purpose != Purpose::Repair).then_some(Drain { id, vm, op, purpose, since })
         }
         _ => None,
-    }
+    };
+    let mut drains: Vec<Drain<'a>> = pool.vms.iter().filter_map(drain).collect();
+    drains.sort_by_key(|d| (Reverse(d.since), d.id));
+    drains
 }
 
 fn is_wave(purpose: &Purpose) -> bool {
--- a/crates/cj-fleet/src/plan.rs
+++ b/crates/cj-fleet/src/plan.rs
@@ -27,7 +27,7 @@
     /// Situations for operators.
     pub notices: Vec<Notice>,
     concerned: BTreeSet<VmId>,
-    kept: BTreeMap<PoolId, u32>,
+    gained: BTreeMap<PoolId, u32>,
 }
 
 impl Plan {
@@ -45,14 +45,14 @@
         self.concerned.contains(vm)
     }
 
-    /// Notes that a VM that was leaving the pool stays.
-    pub(crate) fn keep(&mut self, pool: &PoolId) {
-        *self.kept.entry(pool.clone()).or_default() += 1;
+    /// Notes that the pool gets a VM at once: a loan, or one that was leaving and stays.
+    pub(crate) fn gain(&mut self, pool: &PoolId) {
+        *self.gained.entry(pool.clone()).or_default() += 1;
     }
 
-    /// VMs that were leaving the pool and stay.
-    pub(crate) fn kept(&self, pool: &PoolId) -> u32 {
-        self.kept.get(pool).copied().unwrap_or(0)
+    /// VMs that the pool gets at once.
+    pub(crate) fn gained(&self, pool: &PoolId) -> u32 {
+        self.gained.get(pool).copied().unwrap_or(0)
     }
 }
 
@@ -81,9 +81,9 @@
 
 /// Like [`plan`], with the notices for operators.
 ///
-/// The order of the rules is their precedence: unplanned failures consume the availability budgets first, then
-/// operations under way go on, failed VMs are repaired, deficits are covered, and what is left goes to waves. Returns
-/// of borrowed VMs come last: their drain would occupy the failure domain that a wave could use.
+/// The order of the rules is their precedence: unplanned failures consume the availability budgets first, deficits are
+/// covered, operations under way go on, failed VMs are repaired, and what is left goes to waves. Returns of borrowed
+/// VMs come last: their drain would occupy the failure domain that a wave could use.
 pub fn plan_all(state: &State, evidence: &Evidence, now: UnixMillis) -> Plan {
     let mut plan = Plan::default();
     if state.behind {
@@ -96,9 +96,10 @@
     }
     let mut fleet = Fleet::new(state, evidence, now);
     health::report(&fleet, &mut plan);
+    ops::keep_returns(&fleet, &mut plan);
+    spare::lend(&mut fleet, &mut plan);
     ops::advance(&fleet, &mut plan);
     repair::repair(&fleet, &mut plan);
-    spare::lend(&mut fleet, &mut plan);
     wave::start_drains(&mut fleet, &mut plan);
     spare::give_back(&mut fleet, &mut plan);
     health::register(&fleet, &mut plan);
--- a/crates/cj-fleet/src/spare.rs
+++ b/crates/cj-fleet/src/spare.rs
@@ -21,7 +21,7 @@
 /// most first.
 pub(crate) fn lend(fleet: &mut Fleet<'_>, plan: &mut Plan) {
     let need = |pool: &PoolView<'_>| {
-        let coming = plan.kept(pool.id) + pool.arriving;
+        let coming = plan.gained(pool.id) + pool.arriving;
         let missing = pool.deficit().saturating_sub(coming);
         (missing > 0).then(|| (pool.settings.precedence, Reverse(missing), pool.id.clone()))
     };
@@ -42,6 +42,7 @@
     let (generation, from) = (vm.generation, source.clone());
     let entry = Entry::Move { vm: id.clone(), generation, from, to: to.clone() };
     plan.push(entry, format_compact!("{to} lacks {missing} VMs; rack {} is unaffected", vm.rack));
+    plan.gain(to);
     if let Some(source) = fleet.pools.get_mut(&source) {
         source.free -= 1;
     }
--- a/crates/cj-fleet/src/view.rs
+++ b/crates/cj-fleet/src/view.rs
@@ -72,12 +72,12 @@
     }
 
     /// VMs that the pool lacks. VMs in a wave and failed VMs that a repair in place is expected to return don't count
-    /// as lacking while the availability budget holds.
+    /// as lacking while the availability budget holds: repairs in place within the slack come before loans.
     pub(crate) fn deficit(&self) -> u32 {
         let Counts { active, suspected, draining, rebooting, repairing, .. } = self.counts;
         let present = active + suspected + draining + rebooting + repairing;
         let lacking = self.wanted.saturating_sub(present);
-        lacking.max(self.breach().saturating_sub(draining))
+        lacking.max(self.breach())
     }
 
     /// VMs beyond the demand, without those that are expected back from a repair.
