Check the accounts of the spare pool in the random runs

Cause: nothing compared the billed spare VM time with the loans that took place, and the chart had no test. Change: the time billed per team equals the sum over the observed loans; the chart names every borrower; the buffer report states its moves per deficit.

--- a/crates/cj-bench/src/buffer.rs
+++ b/crates/cj-bench/src/buffer.rs
@@ -242,6 +242,7 @@
         "lends": audit.lends,
         "moves_on_or_back": audit.returns,
         "deficits": audit.deficits,
+        "moves_ratio": (audit.lends + audit.returns) as f64 / audit.deficits.max(1) as f64,
         "hasty_moves": audit.hasty_moves,
         "budget_breaches": audit.budget_breaches,
     });
--- a/crates/cj-bench/tests/fleet.rs
+++ b/crates/cj-bench/tests/fleet.rs
@@ -1,13 +1,16 @@
 //! Long seeded runs of the planner through the fold, with faults. The audit and the fold check the invariants at every
 //! step; each test states which failure it guards against.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use cj_bench::fleet::{Faults, Layout, Run};
-use cj_fleet::plan;
+use cj_bench::{
+    fleet::{Faults, Layout, Run},
+    usage_svg::usage_svg,
+};
+use cj_fleet::{plan, usage};
 use cj_fold::VmPhase;
 use cj_record::Purpose;
-use cj_types::{Result, UnixMillis, VmId};
+use cj_types::{Result, TeamId, UnixMillis, VmId};
 use rand::{Rng, seq::IteratorRandom};
 
 /// 12:00 UTC on some day.
@@ -122,9 +125,30 @@
         assert!(run.now.since(calm) < CALM_LIMIT, "seed {seed}: stuck, {}", open(&run));
     }
     assert_eq!(run.platform.cut_off, 0, "seed {seed}: a planned reboot cut work off");
+    assert_eq!(billed(&run), observed(&run), "seed {seed}: teams are billed for other loans");
     Ok(run)
 }
 
+/// Spare VM time per team by the state's accounts.
+fn billed(run: &Run) -> BTreeMap<TeamId, Duration> {
+    let teams = usage(&run.state).into_iter().map(|(team, usage)| (team, usage.lent));
+    teams.filter(|(_, lent)| !lent.is_zero()).collect()
+}
+
+/// Spare VM time per team, summed up from the number of borrowed VMs over time.
+fn observed(run: &Run) -> BTreeMap<TeamId, Duration> {
+    let samples = run.usage.samples();
+    let ends = samples.iter().skip(1).map(|s| s.at).chain([run.state.now]);
+    let mut teams = BTreeMap::new();
+    for (sample, end) in samples.iter().zip(ends) {
+        for (team, vms) in &sample.borrowed {
+            *teams.entry(team.clone()).or_default() += end.since(sample.at) * *vms;
+        }
+    }
+    teams.retain(|_, lent: &mut Duration| !lent.is_zero());
+    teams
+}
+
 fn is_done(vm: &cj_fold::Vm) -> bool {
     let out = matches!(vm.phase, VmPhase::OutOfRotation { .. });
     out || vm.phase.is_active() && vm.maintained >= START && vm.home.is_none()
@@ -165,6 +189,20 @@
     Ok(())
 }
 
+/// Guards against a chart without the teams that borrow, and against one that fails on an empty log.
+#[test]
+fn chart_names_every_borrower() -> Result<()> {
+    let run = chaos(48, 300, 3)?;
+    let svg = usage_svg(run.usage.samples(), run.state.now)?;
+    assert!(svg.starts_with("<svg") && svg.trim_end().ends_with("</svg>"));
+    let billed = billed(&run);
+    assert!(!billed.is_empty(), "the run must exercise the spare pool");
+    for team in billed.keys() {
+        assert!(svg.contains(team.as_str()), "{team} is missing");
+    }
+    usage_svg(&[], START).map(drop)
+}
+
 /// Guards against a plan that depends on anything but its arguments.
 #[test]
 fn equal_seeds_give_equal_states() -> Result<()> {
