--- a/crates/cj-fleet/src/health.rs
+++ b/crates/cj-fleet/src/health.rs
@@ -9,7 +9,8 @@
 use crate::{
     Notice, limits,
     plan::Plan,
-    view::{Fleet, PoolView, Suspicion},
+    repair,
+    view::{Fleet, Member, PoolView, Suspicion, is_failed},
 };
 
 /// Registers VMs that the platform lists and the state doesn't know, and takes over changed facts.
@@ -49,9 +50,15 @@
     }
 }
 
+/// VMs missing from the list, when one of them has no probe. Those that are recorded as failed count too: otherwise a
+/// list that loses a few VMs at every refresh would have them all reported in small numbers.
 fn missing(fleet: &Fleet<'_>, pool: &PoolView<'_>) -> u32 {
     let by_list = |id: &VmId| fleet.suspects.get(id) == Some(&Suspicion::List);
-    pool.vms.iter().filter(|(id, _)| by_list(id)).count() as u32
+    if !pool.vms.iter().any(|(id, _)| by_list(id)) {
+        return 0;
+    }
+    let lost = |(id, vm): &&Member<'_>| by_list(id) || is_failed(vm) && fleet.listing.lacks(id);
+    pool.vms.iter().filter(lost).count() as u32
 }
 
 /// More than a third of a pool, and more than two VMs, missing at once is taken for a lost report.
@@ -75,8 +82,10 @@
             push(false, None, "missing from the platform's list");
         }
         (_, VmPhase::Failed { since }) => {
+            // A VM that keeps failing and coming back is left to be taken out.
+            let out = repair::may_take_out(fleet, vm);
             let probe = fleet.evidence.probe(id, *since, fleet.now);
-            if let Some(probe) = probe.filter(|p| p.healthy) {
+            if let Some(probe) = probe.filter(|p| p.healthy && !out) {
                 push(true, probe.boot, "a direct probe succeeded");
             }
         }
--- a/crates/cj-fleet/src/ops.rs
+++ b/crates/cj-fleet/src/ops.rs
@@ -113,7 +113,10 @@
         Purpose::Repair => probe.is_none_or(|p| !p.healthy),
         _ => probe.is_some_and(|p| p.healthy && p.boot == Some(vm.boot)),
     };
-    if ready {
+    // Suspected failures count here as well: the fold knows only the recorded ones.
+    let budget = *purpose == Purpose::Repair
+        || fleet.pools.get(&vm.pool).is_some_and(|pool| pool.margin() >= 0);
+    if ready && budget {
         plan.push(Entry::Reboot { vm: id.clone(), op }, "drained; budget and windows hold");
     }
 }
@@ -220,9 +223,12 @@
             }
             Some(_) => restarted.then_some("restarted without a plan while it drained"),
         },
-        Purpose::Move(to) => {
-            (!fleet.pools.contains_key(to)).then_some("the pool it drains for was removed")
+        Purpose::Move(to) if !fleet.pools.contains_key(to) => {
+            Some("the pool it drains for was removed")
         }
+        Purpose::Move(_) => fleet
+            .window_near(&vm.pool, |_| Duration::ZERO)
+            .then_some("a forbidden window starts before the drain has ended"),
         Purpose::Repair => None,
     }
 }
--- a/crates/cj-fleet/src/repair.rs
+++ b/crates/cj-fleet/src/repair.rs
@@ -78,6 +78,21 @@
     waiting
 }
 
+/// True when the VM failed repeatedly by itself. Failures of a whole rack or data centre say nothing about one VM.
+fn is_repeated(fleet: &Fleet<'_>, vm: &Vm) -> bool {
+    fleet.recent_failures(vm) >= rules::REPEATED_FAILURES && fleet.down.domain(vm).is_none()
+}
+
+fn take_out_limit(pool: &PoolView<'_>) -> u32 {
+    (pool.vms.len() / rules::OUT_OF_ROTATION_DIVISOR).max(1) as u32
+}
+
+/// True when the VM failed repeatedly and its pool's limit allows to take it out.
+pub(crate) fn may_take_out(fleet: &Fleet<'_>, vm: &Vm) -> bool {
+    let pool = fleet.pools.get(&vm.pool);
+    is_repeated(fleet, vm) && pool.is_some_and(|p| p.counts.out < take_out_limit(p))
+}
+
 /// Takes a VM that failed repeatedly out of rotation, within the limit of its pool. Returns false when the VM should be
 /// repaired instead.
 fn take_out(
@@ -88,12 +103,10 @@
     out: &mut u32,
     plan: &mut Plan,
 ) -> bool {
-    // Failures of a whole rack or data centre say nothing about one VM.
-    let repeated = fleet.recent_failures(vm) >= rules::REPEATED_FAILURES;
-    if !repeated || fleet.down.domain(vm).is_some() {
+    if !is_repeated(fleet, vm) {
         return false;
     }
-    let limit = (pool.vms.len() / rules::OUT_OF_ROTATION_DIVISOR).max(1) as u32;
+    let limit = take_out_limit(pool);
     if *out >= limit {
         let pool = pool.id.clone();
         plan.notices.push(Notice::TakeOutLimit { vm: id.clone(), pool, out: *out });
--- a/crates/cj-fleet/tests/planner.rs
+++ b/crates/cj-fleet/tests/planner.rs
@@ -351,6 +351,28 @@
             case().unlisted(&["a0", "a1", "a2"]),
             "!pool a: 3 of 4 VMs are missing from the list; waiting for probes",
         ),
+        (
+            "mass repair after a list that loses one VM after another",
+            case().fails(&["a0", "a2"]).unlisted(&["a0", "a1", "a2"]),
+            "repair a0, repair a2 !pool a: 3 of 4 VMs are missing from the list; waiting for probes",
+        ),
+        (
+            "a VM that fails and comes back again and again",
+            case()
+                .fails(&["a0"])
+                .probe("a0", true, 1)
+                .edit(|c| c.vm("a0").failures = vec![NOW - MINUTE; 3]),
+            "move s0 to a, out a0",
+        ),
+        (
+            "a reboot while a suspected failure takes the budget",
+            Case::new()
+                .drained("a0", wave())
+                .fails(&["a1"])
+                .probe("a0", true, 1)
+                .probe("a2", false, 0),
+            "failed a2, repair a1",
+        ),
         (
             "a mass failure that is denied although probes confirm it",
             case().unlisted(&["a0", "a1", "a2"]).probe("a0", false, 0).probe("a1", true, 1),
