--- a/crates/cj-fleet/tests/planner.rs
+++ b/crates/cj-fleet/tests/planner.rs
@@ -467,6 +467,11 @@
             case().borrowed("s0", "a", early).drains("s0", to("s")).demand("a", 5),
             "undrain s0",
         ),
+        (
+            "a return whose drain reaches into a window",
+            Case::new().window(0).borrowed("s0", "a", early).drains("s0", to("s")),
+            "undrain s0",
+        ),
         (
             "a return that stops half-way",
             case().borrowed("s0", "a", early).drained("s0", to("s")),
