--- a/crates/cj-bench/src/rollout.rs
+++ b/crates/cj-bench/src/rollout.rs
@@ -155,6 +155,7 @@
         "lends": run.audit.lends,
         "deficits": run.audit.deficits,
         "moves_ratio": if moves == 0 { 0.0 } else { moves as f64 / deficits.max(1) as f64 },
+        "moves_to_borrower_deficits": moves as f64 / run.audit.deficits.max(1) as f64,
         "lends_ratio": if moves == 0 { 0.0 } else { run.audit.lends as f64 / run.audit.deficits.max(1) as f64 },
         "hasty_moves": run.audit.hasty_moves,
         "failed_vms": failed,
