Report pools without slack and spare draining VMs from the list rule

Cause: a pool whose budget is its size never took part in a wave and nothing said so; a platform that lists draining VMs as leaving had them reported as failed by the list alone.

Change: a notice for the pool; only active VMs are judged by the list, and `Evidence::listed` is to hold live and leaving VMs.

Conclusion: two more cases in the table.

--- a/crates/cj-fleet/src/evidence.rs
+++ b/crates/cj-fleet/src/evidence.rs
@@ -18,7 +18,8 @@
     pub probes: BTreeMap<VmId, Probe>,
     /// VMs that the work waiting for each pool could use now; pools without an entry need their target only.
     pub demand: BTreeMap<PoolId, u32>,
-    /// VMs that the platform's list reports as live. The list lags; an empty list states nothing.
+    /// VMs that the platform's list reports as live or leaving: a VM whose drain was given up stays listed as leaving for
+    /// a while. The list lags; an empty list states nothing.
     pub listed: Vec<VmFacts>,
 }
 
--- a/crates/cj-fleet/src/notice.rs
+++ b/crates/cj-fleet/src/notice.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 
-use cj_types::{OpId, PoolId, VmId};
+use cj_types::{OpId, PoolId, VmId, WaveId};
 
 /// Something that needs attention but must not be forced.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
@@ -67,6 +67,16 @@
         /// VMs that remain missing.
         missing: u32,
     },
+    /// A pool can't take part in a wave, since its availability budget is its size.
+    #[display("pool {pool}: wave {wave} can't start, all {size} VMs have to be available")]
+    NoSlack {
+        /// The pool.
+        pool: PoolId,
+        /// The wave.
+        wave: WaveId,
+        /// VMs of the pool.
+        size: u32,
+    },
     /// The platform lists a VM under a pool that no setting names.
     #[display("{vm}: pool {pool} isn't set up")]
     PoolUnknown {
--- a/crates/cj-fleet/src/view.rs
+++ b/crates/cj-fleet/src/view.rs
@@ -368,8 +368,9 @@
     match evidence.probe(id, changed, now) {
         Some(probe) => (!probe.healthy).then_some(Suspicion::Probe),
         None => {
-            let settled = is_settled(vm, now);
-            (settled && listing.lacks(id)).then_some(Suspicion::List)
+            // A platform may leave draining VMs off its list of live ones.
+            let judged = vm.phase.is_active() && is_settled(vm, now);
+            (judged && listing.lacks(id)).then_some(Suspicion::List)
         }
     }
 }
--- a/crates/cj-fleet/src/wave.rs
+++ b/crates/cj-fleet/src/wave.rs
@@ -10,6 +10,7 @@
 use cj_types::{PoolId, WaveId};
 
 use crate::{
+    Notice,
     plan::Plan,
     view::{Domain, Fleet, Member, PoolView, domain},
 };
@@ -38,6 +39,12 @@
     plan: &mut Plan,
 ) -> Vec<&'a Vm> {
     if pool.free == 0 {
+        let size = pool.vms.len() as u32;
+        let due = pool.vms.iter().any(|(_, vm)| vm.maintained < wave.start);
+        if due && size <= pool.settings.min_available {
+            let (pool, wave) = (pool.id.clone(), name.clone());
+            plan.notices.push(Notice::NoSlack { pool, wave, size });
+        }
         return Vec::new();
     }
     let mut members = next_domain(&due(fleet, pool, wave, plan), pool);
--- a/crates/cj-fleet/tests/planner.rs
+++ b/crates/cj-fleet/tests/planner.rs
@@ -242,6 +242,13 @@
             "move s0 to a, move s1 to a, repair a0 \
              !rack-a0: all VMs failed; one of them is repaired first",
         ),
+        (
+            "a wave that waits for ever without a word",
+            Case::new().edit(|c| {
+                c.state.fleet.pools.get_mut(&id::<PoolId>("a")).expect("pool").min_available = 4;
+            }),
+            "!pool a: wave w can't start, all 4 VMs have to be available",
+        ),
         ("a wave into a window", Case::new().window(5), ""),
         (
             "a wave that waits although the window is far",
@@ -378,6 +385,11 @@
             case().unlisted(&["a0", "a1", "a2"]).probe("a0", false, 0).probe("a1", true, 1),
             "failed a0, failed a2",
         ),
+        (
+            "a draining VM taken for failed, since the platform lists it as leaving",
+            case().borrowed("s0", "a", NOW - 9 * MINUTE).drains("s0", to("s")).unlisted(&["s0"]),
+            "",
+        ),
         ("an empty list", case().edit(|c| c.evidence.listed.clear()), ""),
         (
             "a list that is older than the VM's last change",
