--- a/crates/cj-bench/src/buffer.rs
+++ b/crates/cj-bench/src/buffer.rs
@@ -82,21 +82,7 @@
 /// much goodput.
 pub fn run(options: &Options) -> Result<Value> {
     let load = load(options.seed);
-    let mut chosen = None;
-    let mut sizes = Vec::new();
-    for spares in 1..=SERVICES * BASE / 2 {
-        let shared = shared(&load, spares, options.seed)?;
-        sizes.push(json!({ "spare_vms": spares, "retention": shared.served.retention() }));
-        if shared.served.retention() >= PROMISE {
-            chosen = Some((spares, shared));
-            break;
-        }
-    }
-    let missed = || {
-        let kind = ErrorKind::Failed("no spare pool keeps the goodput promise".into());
-        Error::new(kind, "run again with another seed and compare the retention")
-    };
-    let (spares, shared) = chosen.ok_or_else(missed)?;
+    let (spares, shared, sizes) = smallest(&load, options.seed)?;
     let kept = shared.served.retention();
     let reserves: Vec<(u32, Served)> = (0..=BASE).map(|r| (r, fixed(&load, r))).collect();
     let equal = reserves.iter().find(|(_, served)| served.retention() >= kept);
@@ -104,7 +90,6 @@
     let below = reserves.iter().rev().find(|(_, served)| served.retention() < kept);
     let table =
         reserves.iter().map(|(r, s)| json!({ "per_service": r, "retention": s.retention() }));
-    let svg = usage_svg(&shared.samples, START + Duration::from_secs(SECONDS))?;
     Ok(json!({
         "seed": options.seed,
         "targets": { "buffer_ratio": 0.5, "retention": PROMISE },
@@ -124,10 +109,34 @@
         "spare_sizes": sizes,
         "fixed_sizes": table.collect::<Vec<_>>(),
         "seconds": SECONDS,
-        "svg": svg,
     }))
 }
 
+/// The chart of the run with the smallest spare pool, as an SVG document.
+pub fn chart(options: &Options) -> Result<String> {
+    let (_, shared, _) = smallest(&load(options.seed), options.seed)?;
+    usage_svg(&shared.samples, START + Duration::from_secs(SECONDS))
+}
+
+/// The smallest spare pool that keeps the promise, its run, and the retention of all sizes tried.
+fn smallest(load: &Load, seed: u64) -> Result<(u32, Shared, Vec<Value>)> {
+    let mut sizes = Vec::new();
+    for spares in 1..=SERVICES * BASE / 2 {
+        let shared = shared(load, spares, seed)?;
+        let retention = shared.served.retention();
+        sizes.push(json!({ "spare_vms": spares, "retention": retention }));
+        if retention >= PROMISE {
+            return Ok((spares, shared, sizes));
+        }
+    }
+    Err(missed())
+}
+
+fn missed() -> Error {
+    let kind = ErrorKind::Failed("no reserve keeps the goodput promise".into());
+    Error::new(kind, "run again with another seed and compare the retention")
+}
+
 /// Bursts of the services in turn.
 fn load(seed: u64) -> Load {
     let mut rng = Pcg64::seed_from_u64(seed);
