Bound the wait for the shutdown of the nodes in a demonstration

Cause: in trials with all faults, nodes did not end their graceful shutdown, and the driver waited for them without end. Change: the driver waits 30 s and reports nodes_not_stopped, which fails the report. Conclusion: the report shows the fault instead of hanging; the cause in the node is not known yet.

--- a/crates/cj-demo/src/driver.rs
+++ b/crates/cj-demo/src/driver.rs
@@ -27,6 +27,9 @@
 /// The maintenance wave begins after this share of the demonstration.
 const WAVE_START: f64 = 0.1;
 
+/// Time for a graceful shutdown of a node, which has little left to finish after the settling.
+const STOP_LIMIT: Duration = Duration::from_secs(30);
+
 /// Interval at which the end of all work is checked.
 const SETTLE_POLL: Duration = Duration::from_millis(100);
 
@@ -117,14 +120,18 @@
     tokio::time::sleep_until((started + options.duration).into()).await;
     callers.stop();
     let duration = started.elapsed();
+    log::info!("arrivals ended; {} pieces of work under way", callers.in_flight());
     // Every fault ends before the settling begins.
     futures::future::join_all(faults).await;
+    log::info!("all faults ended");
     let settled = Instant::now();
     while callers.in_flight() > 0 && settled.elapsed() < options.settle {
         tokio::time::sleep(SETTLE_POLL).await;
     }
+    log::info!("settled; {} pieces of work under way; stopping the nodes", callers.in_flight());
     publisher.stop();
-    nodes.stop().await;
+    let not_stopped = nodes.stop(STOP_LIMIT).await;
+    log::info!("nodes stopped, except {not_stopped}");
     let evidence = Evidence {
         ledger: callers.ledger.borrow().clone(),
         observed: platform.observed(),
@@ -132,6 +139,7 @@
         faults: planned,
         driver_faults: driver_faults.get(),
         skipped: callers.skipped(),
+        not_stopped,
         duration,
     };
     Ok(Report::new(evidence))
--- a/crates/cj-demo/src/nodes.rs
+++ b/crates/cj-demo/src/nodes.rs
@@ -126,10 +126,12 @@
         Ok(())
     }
 
-    /// Shuts all nodes down gracefully.
-    pub async fn stop(&self) {
+    /// Shuts all nodes down gracefully. Returns the number of nodes that took longer than `limit`.
+    pub async fn stop(&self, limit: Duration) -> u64 {
         let handles: Vec<NodeHandle> =
             self.slots.borrow_mut().iter_mut().filter_map(|slot| slot.handle.take()).collect();
-        futures::future::join_all(handles.into_iter().map(|handle| (handle.stop)())).await;
+        let stops = handles.into_iter().map(|handle| tokio::time::timeout(limit, (handle.stop)()));
+        let stopped = futures::future::join_all(stops).await;
+        stopped.iter().filter(|result| result.is_err()).count() as u64
     }
 }
--- a/crates/cj-demo/src/report.rs
+++ b/crates/cj-demo/src/report.rs
@@ -89,6 +89,8 @@
     pub log_appends: u64,
     /// Arrivals skipped by the driver to bound its load.
     pub arrivals_skipped: u64,
+    /// Nodes whose graceful shutdown did not end within the limit.
+    pub nodes_not_stopped: u64,
     /// Length of the demonstration in milliseconds, without the settling.
     pub duration_ms: u64,
     /// Counts by workload.
@@ -120,6 +122,8 @@
     pub driver_faults: u64,
     /// Arrivals skipped.
     pub skipped: u64,
+    /// Nodes whose graceful shutdown did not end within the limit.
+    pub not_stopped: u64,
     /// Length without the settling.
     pub duration: Duration,
 }
@@ -165,6 +169,7 @@
             faults_injected: observed.fault_count() + evidence.driver_faults,
             log_appends: observed.log_appends,
             arrivals_skipped: evidence.skipped,
+            nodes_not_stopped: evidence.not_stopped,
             duration_ms: evidence.duration.as_millis() as u64,
             workloads,
             pools: observed.pools.into_iter().map(|(id, p)| (id.as_str().into(), p)).collect(),
@@ -192,6 +197,7 @@
             ("late_to_leaving", self.late_to_leaving),
             ("settings_reverted", self.settings_reverted),
             ("settings_late", self.settings_late),
+            ("nodes_not_stopped", self.nodes_not_stopped),
         ];
         let broken = zeros.iter().filter(|(_, count)| *count > 0);
         let mut problems: Vec<String> =
--- a/crates/cj-demo/tests/demo/report.rs
+++ b/crates/cj-demo/tests/demo/report.rs
@@ -30,7 +30,7 @@
 #[test]
 fn each_broken_check_fails_the_report() {
     type Change = fn(&mut Evidence);
-    let table: [(&str, Change, bool); 10] = [
+    let table: [(&str, Change, bool); 11] = [
         ("nothing wrong", |_| {}, true),
         ("breach", |e| e.observed.breaches.push(breach(false)), false),
         ("breach that no planner can know", |e| e.observed.breaches.push(breach(true)), true),
@@ -40,6 +40,7 @@
         ("reverted", |e| e.publications.reverted = 1, false),
         ("late settings", |e| e.publications.late = 1, false),
         ("slow settings", |e| e.publications.times.push(Duration::from_secs(3)), false),
+        ("shutdown without end", |e| e.not_stopped = 1, false),
         ("no answers", |e| e.ledger = Ledger::default(), false),
     ];
     for (name, change, ok) in table {
