--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -1,6 +1,15 @@
 //! Benchmarks behind `copperjunction bench`. Each file holds one benchmark and returns a JSON report.
 
+pub mod buffer;
+pub mod cancel;
+mod fake;
+pub mod fleet;
+pub mod flood;
 pub mod fold;
+pub mod rollout;
+pub mod route;
+pub mod storm;
+pub mod usage_svg;
 
 use cj_types::Result;
 
@@ -19,4 +28,12 @@
 pub type Benchmark = fn(&Options) -> Result<serde_json::Value>;
 
 /// All benchmarks by the name used on the command line.
-pub const BENCHMARKS: &[(&str, Benchmark)] = &[("fold", fold::run)];
+pub const BENCHMARKS: &[(&str, Benchmark)] = &[
+    ("buffer", buffer::run),
+    ("cancel", cancel::run),
+    ("flood", flood::run),
+    ("fold", fold::run),
+    ("rollout", rollout::run),
+    ("route", route::run),
+    ("storm", storm::run),
+];
--- a/crates/cj-node/src/platform.rs
+++ b/crates/cj-node/src/platform.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use awc::Client;
+use awc::{Client, error::SendRequestError};
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
@@ -46,7 +46,7 @@
     pub state: ListedState,
     /// Boot id.
     pub boot: BootId,
-    /// Total resources.
+    /// Total resources; cores in thousandths.
     #[serde(flatten)]
     pub resources: Resources,
     /// Minion or worker.
@@ -313,8 +313,12 @@
     T: Serialize,
 {
     let call = async {
-        let mut response =
-            client.post(url).send_json(body).await.map_err(|e| unanswered(service, e))?;
+        let sent = client.post(url).send_json(body).await;
+        let mut response = sent.map_err(|e| match e {
+            // Nothing was sent, so nothing can have taken effect.
+            SendRequestError::Connect(e) => refused(service, format_compact!("not connected: {e}")),
+            e => unanswered(service, e),
+        })?;
         let answer =
             response.body().limit(MAX_LIST_BYTES).await.map_err(|e| unanswered(service, e))?;
         let status = response.status();
