Follow recorded work by its state after a lost answer

Change: callers hold a request up to its deadline, at most 120 s; after a lost answer they ask for the job's state, and take an unknown outcome as final after 20 s.

--- a/crates/cj-demo/src/callers.rs
+++ b/crates/cj-demo/src/callers.rs
@@ -31,7 +31,7 @@
 const ANSWER_GRACE: Duration = Duration::from_secs(1);
 
 /// Longest time that a caller holds one request open.
-const MAX_HOLD: Duration = Duration::from_secs(10);
+const MAX_HOLD: Duration = Duration::from_secs(120);
 
 /// Time in which a caller without an answer asks further nodes.
 const RETRY_TIME: Duration = Duration::from_secs(15);
@@ -43,6 +43,9 @@
 /// Time limit of one question about pending work.
 const POLL_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time after which a caller takes an unknown outcome as final. Work on a minion leaves no evidence that could settle it.
+const UNKNOWN_LIMIT: Duration = Duration::from_secs(20);
+
 /// Unknown answers about unconfirmed work after which the caller submits it again under its key.
 const MISSING_LIMIT: u32 = 20;
 
@@ -248,7 +251,14 @@
                     // Recorded work whose answer was lost may still be in the order of the log.
                     Reply::NotRun if self.unanswered && recorded => {}
                     Reply::NotConnected => {}
-                    Reply::NoAnswer | Reply::Missing => self.unanswered = true,
+                    Reply::NoAnswer | Reply::Missing => {
+                        self.unanswered = true;
+                        // The job's state tells what became of recorded work; a second submission would only wait.
+                        if recorded {
+                            self.note(Fate::Unknown);
+                            return Next::Poll;
+                        }
+                    }
                     reply => return self.settle(reply),
                 }
             }
@@ -262,6 +272,7 @@
     async fn poll(&mut self) -> Next {
         let mut wait = POLL_MIN;
         let mut missing = 0;
+        let mut known = Instant::now();
         loop {
             self.pause(wait).await;
             wait = (wait * 2).min(POLL_MAX);
@@ -281,7 +292,11 @@
                 }
                 reply => {
                     missing = 0;
-                    if let Next::Final = self.settle(reply) {
+                    if reply != Reply::Unknown {
+                        known = Instant::now();
+                    }
+                    let next = self.settle(reply);
+                    if matches!(next, Next::Final) || known.elapsed() > UNKNOWN_LIMIT {
                         return Next::Final;
                     }
                 }
