Keep listed leaving VMs in the fleet evidence

Cause: after an undrain the lagging list still shows a VM as leaving; leaving it out of the evidence made it look gone. Change: only VMs listed as down are left out. Conclusion: found by reading the planner's contract.

--- a/crates/cj-node/src/fleet.rs
+++ b/crates/cj-node/src/fleet.rs
@@ -78,7 +78,7 @@
     let now = node.clock.wall();
     evidence.probes.retain(|_, p| now.since(p.at) <= cj_fleet::PROBE_MAX_AGE);
     evidence.listed =
-        listed.iter().filter(|l| l.state == ListedState::Live).map(VmFacts::from).collect();
+        listed.iter().filter(|l| l.state != ListedState::Down).map(VmFacts::from).collect();
     evidence.in_flight = in_flight(node, &busy);
     evidence.demand = demand(&node.replica.state());
 }
