Tell held requests from pending jobs, and two connections of one peer port

Cause: a report with open work did not say whether a node held the request or the job was pending. The server's map of connections was keyed by the peer's address only, so that the end of an older connection could drop the entry of a newer one, and a kill could miss a connection accepted at the same moment. Change: the report has held and open_jobs; connections carry a number, and a kill is checked again after an accept.

--- a/crates/cj-demo/src/ledger.rs
+++ b/crates/cj-demo/src/ledger.rs
@@ -181,6 +181,13 @@
         self.entries.get(job)
     }
 
+    /// Jobs that a caller still waits for: ids, and whether a node holds the request without any answer so far.
+    pub fn open_jobs(&self) -> impl Iterator<Item = (&JobId, bool)> {
+        let open =
+            self.entries.iter().filter(|(_, e)| matches!(e.fate, Fate::Sent | Fate::Pending));
+        open.map(|(job, entry)| (job, entry.fate == Fate::Sent))
+    }
+
     /// Entries by job.
     pub fn entries(&self) -> impl Iterator<Item = (&JobId, &Entry)> {
         self.entries.iter()
--- a/crates/cj-demo/src/report.rs
+++ b/crates/cj-demo/src/report.rs
@@ -23,6 +23,9 @@
 /// Pieces of work from which on a workload without any answer fails the report.
 const MIN_SENT: u64 = 10;
 
+/// Largest number of open jobs listed.
+const MAX_OPEN: usize = 20;
+
 /// Width of the plots in characters.
 const PLOT_WIDTH: usize = 60;
 
@@ -53,6 +56,10 @@
     pub wrong_answers: u64,
     /// Work still pending at the end.
     pub open: u64,
+    /// Of the open work, requests that a node held without any answer.
+    pub held: u64,
+    /// Some of the open work, for `GET /explain`.
+    pub open_jobs: Vec<String>,
     /// Planned actions that left a pool below its budget.
     pub budget_breaches: u64,
     /// The same within the notice time after a failure in the pool, which no planner can know.
@@ -151,6 +158,8 @@
             false_refusals: total.false_refusals,
             wrong_answers: total.wrong_answers,
             open: total.open,
+            held: ledger.open_jobs().filter(|(_, held)| *held).count() as u64,
+            open_jobs: ledger.open_jobs().take(MAX_OPEN).map(|(job, _)| job.to_string()).collect(),
             budget_breaches,
             unnoticed_breaches: observed.breaches.len() as u64 - budget_breaches,
             vm_in_two_pools: observed.vm_in_two_pools,
--- a/crates/cj-demo/tests/demo/ledger.rs
+++ b/crates/cj-demo/tests/demo/ledger.rs
@@ -33,6 +33,13 @@
         }
         fate => ledger.note(&job, fate),
     }
+    let open = ledger.open_jobs().map(|(_, held)| held).collect::<Vec<_>>();
+    let expected: &[bool] = match case.fate {
+        Fate::Sent => &[true],
+        Fate::Pending => &[false],
+        _ => &[],
+    };
+    assert_eq!(open, expected, "{}", case.name);
     let (starts, resumed, ends) = case.runs;
     let mut observed = Observed::default();
     observed.executions.insert(job.to_string(), Execution { starts, resumed, ends });
@@ -70,6 +77,7 @@
         case("never accepted", TALLIES, false, Fate::Missing, (0, 0, 0), |c| c.unknown, 1),
         case("may be dropped", READINGS, true, Fate::Missing, (0, 0, 0), |c| c.lost, 0),
         case("still pending", TALLIES, true, Fate::Pending, (0, 0, 0), |c| c.open, 1),
+        case("held without an answer", TALLIES, false, Fate::Sent, (0, 0, 0), |c| c.open, 1),
         case("visibly unknown", TALLIES, true, Fate::Unknown, (1, 0, 0), |c| c.lost, 0),
         case("refused, not run", YIELDS, false, Fate::Refused, (0, 0, 0), |c| c.false_refusals, 0),
         case("refused, but run", YIELDS, false, Fate::Refused, (1, 0, 0), |c| c.false_refusals, 1),
--- a/crates/cj-standin/src/http.rs
+++ b/crates/cj-standin/src/http.rs
@@ -134,7 +134,8 @@
 /// Answers calls; `None` closes the connection without an answer.
 pub type Handler = Arc<dyn Fn(Call) -> LocalBoxFuture<'static, Option<Reply>> + Send + Sync>;
 
-type Connections = Arc<Mutex<HashMap<SocketAddr, AbortHandle>>>;
+/// Open connections by peer. The number tells apart two connections from the same port of a peer.
+type Connections = Arc<Mutex<HashMap<SocketAddr, (u64, AbortHandle)>>>;
 
 /// One HTTP server. It serves on the thread of the given arbiter; the handle may be used from any thread.
 pub struct Server {
@@ -167,7 +168,7 @@
     /// Closes all connections at once and refuses new ones, as a crash would.
     pub fn kill(&self) {
         self.down.send_replace(true);
-        lock(&self.connections).drain().for_each(|(_, task)| task.abort());
+        lock(&self.connections).drain().for_each(|(_, (_, task))| task.abort());
     }
 
     /// Accepts connections again after [`Server::kill`].
@@ -231,7 +232,7 @@
 ) where
     S: Service<TcpStream> + 'static,
 {
-    loop {
+    for number in 0.. {
         let Ok((stream, peer)) = listener.accept().await else {
             // Accepting fails when the limit on open files is reached; connections end meanwhile.
             tokio::time::sleep(RETRY).await;
@@ -240,7 +241,12 @@
         if *down.borrow() {
             return;
         }
-        serve(service, stream, peer, connections);
+        serve(service, stream, peer, number, connections);
+        // A kill from another thread may have come between the check and the insertion.
+        if *down.borrow() {
+            lock(connections).drain().for_each(|(_, (_, task))| task.abort());
+            return;
+        }
     }
 }
 
@@ -260,17 +266,25 @@
     }
 }
 
-fn serve<S>(service: &Rc<S>, stream: TcpStream, peer: SocketAddr, connections: &Connections)
-where
+fn serve<S>(
+    service: &Rc<S>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    number: u64,
+    connections: &Connections,
+) where
     S: Service<TcpStream> + 'static,
 {
     let _ = stream.set_nodelay(true);
     let (service, ended) = (service.clone(), connections.clone());
     let connection = actix_rt::spawn(async move {
         let _ = service.call(stream).await;
-        lock(&ended).remove(&peer);
+        let mut open = lock(&ended);
+        if open.get(&peer).is_some_and(|(other, _)| *other == number) {
+            open.remove(&peer);
+        }
     });
-    lock(connections).insert(peer, connection.abort_handle());
+    lock(connections).insert(peer, (number, connection.abort_handle()));
 }
 
 async fn service(
@@ -319,7 +333,7 @@
 /// Ends the connection's own task, so that the peer sees it closed without an answer.
 async fn close(peer: Option<SocketAddr>, connections: &Connections) -> Response<Bytes> {
     let task = peer.and_then(|peer| lock(connections).remove(&peer));
-    if let Some(task) = task {
+    if let Some((_, task)) = task {
         task.abort();
     }
     futures::future::pending().await
