--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -1,15 +1,20 @@
 //! Benchmarks behind `copperjunction bench`. Each file holds one benchmark and returns a JSON report.
 
+pub mod append;
 pub mod buffer;
 pub mod cancel;
 mod fake;
 pub mod fleet;
 pub mod flood;
 pub mod fold;
+pub mod membership;
+pub mod place;
 pub mod rollout;
 pub mod route;
+pub mod settings;
 pub mod storm;
 pub mod usage_svg;
+mod virtual_time;
 
 use cj_types::Result;
 
@@ -29,11 +34,15 @@
 
 /// All benchmarks by the name used on the command line.
 pub const BENCHMARKS: &[(&str, Benchmark)] = &[
+    ("append", append::run),
     ("buffer", buffer::run),
     ("cancel", cancel::run),
     ("flood", flood::run),
     ("fold", fold::run),
+    ("membership", membership::run),
+    ("place", place::run),
     ("rollout", rollout::run),
     ("route", route::run),
+    ("settings", settings::run),
     ("storm", storm::run),
 ];
--- a/crates/cj-bench/tests/fleet.rs
+++ b/crates/cj-bench/tests/fleet.rs
@@ -1,12 +1,16 @@
 //! Long seeded runs of the planner through the fold, with faults. The audit and the fold check the invariants at every
 //! step; each test states which failure it guards against.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use cj_bench::fleet::{Faults, Layout, Run};
-use cj_fleet::plan;
+use cj_bench::{
+    fleet::{Faults, Layout, Run},
+    usage_svg::usage_svg,
+};
+use cj_fleet::{plan, usage};
 use cj_fold::VmPhase;
-use cj_types::{Result, UnixMillis, VmId};
+use cj_record::Purpose;
+use cj_types::{Result, TeamId, UnixMillis, VmId};
 use rand::{Rng, seq::IteratorRandom};
 
 /// 12:00 UTC on some day.
@@ -18,7 +22,8 @@
     Faults {
         jitter: 0.25,
         repair_fails: 0.1,
-        call_lost: 0.2,
+        slow_drains: 0.1,
+        call_lost: 0.4,
         answer_lost: 0.2,
         list_period: Duration::from_secs(40),
         ..Faults::default()
@@ -31,7 +36,7 @@
     Layout { wave: Some(START), forbidden, hysteresis, ..Layout::sized(vms) }
 }
 
-/// Random faults of one step: single VMs, a rack, a list that loses VMs, demand that changes.
+/// Random faults of one step: single VMs, a rack, a data centre, a list that loses VMs, demand that changes.
 fn disturb(run: &mut Run) {
     let ids: Vec<VmId> = run.state.vms.keys().cloned().collect();
     let any = |run: &mut Run| ids.iter().choose(&mut run.rng).cloned().expect("there are VMs");
@@ -45,6 +50,12 @@
         let of_rack = run.state.vms.iter().filter(|(_, vm)| vm.rack == rack);
         of_rack.for_each(|(id, _)| run.platform.fail(id));
     }
+    if run.rng.random_bool(0.002) {
+        let vm = any(run);
+        let centre = run.state.vms[&vm].centre.clone();
+        let of_centre = run.state.vms.iter().filter(|(_, vm)| vm.centre == centre);
+        of_centre.for_each(|(id, _)| run.platform.fail(id));
+    }
     if run.rng.random_bool(0.05) {
         let vm = any(run);
         run.platform.restore(&vm);
@@ -54,6 +65,13 @@
         run.platform.hidden =
             ids.iter().cloned().choose_multiple(&mut run.rng, count).into_iter().collect();
     }
+    if run.rng.random_bool(0.05) {
+        let draining = |vm: &&VmId| matches!(run.state.vms[*vm].phase, VmPhase::Draining { .. });
+        if let Some(vm) = ids.iter().filter(draining).choose(&mut run.rng) {
+            run.platform.fail(vm);
+            run.platform.restore(vm);
+        }
+    }
     if run.rng.random_bool(0.1) {
         let vm = any(run);
         let pool = run.state.vms[&vm].pool.clone();
@@ -63,19 +81,30 @@
     }
 }
 
-/// Disturbs a run for a number of steps and stops one of two nodes half-way.
+/// True when a wave's reboot is permitted and its call has not reached the platform.
+fn awaits_call(run: &Run) -> bool {
+    run.state.vms.iter().any(|(id, vm)| {
+        let probe = run.platform.probe(id, run.now);
+        matches!(vm.phase, VmPhase::Rebooting { purpose: Purpose::Wave(_), .. })
+            && probe.is_some_and(|p| p.boot == Some(vm.boot))
+    })
+}
+
+/// Disturbs a run for a number of steps. One of two nodes stops when the call of a permitted reboot was lost.
 fn chaos(vms: u32, steps: u32, seed: u64) -> Result<Run> {
     let mut run = Run::new(&layout(vms), faults(), 2, START, seed)?;
     if vms > 1000 {
         // Coarser steps, so that the run reaches the reboots in a short time.
         run.tick = Duration::from_secs(10);
     }
+    let mut nodes = 2;
     for step in 0..steps {
         disturb(&mut run);
         run.step(plan)?;
         assert!(run.audit.is_clean(), "seed {seed}, step {step}: {}", run.audit);
-        if step == steps / 2 {
+        if nodes > 1 && step > steps / 8 && awaits_call(&run) {
             run.stop_node();
+            nodes = 1;
         }
     }
     assert_eq!(run.platform.cut_off, 0, "seed {seed}: a planned reboot cut work off");
@@ -96,9 +125,30 @@
         assert!(run.now.since(calm) < CALM_LIMIT, "seed {seed}: stuck, {}", open(&run));
     }
     assert_eq!(run.platform.cut_off, 0, "seed {seed}: a planned reboot cut work off");
+    assert_eq!(billed(&run), observed(&run), "seed {seed}: teams are billed for other loans");
     Ok(run)
 }
 
+/// Spare VM time per team by the state's accounts.
+fn billed(run: &Run) -> BTreeMap<TeamId, Duration> {
+    let teams = usage(&run.state).into_iter().map(|(team, usage)| (team, usage.lent));
+    teams.filter(|(_, lent)| !lent.is_zero()).collect()
+}
+
+/// Spare VM time per team, summed up from the number of borrowed VMs over time.
+fn observed(run: &Run) -> BTreeMap<TeamId, Duration> {
+    let samples = run.usage.samples();
+    let ends = samples.iter().skip(1).map(|s| s.at).chain([run.state.now]);
+    let mut teams = BTreeMap::new();
+    for (sample, end) in samples.iter().zip(ends) {
+        for (team, vms) in &sample.borrowed {
+            *teams.entry(team.clone()).or_default() += end.since(sample.at) * *vms;
+        }
+    }
+    teams.retain(|_, lent: &mut Duration| !lent.is_zero());
+    teams
+}
+
 fn is_done(vm: &cj_fold::Vm) -> bool {
     let out = matches!(vm.phase, VmPhase::OutOfRotation { .. });
     out || vm.phase.is_active() && vm.maintained >= START && vm.home.is_none()
@@ -139,6 +189,20 @@
     Ok(())
 }
 
+/// Guards against a chart without the teams that borrow, and against one that fails on an empty log.
+#[test]
+fn chart_names_every_borrower() -> Result<()> {
+    let run = chaos(48, 300, 3)?;
+    let svg = usage_svg(run.usage.samples(), run.state.now)?;
+    assert!(svg.starts_with("<svg") && svg.trim_end().ends_with("</svg>"));
+    let billed = billed(&run);
+    assert!(!billed.is_empty(), "the run must exercise the spare pool");
+    for team in billed.keys() {
+        assert!(svg.contains(team.as_str()), "{team} is missing");
+    }
+    usage_svg(&[], START).map(drop)
+}
+
 /// Guards against a plan that depends on anything but its arguments.
 #[test]
 fn equal_seeds_give_equal_states() -> Result<()> {
--- a/crates/cj-fleet/src/health.rs
+++ b/crates/cj-fleet/src/health.rs
@@ -3,47 +3,36 @@
 use compact_str::format_compact;
 
 use cj_fold::{Vm, VmPhase};
-use cj_record::{Entry, Purpose, VmFacts};
+use cj_record::{Entry, Purpose};
 use cj_types::{BootId, UnixMillis, VmId};
 
 use crate::{
     Notice, limits,
     plan::Plan,
-    view::{Fleet, PoolView, Suspicion},
+    repair,
+    view::{Fleet, Member, PoolView, Suspicion, is_failed},
 };
 
 /// Registers VMs that the platform lists and the state doesn't know, and takes over changed facts.
 pub(crate) fn register(fleet: &Fleet<'_>, plan: &mut Plan) {
     let mut left = limits::MAX_REGISTERS;
-    for facts in fleet.listed.values() {
-        if left == 0 {
-            break;
-        }
-        left -= usize::from(register_vm(fleet, facts, plan));
-    }
-}
-
-fn register_vm(fleet: &Fleet<'_>, facts: &VmFacts, plan: &mut Plan) -> bool {
-    let Some(vm) = fleet.state.vms.get(&facts.vm) else {
+    for facts in &fleet.listing.new {
         if !fleet.pools.contains_key(&facts.pool) {
             let (vm, pool) = (facts.vm.clone(), facts.pool.clone());
             plan.notices.push(Notice::PoolUnknown { vm, pool });
-            return false;
+        } else if left > 0 {
+            left -= 1;
+            let entry = Entry::Register((*facts).clone());
+            plan.push(entry, "listed by the platform and not known yet");
+        }
+    }
+    for (facts, vm) in fleet.listing.changed.iter().take(left) {
+        let settled = fleet.now.since(vm.maintained.max(vm.moved)) > limits::LIST_LAG;
+        if settled && vm.phase.is_active() && !plan.concerns(&facts.vm) {
+            let entry = Entry::Register((*facts).clone());
+            plan.push(entry, "the platform states other facts than recorded");
         }
-        plan.push(Entry::Register(facts.clone()), "listed by the platform and not known yet");
-        return true;
-    };
-    let same = vm.address == facts.address
-        && vm.rack == facts.rack
-        && vm.centre == facts.centre
-        && vm.kind == facts.kind
-        && vm.capacity == facts.capacity;
-    let settled = fleet.now.since(vm.maintained.max(vm.moved)) > limits::LIST_LAG;
-    if same || !settled || !vm.phase.is_active() || plan.concerns(&facts.vm) {
-        return false;
     }
-    plan.push(Entry::Register(facts.clone()), "the platform states other facts than recorded");
-    true
 }
 
 /// Reports VMs as failed or healthy.
@@ -61,9 +50,15 @@
     }
 }
 
+/// VMs missing from the list, when one of them has no probe. Those that are recorded as failed count too: otherwise a
+/// list that loses a few VMs at every refresh would have them all reported in small numbers.
 fn missing(fleet: &Fleet<'_>, pool: &PoolView<'_>) -> u32 {
     let by_list = |id: &VmId| fleet.suspects.get(id) == Some(&Suspicion::List);
-    pool.vms.iter().filter(|(id, _)| by_list(id)).count() as u32
+    if !pool.vms.iter().any(|(id, _)| by_list(id)) {
+        return 0;
+    }
+    let lost = |(id, vm): &&Member<'_>| by_list(id) || is_failed(vm) && fleet.listing.lacks(id);
+    pool.vms.iter().filter(lost).count() as u32
 }
 
 /// More than a third of a pool, and more than two VMs, missing at once is taken for a lost report.
@@ -72,6 +67,11 @@
 }
 
 fn report_vm(fleet: &Fleet<'_>, id: &VmId, vm: &Vm, doubted: bool, plan: &mut Plan) {
+    if !doubted && is_gone(fleet, id, vm) {
+        let entry = Entry::Remove { vm: id.clone(), generation: vm.generation };
+        plan.push(entry, "out of service and off the platform's list for a day");
+        return;
+    }
     let mut push = |healthy: bool, boot: Option<BootId>, reason: &str| {
         let generation = vm.generation;
         plan.push(Entry::Health { vm: id.clone(), generation, healthy, boot }, reason);
@@ -82,8 +82,10 @@
             push(false, None, "missing from the platform's list");
         }
         (_, VmPhase::Failed { since }) => {
+            // A VM that keeps failing and coming back is left to be taken out.
+            let out = repair::may_take_out(fleet, vm);
             let probe = fleet.evidence.probe(id, *since, fleet.now);
-            if let Some(probe) = probe.filter(|p| p.healthy) {
+            if let Some(probe) = probe.filter(|p| p.healthy && !out) {
                 push(true, probe.boot, "a direct probe succeeded");
             }
         }
@@ -111,6 +113,16 @@
     }
 }
 
+/// True when the platform has most likely removed the VM: a probe fails after a long time off the list.
+fn is_gone(fleet: &Fleet<'_>, id: &VmId, vm: &Vm) -> bool {
+    let (VmPhase::Failed { since } | VmPhase::OutOfRotation { since }) = vm.phase else {
+        return false;
+    };
+    fleet.now.since(since) > limits::REMOVE_AFTER
+        && fleet.listing.lacks(id)
+        && fleet.evidence.probe(id, since, fleet.now).is_some_and(|p| !p.healthy)
+}
+
 /// Boot id stated by a successful probe after `after`.
 pub(crate) fn probed_boot(fleet: &Fleet<'_>, id: &VmId, after: UnixMillis) -> Option<BootId> {
     fleet.evidence.probe(id, after, fleet.now).filter(|p| p.healthy)?.boot
@@ -123,9 +135,10 @@
             || match vm.phase {
                 VmPhase::Rebooting { .. }
                 | VmPhase::Failed { .. }
+                | VmPhase::OutOfRotation { .. }
                 | VmPhase::Drained { .. }
                 | VmPhase::Draining { purpose: Purpose::Repair, .. } => true,
-                VmPhase::Active => fleet.listed.get(id).is_some_and(|f| f.boot != vm.boot),
+                VmPhase::Active => fleet.listing.restarted(id),
                 _ => false,
             }
     };
--- a/crates/cj-fleet/src/view.rs
+++ b/crates/cj-fleet/src/view.rs
@@ -6,11 +6,11 @@
 };
 
 use cj_fold::{State, Vm, VmPhase, rules};
-use cj_record::{Purpose, VmFacts};
+use cj_record::Purpose;
 use cj_settings::{DomainRule, PoolSettings, WaveSettings};
 use cj_types::{DataCentreId, PoolId, RackId, UnixMillis, VmId, WaveId};
 
-use crate::{Evidence, limits};
+use crate::{Evidence, limits, listing::Listing};
 
 /// A VM with its id.
 pub(crate) type Member<'a> = (&'a VmId, &'a Vm);
@@ -72,12 +72,12 @@
     }
 
     /// VMs that the pool lacks. VMs in a wave and failed VMs that a repair in place is expected to return don't count
-    /// as lacking while the availability budget holds.
+    /// as lacking while the availability budget holds: repairs in place within the slack come before loans.
     pub(crate) fn deficit(&self) -> u32 {
         let Counts { active, suspected, draining, rebooting, repairing, .. } = self.counts;
         let present = active + suspected + draining + rebooting + repairing;
         let lacking = self.wanted.saturating_sub(present);
-        lacking.max(self.breach().saturating_sub(draining))
+        lacking.max(self.breach())
     }
 
     /// VMs beyond the demand, without those that are expected back from a repair.
@@ -98,7 +98,7 @@
     pub(crate) evidence: &'a Evidence,
     pub(crate) now: UnixMillis,
     pub(crate) pools: BTreeMap<&'a PoolId, PoolView<'a>>,
-    pub(crate) listed: BTreeMap<&'a VmId, &'a VmFacts>,
+    pub(crate) listing: Listing<'a>,
     /// VMs in service that a probe or the list shows as failed.
     pub(crate) suspects: BTreeMap<&'a VmId, Suspicion>,
     /// Racks and data centres whose VMs all failed.
@@ -123,11 +123,16 @@
 
 impl<'a> Down<'a> {
     fn new(state: &'a State, suspects: &BTreeMap<&VmId, Suspicion>) -> Self {
+        let lost =
+            |(id, vm): (&VmId, &Vm)| is_failed(vm) || suspects.get(id) == Some(&Suspicion::Probe);
+        if !state.vms.iter().any(lost) {
+            return Down::default();
+        }
         let mut racks: BTreeMap<&RackId, (u32, u32)> = BTreeMap::new();
         let mut centres: BTreeMap<&DataCentreId, (u32, u32)> = BTreeMap::new();
         let present = state.vms.iter().filter(|(_, vm)| !is_out(vm));
         for (id, vm) in present {
-            let failed = is_failed(vm) || suspects.get(id) == Some(&Suspicion::Probe);
+            let failed = lost((id, vm));
             for (all, lost) in
                 [racks.entry(&vm.rack).or_default(), centres.entry(&vm.centre).or_default()]
             {
@@ -171,15 +176,15 @@
 
 impl<'a> Fleet<'a> {
     pub(crate) fn new(state: &'a State, evidence: &'a Evidence, now: UnixMillis) -> Self {
-        let listed: BTreeMap<_, _> = evidence.listed.iter().map(|f| (&f.vm, f)).collect();
+        let listing = Listing::new(state, &evidence.listed);
         let suspects: BTreeMap<_, _> = state
             .vms
             .iter()
-            .filter_map(|(id, vm)| Some((id, suspicion(id, vm, evidence, &listed, now)?)))
+            .filter_map(|(id, vm)| Some((id, suspicion(id, vm, evidence, &listing, now)?)))
             .collect();
         let down = Down::new(state, &suspects);
         let mut fleet =
-            Fleet { state, evidence, now, pools: BTreeMap::new(), listed, suspects, down };
+            Fleet { state, evidence, now, pools: BTreeMap::new(), listing, suspects, down };
         fleet.pools = fleet.summarise();
         fleet
     }
@@ -346,7 +351,7 @@
     id: &VmId,
     vm: &Vm,
     evidence: &Evidence,
-    listed: &BTreeMap<&VmId, &VmFacts>,
+    listing: &Listing<'_>,
     now: UnixMillis,
 ) -> Option<Suspicion> {
     let in_service = match &vm.phase {
@@ -363,9 +368,9 @@
     match evidence.probe(id, changed, now) {
         Some(probe) => (!probe.healthy).then_some(Suspicion::Probe),
         None => {
-            let settled = is_settled(vm, now);
-            let missing = !listed.is_empty() && !listed.contains_key(id);
-            (settled && missing).then_some(Suspicion::List)
+            // A platform may leave draining VMs off its list of live ones.
+            let judged = vm.phase.is_active() && is_settled(vm, now);
+            (judged && listing.lacks(id)).then_some(Suspicion::List)
         }
     }
 }
--- a/crates/cj-log/src/lib.rs
+++ b/crates/cj-log/src/lib.rs
@@ -15,7 +15,8 @@
 pub mod writer;
 
 pub use clock::RuntimeClock;
-pub use http::HttpLog;
+pub use copies::COPY_KEY;
+pub use http::{HttpLog, is_unsent};
 pub use memory::{Faults, MemoryLog};
 pub use replica::{Fault, IsOwner, Lag, Proposed, Replica, ReplicaOptions};
 pub use service::{LogService, ReadPage};
