Answer a refused resubmission as pending

A caller whose submission was answered 'not decided yet' sent the same key to another node, which refused it for lack of room without knowing the first submission. Change: callers mark a key that they sent before with x-resubmit; a node answers its refusal with pending and a retry time, because only the log knows what became of the earlier submission. Tasks are submitted in a task of their own, so a caller that hangs up doesn't abandon the proposal.

--- a/crates/cj-demo/src/callers.rs
+++ b/crates/cj-demo/src/callers.rs
@@ -152,6 +152,7 @@
                 rng: Pcg64Mcg::seed_from_u64(seed),
                 last: None,
                 unanswered: false,
+                resubmit: false,
             };
             work.follow().await;
             self.in_flight.borrow_mut()[index] -= 1;
@@ -185,6 +186,8 @@
     last: Option<usize>,
     /// True once an answer was lost, so that a later refusal doesn't show that the work never ran.
     unanswered: bool,
+    /// True once a send may have left a submission behind; later sends say so.
+    resubmit: bool,
 }
 
 enum Next {
@@ -228,6 +231,9 @@
             headers.push(("x-millicores", resources.cores.0.to_string()));
             headers.push(("x-memory-mib", resources.memory.0.to_string()));
         }
+        if self.resubmit {
+            headers.push(("x-resubmit", "1".into()));
+        }
         headers
     }
 
@@ -237,13 +243,14 @@
         let path = format!("/v1/{}/{}", self.workload.service, self.workload.class);
         let limit = (self.workload.deadline + ANSWER_GRACE).min(MAX_HOLD);
         let patience = if recorded { RETRY_TIME } else { limit };
-        let headers = self.headers();
         while self.sent.elapsed() < patience || (recorded && !self.callers.stopping.get()) {
             if let Some(node) = self.node() {
                 let url = format!("http://{}{path}", node.callers);
                 let body = self.body.clone();
+                let headers = self.headers();
                 let client = &self.callers.client;
                 let reply = client::call(client, Method::POST, &url, &headers, body, limit).await;
+                self.resubmit |= !matches!(reply, Reply::NotRun | Reply::NotConnected);
                 match reply {
                     Reply::Pending { .. } | Reply::Unknown if recorded => {
                         return self.settle(reply);
--- a/crates/cj-node/src/http/answer.rs
+++ b/crates/cj-node/src/http/answer.rs
@@ -127,6 +127,18 @@
         }
     }
 
+    /// The answer to a request whose key was sent before. A refusal covers this submission only: an earlier one may be on
+    /// its way through the log or recorded by a node that is ahead, so it's not known that the work did not run.
+    pub fn of_resubmission(self) -> Self {
+        match (self.outcome, self.retry_after) {
+            (OutcomeKind::NotRun, Some(retry_after)) => Self::pending(
+                "refused for now; an earlier submission under this key may have been accepted",
+                retry_after,
+            ),
+            _ => self,
+        }
+    }
+
     /// Turns the answer into an HTTP response for the request with the given id.
     pub fn into_response(self, request_id: &CompactString) -> Response<Bytes> {
         let mut response = Response::with_body(self.status, self.body);
--- a/crates/cj-node/src/http/request.rs
+++ b/crates/cj-node/src/http/request.rs
@@ -32,6 +32,8 @@
     pub key: Option<IdempotencyKey>,
     /// Caller's own limit, at most the deadline of the class.
     pub deadline: Option<Duration>,
+    /// True when the caller sent the same key before and has no final answer to it.
+    pub resubmit: bool,
     /// Declared run time of a task in milliseconds.
     pub run_ms: Option<u32>,
     /// Declared cores of a task, in thousandths.
@@ -98,6 +100,7 @@
             team: required(headers, "x-team")?,
             key: parsed(headers, "idempotency-key")?,
             deadline: deadline.map(Duration::from_millis),
+            resubmit: text(headers, "x-resubmit")?.is_some_and(|v| v != "0"),
             run_ms: parsed(headers, "x-run-ms")?,
             millicores: parsed(headers, "x-millicores")?,
             memory_mib: parsed(headers, "x-memory-mib")?,
--- a/crates/cj-node/src/work/driver.rs
+++ b/crates/cj-node/src/work/driver.rs
@@ -177,6 +177,7 @@
         team: job.team.clone(),
         key: Some(id.key.clone()),
         deadline: None,
+        resubmit: false,
         run_ms: None,
         millicores: None,
         memory_mib: None,
--- a/crates/cj-node/src/work/intake.rs
+++ b/crates/cj-node/src/work/intake.rs
@@ -87,13 +87,18 @@
         return Answer::bad_input(StatusCode::BAD_REQUEST, reason);
     };
     let job = JobId { caller: work.head.caller.clone(), key };
-    if work.class.task {
-        return recorded::submit_task(node, &work, job).await;
-    }
+    let resubmit = work.head.resubmit;
     // Runs on its own: recorded work must be followed to its end even when the caller hangs up.
     let node = node.clone();
-    let run = actix_rt::spawn(async move { recorded::answer(&node, &work, job).await });
-    run.await.unwrap_or_else(|_| Answer::unknown("the node stopped before the request ended"))
+    let run = actix_rt::spawn(async move {
+        match work.class.task {
+            true => recorded::submit_task(&node, &work, job).await,
+            false => recorded::answer(&node, &work, job).await,
+        }
+    });
+    let stopped = |_| Answer::unknown("the node stopped before the request ended");
+    let answer = run.await.unwrap_or_else(stopped);
+    if resubmit { answer.of_resubmission() } else { answer }
 }
 
 fn check<L, C>(
