Notice a log that forgot records

A stream that ended before the next offset to fold looked idle: the replica stayed "reachable" and waited. Such a read counts as failed now, and the lag says so. Proposals stay pending until the order is known; once other records take the forgotten offsets, the comparison of state hashes stops the replica. The memory log reads its page again after a long poll ends, as the new test showed it answering with the state before the wait.

--- a/crates/cj-log/src/follow.rs
+++ b/crates/cj-log/src/follow.rs
@@ -240,8 +240,14 @@
     }
 }
 
-/// Checks that a page starts at `from` and has no holes.
+/// Checks that a page starts at `from` and has no holes, and that the stream still reaches `from`.
 pub(crate) fn in_sequence(from: Offset, page: ReadPage) -> Result<ReadPage> {
+    if page.end < from {
+        return Err(Error::decode(
+            "page of records",
+            "the stream ends before records read earlier",
+        ));
+    }
     let expected = (from.0..).map(Offset);
     if page.records.iter().zip(expected).any(|((offset, _), expected)| *offset != expected) {
         return Err(Error::decode("page of records", "offsets are not consecutive"));
--- a/crates/cj-log/src/memory.rs
+++ b/crates/cj-log/src/memory.rs
@@ -133,6 +133,13 @@
         }
     }
 
+    /// Forgets the records from `end` on, as a log does that lost its newest data.
+    pub fn forget(&self, stream: &StreamId, end: Offset) {
+        let mut streams = self.shared.streams.borrow_mut();
+        let stream = streams.entry(stream.clone()).or_default();
+        stream.records.truncate(end.0.saturating_sub(stream.oldest) as usize);
+    }
+
     /// Stores a record at once, without faults.
     pub fn store(&self, stream: &StreamId, record: Vec<u8>) -> Offset {
         let shared = &self.shared;
@@ -294,7 +301,9 @@
             self.store_late();
             let mut page = self.page(stream, from, max_bytes)?;
             let waiting = page.records.is_empty() && Instant::now() < deadline;
-            if waiting && timeout_at(deadline, appended).await.is_ok() {
+            if waiting {
+                // The page is read again either way, since it may have changed meanwhile.
+                let _ = timeout_at(deadline, appended).await;
                 continue;
             }
             let truncate = self.faults.borrow().truncate;
--- a/crates/cj-log/tests/replica.rs
+++ b/crates/cj-log/tests/replica.rs
@@ -176,6 +176,32 @@
     });
 }
 
+/// A log that forgot records which were folded must not pass for an idle one, and no proposal may be decided on it. Once
+/// other records take the forgotten offsets, the state hashes tell the histories apart.
+#[test]
+fn forgotten_records_are_noticed() {
+    run(async {
+        let log = MemoryLog::new(1);
+        let node = start(&log, options("a", 1)).await;
+        for i in 0..10 {
+            node.propose(entry(&i.to_string()), SECOND).await;
+        }
+        sleep(11 * SECOND).await;
+        log.forget(&region(), Offset(5));
+        sleep(11 * SECOND).await;
+        assert!(!node.lag().reachable);
+        assert_eq!(node.propose(entry("x"), SECOND).await, Proposed::Pending);
+        let fresh = start(&log, options("b", 2)).await;
+        for i in 0..10 {
+            fresh.propose(entry(&format!("b{i}")), SECOND).await;
+        }
+        sleep(11 * SECOND).await;
+        let peers = [&fresh, &fresh].map(|n| (n.state().next, n.state().hash));
+        node.compare_hashes(peers);
+        assert!(matches!(node.fault(), Some(Fault::Diverged(_))), "{:?}", node.fault());
+    });
+}
+
 /// A log that is down at start-up must end in an error, not in a node that serves without state.
 #[test]
 fn start_fails_when_the_log_is_down() {
