--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod flood;
 pub mod fold;
 pub mod membership;
+pub mod place;
 pub mod rollout;
 pub mod route;
 pub mod settings;
@@ -39,6 +40,7 @@
     ("flood", flood::run),
     ("fold", fold::run),
     ("membership", membership::run),
+    ("place", place::run),
     ("rollout", rollout::run),
     ("route", route::run),
     ("settings", settings::run),
--- a/crates/cj-fleet/src/wave.rs
+++ b/crates/cj-fleet/src/wave.rs
@@ -10,6 +10,7 @@
 use cj_types::{PoolId, WaveId};
 
 use crate::{
+    Notice,
     plan::Plan,
     view::{Domain, Fleet, Member, PoolView, domain},
 };
@@ -38,6 +39,12 @@
     plan: &mut Plan,
 ) -> Vec<&'a Vm> {
     if pool.free == 0 {
+        let size = pool.vms.len() as u32;
+        let due = pool.vms.iter().any(|(_, vm)| vm.maintained < wave.start);
+        if due && size <= pool.settings.min_available {
+            let (pool, wave) = (pool.id.clone(), name.clone());
+            plan.notices.push(Notice::NoSlack { pool, wave, size });
+        }
         return Vec::new();
     }
     let mut members = next_domain(&due(fleet, pool, wave, plan), pool);
@@ -68,6 +75,7 @@
     let mut due: BTreeMap<Domain<'a>, Vec<Member<'a>>> = BTreeMap::new();
     for (id, vm) in &pool.vms {
         if vm.phase.is_active()
+            && pool.admits(vm)
             && vm.maintained < wave.start
             && !leaves(vm)
             && !fleet.suspects.contains_key(id)
@@ -79,17 +87,14 @@
     due
 }
 
-/// VMs of the failure domain to work on. The one that is open goes on; otherwise the one that uses most of the free VMs
-/// now. Among equals, a domain whose last round fits into the free VMs goes first: while failures hold down the number
+/// VMs of the failure domain to work on: the one that is open, or else the one that uses most of the free VMs now. Among
+/// equals, a domain whose last round fits into the free VMs goes first: while failures hold down the number
 /// of free VMs, it takes the round that would otherwise leave part of the slack unused later. Domains of borrowed VMs
 /// come last, since these may go back before.
 fn next_domain<'a>(
     due: &BTreeMap<Domain<'a>, Vec<Member<'a>>>,
     pool: &PoolView<'a>,
 ) -> Vec<Member<'a>> {
-    if let Some(open) = &pool.open {
-        return due.get(open).cloned().unwrap_or_default();
-    }
     let size = pool.vms.len() as u32;
     let slack = size.saturating_sub(pool.settings.min_available).max(1);
     let rank = |vms: &Vec<Member<'a>>| {
