Don't call a cancelled job not run when an attempt of it failed

Change: the answer to a cancelled job with a failed attempt is unknown; the history says so as well; a request that is given up on and cancelled is refused as not run only when no attempt failed.

--- a/crates/cj-demo/src/callers.rs
+++ b/crates/cj-demo/src/callers.rs
@@ -337,7 +337,10 @@
                 return Next::Poll;
             }
             Reply::NotRun if self.unanswered => Fate::Unknown,
-            Reply::NotRun => Fate::Refused,
+            Reply::NotRun => {
+                log::debug!(target: "caller", "job={} refused as not run", self.job);
+                Fate::Refused
+            }
             Reply::Parked => Fate::Parked,
             Reply::Cancelled => Fate::Cancelled,
             _ => Fate::Unknown,
--- a/crates/cj-fold/src/apply/jobs.rs
+++ b/crates/cj-fold/src/apply/jobs.rs
@@ -201,8 +201,12 @@
         };
         match &mut job.phase {
             JobPhase::Queued => {
+                let text = match job.failures.is_empty() {
+                    true => "cancelled, not run",
+                    false => "cancelled after a failed attempt, which may have had effect",
+                };
                 self.set_phase(id, JobPhase::Cancelled { at: now });
-                self.record(source, id, "cancelled, not run".into());
+                self.record(source, id, text.into());
                 source.accepted()
             }
             JobPhase::Claimed(claim) => {
--- a/crates/cj-node/src/http/answer.rs
+++ b/crates/cj-node/src/http/answer.rs
@@ -114,6 +114,9 @@
                 let status = StatusCode::from_u16(*status).unwrap_or(StatusCode::OK);
                 Self::done(status, answer.clone().into())
             }
+            JobPhase::Cancelled { .. } if !job.failures.is_empty() => {
+                Self::unknown("cancelled after a failed attempt, which may have had effect")
+            }
             JobPhase::Cancelled { .. } => Self::explain(
                 StatusCode::GONE,
                 OutcomeKind::Cancelled,
--- a/crates/cj-node/src/work/recorded.rs
+++ b/crates/cj-node/src/work/recorded.rs
@@ -351,13 +351,22 @@
     }
     let cancel = Entry::Cancel { job: job.clone() };
     match node.replica.propose(cancel, LOG_RETRY).await {
-        Proposed::Decided { verdict: Verdict::Accepted { .. }, .. } => {
+        Proposed::Decided { verdict: Verdict::Accepted { .. }, .. } if !has_failed(node, job) => {
             Answer::refused(reason, retry_after)
         }
         _ => super::answer_job(node, job),
     }
 }
 
+/// True when an attempt failed; it may have had effect.
+fn has_failed<L, C>(node: &Shared<L, C>, job: &JobId) -> bool
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    node.replica.state().jobs.get(job).is_none_or(|j| !j.failures.is_empty())
+}
+
 /// Waits until the recorded job ends, at most until the deadline of the request.
 async fn wait_for_end<L, C>(node: &Rc<Shared<L, C>>, work: &Work, job: &JobId) -> Answer
 where
