--- a/crates/cj-bench/src/membership.rs
+++ b/crates/cj-bench/src/membership.rs
@@ -317,6 +317,7 @@
         hash: [7; 32],
         in_flight,
         leaving: false,
+        deciding: true,
     })
 }
 
--- a/crates/cj-bench/src/settings.rs
+++ b/crates/cj-bench/src/settings.rs
@@ -199,6 +199,7 @@
         hash: [0; 32],
         in_flight: BTreeMap::new(),
         leaving: false,
+        deciding: true,
     })
 }
 
--- a/crates/cj-member/src/report.rs
+++ b/crates/cj-member/src/report.rs
@@ -36,6 +36,9 @@
     /// Requests in flight per upstream; upstreams without any are left out. Only draining and leaving upstreams are needed:
     /// counts for all of them would exceed a node's share of the network.
     pub in_flight: BTreeMap<VmId, u32>,
+    /// True when the node can read the log and its state agrees with its peers'. A node that can't decide owns nothing, or
+    /// its jobs would wait for it.
+    pub deciding: bool,
     /// True when the node shuts down; it gets no ownership any more.
     pub leaving: bool,
 }
--- a/crates/cj-member/src/view.rs
+++ b/crates/cj-member/src/view.rs
@@ -122,10 +122,12 @@
         self.peers.get(node)
     }
 
-    /// Rendezvous owner of a key among the live peers and this node.
+    /// Rendezvous owner of a key among the live nodes that can decide, this one included.
     pub fn owner(&self, key: &[u8], now: Instant) -> NodeId {
-        let live = self.live(now);
-        let own = (!self.own.leaving || live.is_empty()).then_some(&self.own);
+        let mut live = self.live(now);
+        live.retain(|p| p.report.deciding);
+        let able = self.own.deciding && !self.own.leaving;
+        let own = (able || live.is_empty()).then_some(&self.own);
         let nodes: Vec<&NodeId> =
             live.iter().map(|p| &p.report).chain(own).map(|r| &r.node.node).collect();
         let owner = rendezvous::owner(key, nodes.iter().map(|n| n.as_str()));
--- a/crates/cj-member/tests/common/mod.rs
+++ b/crates/cj-member/tests/common/mod.rs
@@ -26,5 +26,6 @@
         hash: [0; 32],
         in_flight: BTreeMap::new(),
         leaving: false,
+        deciding: true,
     }
 }
--- a/crates/cj-node/src/fleet.rs
+++ b/crates/cj-node/src/fleet.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use cj_fleet::{Evidence, Probe, plan};
+use cj_fleet::{Evidence, Probe, plan_all};
 use cj_fold::{JobPhase, State, VmPhase};
 use cj_log::{LogService, Proposed};
 use cj_record::VmFacts;
@@ -43,6 +43,7 @@
     C: Clock + 'static,
 {
     let made = RefCell::new(Made::default());
+    let mut notices = BTreeSet::new();
     loop {
         sleep(INTERVAL).await;
         if node.shutdown.begun() || !node.replica.lag().reachable || !node.owns(PLANNER_KEY) {
@@ -56,7 +57,7 @@
             }
         };
         observe(&node, &listed).await;
-        propose(&node).await;
+        propose(&node, &mut notices).await;
         act(&node, &made, &listed).await;
     }
 }
@@ -174,17 +175,24 @@
     demand
 }
 
-async fn propose<L, C>(node: &Shared<L, C>)
+async fn propose<L, C>(node: &Shared<L, C>, notices: &mut BTreeSet<String>)
 where
     L: LogService,
     C: Clock + 'static,
 {
-    let proposals = {
+    let planned = {
         let state = node.replica.state();
         let evidence: &Evidence = &node.evidence.borrow();
-        plan(&state, evidence, node.clock.wall())
+        plan_all(&state, evidence, node.clock.wall())
     };
-    let decided = proposals.into_iter().map(|p| async move {
+    for notice in &planned.notices {
+        let text = notice.to_string();
+        if !notices.contains(&text) {
+            log::warn!(target: "decision", "fleet notice={text:?}");
+        }
+    }
+    *notices = planned.notices.iter().map(ToString::to_string).collect();
+    let decided = planned.proposals.into_iter().map(|p| async move {
         let text = format!("{:?}", p.entry);
         node.metrics.fleet.inc();
         let result = node.replica.propose(p.entry, PROPOSE_LIMIT).await;
--- a/crates/cj-node/src/node.rs
+++ b/crates/cj-node/src/node.rs
@@ -91,7 +91,7 @@
         peers.serve_records(replica.clone());
         let membership = actix_rt::spawn(peers.clone().run());
         if !settings.peers.is_empty() {
-            catch_up(&replica, &peers, &clock).await;
+            catch_up(&replica).await;
         }
 
         let shared = Rc::new(shared(settings, clock, replica, peers));
@@ -162,6 +162,7 @@
         hash: [0; 32],
         in_flight: BTreeMap::new(),
         leaving: false,
+        deciding: true,
     };
     let seeds = settings.peers.clone();
     let Incarnation(seed) = node.incarnation;
@@ -209,11 +210,12 @@
     actix_rt::spawn(refresh_report(shared.clone()));
     actix_rt::spawn(refresh_metrics(shared.clone()));
     actix_rt::spawn(work::drive_jobs(shared.clone()));
+    actix_rt::spawn(work::watch_usage(shared.clone()));
     actix_rt::spawn(run_fleet(shared.clone()));
 }
 
 /// Waits until this node has folded what its live peers had folded, so that no setting goes back through a new node.
-async fn catch_up<L, C>(replica: &Rc<Replica<L, C>>, peers: &Membership<C>, clock: &C)
+async fn catch_up<L, C>(replica: &Replica<L, C>)
 where
     L: LogService,
     C: Clock + 'static,
@@ -221,10 +223,8 @@
     // Two heartbeats, so that every live peer has reported.
     const HEAR_PEERS: Duration = Duration::from_millis(1100);
     sleep(HEAR_PEERS).await;
-    let goal =
-        peers.view().live(clock.now()).iter().map(|p| p.report.applied).max().unwrap_or_default();
-    while replica.state().next < goal {
-        replica.changed().await;
+    while !replica.is_caught_up() {
+        sleep(Duration::from_millis(20)).await;
     }
 }
 
--- a/crates/cj-node/src/platform.rs
+++ b/crates/cj-node/src/platform.rs
@@ -119,11 +119,36 @@
     pub state: TaskState,
     /// Time until its lease ends; 0 when it has ended.
     pub lease_left_ms: u64,
+    /// Time that it ran.
+    #[serde(default)]
+    pub ran_ms: u64,
     /// Answer of a done task.
     #[serde(default)]
     pub answer: Option<String>,
 }
 
+/// Usage of one task as its worker reports it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedTaskUsage {
+    /// Name of the task: the job id.
+    pub task: CompactString,
+    /// Usage.
+    #[serde(flatten)]
+    pub used: Resources,
+}
+
+/// Usage of a worker as it reports it; the report lags.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedUsage {
+    /// Time of the measurement.
+    pub at: UnixMillis,
+    /// Usage of all tasks together.
+    #[serde(flatten)]
+    pub used: Resources,
+    /// Usage by task.
+    pub tasks: Vec<ListedTaskUsage>,
+}
+
 /// Start of a task on a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartTask {
@@ -246,6 +271,21 @@
         get(&self.client, &format!("http://{address}/v1/tasks"), "worker").await
     }
 
+    /// Usage of the worker.
+    pub async fn usage(&self, address: &str) -> Result<ListedUsage> {
+        get(&self.client, &format!("http://{address}/v1/usage"), "worker").await
+    }
+
+    /// Slows a task down.
+    pub async fn throttle(&self, address: &str, task: &str, token: Token) -> Result<()> {
+        self.act(address, task, "throttle", &serde_json::json!({ "token": token })).await
+    }
+
+    /// Saves the progress of a task.
+    pub async fn checkpoint(&self, address: &str, task: &str, token: Token) -> Result<()> {
+        self.act(address, task, "checkpoint", &serde_json::json!({ "token": token })).await
+    }
+
     /// Extends the lease of a task.
     pub async fn renew(
         &self,
--- a/crates/cj-node/src/refresh.rs
+++ b/crates/cj-node/src/refresh.rs
@@ -60,6 +60,8 @@
 {
     loop {
         let in_flight = node.dispatcher.all_in_flight(&node.replica.state());
+        let lag = node.replica.lag();
+        let deciding = lag.reachable && node.replica.fault().is_none();
         let (applied, settings, hash) = {
             let state = node.replica.state();
             (state.next, state.settings_next, state.hash)
@@ -70,7 +72,14 @@
             report.hash_at = applied;
             report.hash = hash;
             report.in_flight = in_flight;
+            report.deciding = deciding;
         });
+        let hashes: Vec<_> = {
+            let view = node.peers.view();
+            let live = view.live(node.now());
+            live.iter().map(|p| (p.report.hash_at, p.report.hash)).collect()
+        };
+        node.replica.compare_hashes(hashes);
         sleep(REPORT_INTERVAL).await;
     }
 }
--- a/crates/cj-node/src/work/mod.rs
+++ b/crates/cj-node/src/work/mod.rs
@@ -10,9 +10,11 @@
 mod routed;
 mod supervise;
 mod task;
+mod usage;
 mod view;
 
 pub use dispatcher::Dispatcher;
 pub use driver::drive_jobs;
 pub use intake::{answer_job, answer_work, cancel_job};
+pub use usage::watch_usage;
 pub use view::pool_view;
--- a/crates/cj-node/src/work/recorded.rs
+++ b/crates/cj-node/src/work/recorded.rs
@@ -172,7 +172,7 @@
 {
     let mut submit = submission(node, work, job);
     submit.claim = Some((upstream.clone(), lease.millis()));
-    let proposed = node.replica.propose(Entry::Submit(submit), work.remaining(node.now())).await;
+    let proposed = node.replica.propose(Entry::Submit(submit), decide_within(node, work)).await;
     match proposed {
         Proposed::Decided { offset, verdict: Verdict::Accepted { .. } } => {
             log::info!(target: "decision", "job={job} request={} claim={offset} upstream={upstream}", work.id);
@@ -220,7 +220,7 @@
         target: upstream.clone(),
         lease_ms: lease.millis(),
     };
-    match node.replica.propose(entry, work.remaining(node.now())).await {
+    match node.replica.propose(entry, decide_within(node, work)).await {
         Proposed::Decided { offset, verdict: Verdict::Accepted { .. } } => {
             log::info!(target: "decision", "job={job} request={} claim={offset} upstream={upstream} attempt={}", work.id, attempts + 1);
             Step::Holds(Token(offset.0))
@@ -255,14 +255,14 @@
             Some(Answer::done(StatusCode::from_u16(status).unwrap_or(StatusCode::OK), body))
         }
         Reply::NotRun { reason, load } => {
-            finish(node.clone(), job.clone(), token, Outcome::NotRun { reason }).await;
+            let recorded = settle(node, work, job, token, Outcome::NotRun { reason }).await;
             admitted.complete(Completion::NotRun { load });
-            None
+            recorded
         }
         Reply::Unknown { reason } if work.class.idempotent => {
-            finish(node.clone(), job.clone(), token, Outcome::Failed { reason }).await;
+            let recorded = settle(node, work, job, token, Outcome::Failed { reason }).await;
             admitted.complete(Completion::Failed);
-            None
+            recorded
         }
         Reply::Unknown { reason } => {
             admitted.complete(Completion::Failed);
@@ -273,6 +273,24 @@
     }
 }
 
+/// Records how an attempt ended. The job can't be claimed again before that; when the log takes too long the caller gets
+/// an answer at once, and the record follows.
+async fn settle<L, C>(
+    node: &Rc<Shared<L, C>>,
+    work: &Work,
+    job: &JobId,
+    token: Token,
+    outcome: Outcome,
+) -> Option<Answer>
+where
+    L: LogService + 'static,
+    C: Clock + 'static,
+{
+    let recording = actix_rt::spawn(finish(node.clone(), job.clone(), token, outcome));
+    let late = tokio::time::timeout(decide_within(node, work), recording).await.is_err();
+    late.then(|| Answer::pending("the end of the attempt is not recorded yet", LOG_RETRY))
+}
+
 fn summary(reply: &Reply) -> CompactString {
     match reply {
         Reply::Answered { status, .. } => compact_str::format_compact!("answered status={status}"),
@@ -334,6 +352,17 @@
     }
 }
 
+/// Longest wait for the log's decision: a caller gets its refusal soon after the log went down instead of near its
+/// deadline, and a lost answer still has time to be settled.
+fn decide_within<L, C>(node: &Shared<L, C>, work: &Work) -> Duration
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    const DECIDE_LIMIT: Duration = Duration::from_secs(4);
+    work.remaining(node.now()).min(DECIDE_LIMIT)
+}
+
 /// Ends the caller's wait for a job that was submitted and is queued again.
 async fn give_up<L, C>(
     node: &Rc<Shared<L, C>>,
@@ -399,7 +428,7 @@
     if let Some(answer) = refuse_task(node, work, &job, &submit) {
         return answer;
     }
-    match node.replica.propose(Entry::Submit(submit), work.remaining(node.now())).await {
+    match node.replica.propose(Entry::Submit(submit), decide_within(node, work)).await {
         Proposed::Decided { verdict: Verdict::Rejected { reason }, .. } => {
             rejected(node, work, &job, &reason)
         }
--- /dev/null
+++ b/crates/cj-node/src/work/usage.rs
@@ -0,0 +1,152 @@
+//! Reads the usage reports of the workers that this node owns, teaches placement by them and relieves overloaded workers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+
+use compact_str::CompactString;
+
+use cj_fold::{Claim, JobPhase, State};
+use cj_log::LogService;
+use cj_place::{Relief, ReliefStep, TaskUsage, UsageReport};
+use cj_types::{Clock, JobId, VmId};
+
+use crate::{
+    platform::{ListedTask, ListedUsage},
+    shared::{Shared, sleep},
+};
+
+/// Pause between two rounds; usage reports lag by about as much.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Workers read per round. Larger fleets take several rounds, so that the traffic per node stays bounded.
+const MAX_WORKERS: usize = 32;
+
+/// Relief that was applied, by job.
+type Applied = BTreeMap<JobId, ReliefStep>;
+
+/// Reads usage and relieves workers until the node stops.
+pub async fn watch_usage<L, C>(node: Rc<Shared<L, C>>)
+where
+    L: LogService + 'static,
+    C: Clock + 'static,
+{
+    let mut applied = Applied::new();
+    let mut last: Option<VmId> = None;
+    loop {
+        sleep(INTERVAL).await;
+        if node.shutdown.begun() {
+            continue;
+        }
+        let workers = next_workers(&node, last.as_ref());
+        last = workers.last().map(|(vm, _)| vm.clone());
+        let reads = workers.iter().map(|(vm, address)| read(&node, vm, address, &applied));
+        let reports: Vec<UsageReport> =
+            futures::future::join_all(reads).await.into_iter().flatten().collect();
+        let relief = {
+            let mut placer = node.placer.borrow_mut();
+            reports.iter().for_each(|report| placer.observe(report));
+            placer.relieve(&reports)
+        };
+        for step in relief {
+            relieve(&node, &step, &mut applied).await;
+        }
+        let state = node.replica.state();
+        applied.retain(|job, _| state.jobs.get(job).is_some_and(|j| !j.is_ended()));
+    }
+}
+
+/// The next owned workers with tasks, after the last one that was read.
+fn next_workers<L, C>(node: &Shared<L, C>, last: Option<&VmId>) -> Vec<(VmId, CompactString)>
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    let state = node.replica.state();
+    let busy: BTreeSet<&VmId> =
+        state.open_jobs().filter_map(|(_, job)| task_on(&job.phase)).collect();
+    let owned = busy.into_iter().filter(|vm| node.owns(vm.as_str().as_bytes()));
+    let mut owned: Vec<&VmId> = owned.collect();
+    let start = last.map_or(0, |last| owned.partition_point(|vm| *vm <= last));
+    let start = start.min(owned.len());
+    owned.rotate_left(start);
+    let known = owned.into_iter().take(MAX_WORKERS);
+    known.filter_map(|vm| Some((vm.clone(), state.vms.get(vm)?.address.clone()))).collect()
+}
+
+fn task_on(phase: &JobPhase) -> Option<&VmId> {
+    match phase {
+        JobPhase::Claimed(Claim { target, .. }) => Some(target),
+        _ => None,
+    }
+}
+
+async fn read<L, C>(
+    node: &Shared<L, C>,
+    vm: &VmId,
+    address: &str,
+    applied: &Applied,
+) -> Option<UsageReport>
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    let usage = node.workers.usage(address).await.ok()?;
+    let tasks = node.workers.tasks(address).await.ok()?;
+    Some(report(&node.replica.state(), vm, &usage, &tasks, applied))
+}
+
+fn report(
+    state: &State,
+    vm: &VmId,
+    usage: &ListedUsage,
+    listed: &[ListedTask],
+    applied: &Applied,
+) -> UsageReport {
+    let ran: BTreeMap<&str, u64> = listed.iter().map(|t| (t.task.as_str(), t.ran_ms)).collect();
+    let task = |used: &crate::platform::ListedTaskUsage| {
+        let id: JobId = used.task.parse().ok()?;
+        let job = state.jobs.get(&id)?;
+        Some(TaskUsage {
+            service: job.service.clone(),
+            class: job.class.clone(),
+            urgency: state.fleet.classes.get(&job.class).map_or(0, |c| c.urgency),
+            used: used.used,
+            declared: job.demand,
+            idempotent: job.idempotent,
+            ran: Duration::from_millis(ran.get(used.task.as_str()).copied().unwrap_or_default()),
+            relieved: applied.get(&id).copied(),
+            job: id,
+        })
+    };
+    let tasks = usage.tasks.iter().filter_map(task).collect();
+    UsageReport { vm: vm.clone(), at: usage.at, used: usage.used, tasks }
+}
+
+async fn relieve<L, C>(node: &Shared<L, C>, relief: &Relief, applied: &mut Applied)
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    let Some((address, token)) = claim_of(&node.replica.state(), relief) else { return };
+    let name = relief.job.to_string();
+    let called = match relief.step {
+        ReliefStep::Throttle => node.workers.throttle(&address, &name, token).await,
+        ReliefStep::Checkpoint => node.workers.checkpoint(&address, &name, token).await,
+        ReliefStep::Stop => node.workers.stop(&address, &name, token).await,
+    };
+    let result = called.map_or_else(|e| e.to_string(), |()| "done".into());
+    log::info!(
+        target: "decision",
+        "job={} worker={} relief={:?} reason={:?} result={result:?}",
+        relief.job, relief.vm, relief.step, relief.reason,
+    );
+    applied.insert(relief.job.clone(), relief.step);
+}
+
+fn claim_of(state: &State, relief: &Relief) -> Option<(CompactString, cj_types::Token)> {
+    let JobPhase::Claimed(claim) = &state.jobs.get(&relief.job)?.phase else { return None };
+    let vm = state.vms.get(&relief.vm).filter(|_| claim.target == relief.vm)?;
+    Some((vm.address.clone(), claim.token))
+}
