--- a/crates/cj-node/src/http/listener.rs
+++ b/crates/cj-node/src/http/listener.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use actix_http::{HttpService, KeepAlive, Request, Response};
+use actix_http::{HttpService, KeepAlive, Protocol, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::Bytes;
 use tokio::{
@@ -16,6 +16,8 @@
 
 use cj_types::{Error, ErrorKind, Result};
 
+use super::explained::Explained;
+
 /// Time for a client to send a complete request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for a client to close its side of a finished connection.
@@ -148,8 +150,7 @@
                     drop(guard);
                     Ok::<_, Infallible>(response)
                 }
-            }))
-            .tcp();
+            }));
         let Ok(service) = factory.new_service(()).await else { return };
         let service = Rc::new(service);
         let open = Arc::new(Semaphore::new(MAX_CONNECTIONS));
@@ -165,7 +166,9 @@
             let _ = stream.set_nodelay(true);
             let service = service.clone();
             tasks.spawn_local(async move {
-                if let Err(e) = service.call(stream).await {
+                if let Err(e) =
+                    service.call((Explained::new(stream), Protocol::Http1, Some(peer))).await
+                {
                     log::debug!(target: "http", "connection from {peer} ended: {e}");
                 }
                 drop(permit);
--- a/crates/cj-node/src/http/mod.rs
+++ b/crates/cj-node/src/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP front end: listener, answers and request parsing.
 
 mod answer;
+mod explained;
 mod listener;
 mod request;
 
--- a/crates/cj-node/src/work/recorded.rs
+++ b/crates/cj-node/src/work/recorded.rs
@@ -57,6 +57,9 @@
     if let Some(answer) = known(node, work, &job).await {
         return answer;
     }
+    if let Some(refusal) = without_log(node) {
+        return refusal;
+    }
     run(node, work, job, false).await
 }
 
@@ -122,6 +125,17 @@
     if same { Some(wait_for_end(node, work, job).await) } else { Some(conflict()) }
 }
 
+/// Refuses new recorded work while the log is not reachable. A proposal would leave its order unknown until the log
+/// answers again; one that is never made certainly doesn't run.
+fn without_log<L, C>(node: &Shared<L, C>) -> Option<Answer>
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    let refused = || Answer::refused("the log is not reachable", LOG_RETRY);
+    (!node.replica.lag().reachable).then(refused)
+}
+
 fn conflict() -> Answer {
     let reason = "this idempotency key was used with another body; use a new key";
     Answer::bad_input(StatusCode::CONFLICT, reason)
@@ -386,6 +400,9 @@
     if let Some(answer) = known(node, work, &job).await {
         return answer;
     }
+    if let Some(refusal) = without_log(node) {
+        return refusal;
+    }
     let submit = submission(node, work, &job);
     if let Some(answer) = refuse_task(node, work, &job, &submit) {
         return answer;
