Correct wrong service time estimates by probes, and lend no VM during registration

Cause: outages::node_serves_after_a_pause was red: after one answer of 7 s every request of a class with a deadline of 5 s was refused for 90 s, since only answers correct the estimate and nothing was sent any more. Starts of the node tests failed because a spare VM was lent to a pool whose VMs were still being registered. Change: a request goes out against the estimate when no answer came for 1 s; the planner lends nothing while listed VMs of known pools are unregistered.

--- a/crates/cj-fleet/src/spare.rs
+++ b/crates/cj-fleet/src/spare.rs
@@ -20,6 +20,11 @@
 /// Lends spare VMs to pools with a deficit, by precedence. Pools of equal precedence take turns, the one that lacks
 /// most first.
 pub(crate) fn lend(fleet: &mut Fleet<'_>, plan: &mut Plan) {
+    // While listed VMs are still to be registered, a pool only looks short; a VM lent now would go back at once.
+    let unregistered = &fleet.listing.new;
+    if unregistered.iter().any(|facts| fleet.pools.contains_key(&facts.pool)) {
+        return;
+    }
     let need = |pool: &PoolView<'_>| {
         let coming = plan.gained(pool.id) + pool.arriving;
         let missing = pool.deficit().saturating_sub(coming);
--- a/crates/cj-fleet/tests/planner.rs
+++ b/crates/cj-fleet/tests/planner.rs
@@ -437,6 +437,12 @@
             case().edit(|c| c.evidence.listed.push(facts("a4"))),
             "register a4",
         ),
+        (
+            // A loan made at this moment went back much later, though the pool was never short.
+            "a pool whose VMs are still being registered",
+            case().no_wave().edit(|c| drop(c.state.vms.remove(&id::<VmId>("a0")))),
+            "register a0",
+        ),
         (
             "a VM of a pool that nobody set up",
             case().edit(|c| c.evidence.listed.push(facts("x0"))),
--- a/crates/cj-route/src/router.rs
+++ b/crates/cj-route/src/router.rs
@@ -230,7 +230,8 @@
         let times = self.services[service].times(class);
         let (mean, p50) = (times.mean.as_secs_f64(), times.p50);
         let remaining = request.deadline.saturating_duration_since(now);
-        if remaining.is_zero() || remaining < p50 {
+        let hopeless = remaining < p50 && !self.services[service].times(class).take_probe(now);
+        if remaining.is_zero() || hopeless {
             return self.refuse(&request, Refusal::Deadline, MIN_RETRY_AFTER);
         }
         let entry = Entry {
@@ -313,7 +314,7 @@
         let took = now.saturating_duration_since(since);
         let pool = self.tickets[ticket].pool;
         self.release(ticket, upstream, since, now);
-        let sample = self.sample(ticket, result, took);
+        let sample = self.sample(ticket, result, took, now);
         let upstreams = &mut self.pools[pool].upstreams;
         if let Completion::Done { load: Some(load) } | Completion::NotRun { load: Some(load) } =
             result
@@ -342,13 +343,19 @@
     }
 
     /// Health of an attempt, and its service time.
-    fn sample(&mut self, ticket: Ticket, result: Completion, took: Duration) -> Sample {
+    fn sample(
+        &mut self,
+        ticket: Ticket,
+        result: Completion,
+        took: Duration,
+        now: Instant,
+    ) -> Sample {
         let entry = &self.tickets[ticket];
         match result {
             Completion::Done { .. } => {
                 let times = self.services[entry.service].times(entry.class);
                 let usual = times.mean;
-                times.record(took);
+                times.record(took, now);
                 Sample::Success(took.as_secs_f64() / usual.as_secs_f64())
             }
             Completion::NotRun { load: Some(_) } => {
--- a/crates/cj-route/src/times.rs
+++ b/crates/cj-route/src/times.rs
@@ -1,6 +1,6 @@
 //! Observed service times per service and class.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hdrhistogram::Histogram;
 
@@ -13,6 +13,10 @@
 /// Service time assumed before the first answer; short, so that nothing is refused without evidence.
 const PRIOR: Duration = Duration::from_millis(1);
 
+/// Time without an answer after which a request may go out although the estimate says that it can't finish. Only answers
+/// correct an estimate, so refusing everything would keep a wrong one for ever.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
 /// Quantiles and mean over the last one to two windows of samples.
 pub(crate) struct ServiceTimes {
     current: Histogram<u32>,
@@ -21,6 +25,8 @@
     pub(crate) p50: Duration,
     pub(crate) p90: Duration,
     pub(crate) p99: Duration,
+    /// Time of the last answer or probe.
+    fresh: Option<Instant>,
 }
 
 impl ServiceTimes {
@@ -33,10 +39,21 @@
             p50: PRIOR,
             p90: PRIOR,
             p99: PRIOR,
+            fresh: None,
+        }
+    }
+
+    /// True when a request should go out to correct an estimate that no answer confirmed for a while.
+    pub(crate) fn take_probe(&mut self, now: Instant) -> bool {
+        let due = self.fresh.is_none_or(|at| now.saturating_duration_since(at) >= PROBE_AFTER);
+        if due {
+            self.fresh = Some(now);
         }
+        due
     }
 
-    pub(crate) fn record(&mut self, time: Duration) {
+    pub(crate) fn record(&mut self, time: Duration, now: Instant) {
+        self.fresh = Some(now);
         self.current.saturating_record((time.as_micros() as u64).clamp(1, MAX_MICROS));
         let samples = self.current.len();
         let early = self.previous.is_empty() && samples.is_power_of_two();
--- a/crates/cj-route/tests/router/cases.rs
+++ b/crates/cj-route/tests/router/cases.rs
@@ -294,3 +294,25 @@
         }
     }
 }
+
+/// Guards against an estimate that is above every deadline and that nothing corrects, because all requests are refused.
+#[test]
+fn a_wrong_estimate_is_corrected_by_a_probe() {
+    let (mut router, mut now) = start(view(2));
+    let (slow, _) = sent(router.offer(request("urgent", "a", now + 60 * SECOND), now));
+    now += 7 * SECOND;
+    router.complete(slow, done(), now);
+    let deadline = |now| now + 4 * SECOND;
+    let mut served = 0;
+    for _ in 0..20 {
+        now += 500 * MS;
+        if let Admission::Dispatch { ticket, .. } =
+            router.offer(request("urgent", "a", deadline(now)), now)
+        {
+            router.complete(ticket, done(), now + 10 * MS);
+            served += 1;
+        }
+    }
+    assert!(served >= 17, "only {served} of 20 served after the slow answer");
+    router.check_invariants();
+}
