--- a/crates/cj-node/src/logging.rs
+++ b/crates/cj-node/src/logging.rs
@@ -20,7 +20,7 @@
         LogTarget::File(file) => dispatch.chain(fern::log_file(file.as_str()).map_err(|e| {
             Error::new(
                 ErrorKind::Io(format!("cannot open {file}: {e}").into()),
-                "set `log_target` to a writable file",
+                "set `target` in `[logging]` to a writable file",
             )
         })?),
     };
--- a/crates/copperjunction/src/commands/check.rs
+++ b/crates/copperjunction/src/commands/check.rs
@@ -1,10 +1,8 @@
 //! `check`: checks settings files and reports all errors at once.
 
-use std::collections::BTreeMap;
-
 use lexopt::{Arg, Parser, ValueExt};
 
-use cj_settings::{FleetSettings, read_fleet_ini, read_node_ini};
+use cj_settings::{FleetFile, read_fleet_files, read_node_ini};
 use cj_types::{Error, ErrorKind, OfficeId, Result};
 
 use crate::output::{Exit, Report, usage};
@@ -25,7 +23,7 @@
   -h, --help            show this help
 
 Example:
-  copperjunction check --office press examples/kartica-press.ini --node examples/node.ini
+  copperjunction check --office capacity examples/kartica.ini --node examples/node.ini
 ";
 
 #[derive(Default)]
@@ -75,17 +73,14 @@
 }
 
 fn check(files: &Files) -> Result<Vec<Error>> {
-    let mut errors = Vec::new();
-    let mut values = BTreeMap::new();
-    for (office, file) in &files.offices {
-        match read_fleet_ini(file, &read(file)?, office) {
-            Ok(found) => values.extend(found),
-            Err(found) => errors.extend(found),
-        }
-    }
-    if errors.is_empty() && !files.offices.is_empty() {
-        errors.extend(FleetSettings::try_from_values(&values).err().unwrap_or_default());
+    let mut texts = Vec::new();
+    for (_, file) in &files.offices {
+        texts.push(read(file)?);
     }
+    let named = files.offices.iter().zip(&texts);
+    let fleet: Vec<FleetFile<'_>> =
+        named.map(|((office, file), text)| FleetFile { office, file, text }).collect();
+    let mut errors = read_fleet_files(&fleet).err().unwrap_or_default();
     for file in &files.nodes {
         errors.extend(read_node_ini(file, &read(file)?).err().unwrap_or_default());
     }
--- a/crates/copperjunction/src/commands/keygen.rs
+++ b/crates/copperjunction/src/commands/keygen.rs
@@ -25,7 +25,7 @@
   -h, --help  show this help
 
 Example:
-  copperjunction keygen --out press.key
+  copperjunction keygen --out capacity.key
 ";
 
 fn run(parser: &mut Parser) -> Result<Exit> {
--- a/crates/copperjunction/src/commands/publish.rs
+++ b/crates/copperjunction/src/commands/publish.rs
@@ -52,7 +52,7 @@
 Exits with 1 when a setting is rejected, or not in force everywhere within the time with --wait.
 
 Example:
-  copperjunction publish --node 127.0.0.1:7003 --office press --key press.key --file examples/kartica-press.ini --wait
+  copperjunction publish --node 127.0.0.1:7003 --office capacity --key capacity.key --file examples/kartica.ini --wait
 ";
 
 /// Pause between two looks at the verdicts or the status.
