--- a/crates/cj-node/src/fleet.rs
+++ b/crates/cj-node/src/fleet.rs
@@ -228,7 +228,7 @@
     let decided = planned.proposals.into_iter().map(|p| async move {
         let text = format!("{:?}", p.entry);
         node.metrics.fleet.inc();
-        let result = node.replica.propose(p.entry, PROPOSE_LIMIT).await;
+        let result = node.propose(p.entry, PROPOSE_LIMIT).await;
         match &result {
             Proposed::Decided { offset, verdict } => {
                 log::info!(target: "decision", "fleet offset={offset} verdict={verdict:?} reason={:?} entry={text}", p.reason);
--- a/crates/cj-node/src/shared.rs
+++ b/crates/cj-node/src/shared.rs
@@ -10,9 +10,10 @@
 use compact_str::CompactString;
 
 use cj_fleet::Evidence;
-use cj_log::{LogService, Replica};
+use cj_log::{LogService, Proposed, Replica};
 use cj_member::Membership;
 use cj_place::Placer;
+use cj_record::Entry;
 use cj_settings::NodeSettings;
 use cj_types::{Clock, JOB_BUCKETS, JobId, NodeId, Offset, Token, VmId};
 
@@ -78,6 +79,12 @@
         self.peers.view().owner(key, self.now()) == *self.id()
     }
 
+    /// Proposes an entry to the log and waits up to `limit` for the decision.
+    pub async fn propose(&self, entry: Entry, limit: Duration) -> Proposed {
+        self.metrics.proposals.inc();
+        self.replica.propose(entry, limit).await
+    }
+
     /// For each bucket of jobs, whether this node owns it.
     pub fn owned_buckets(&self) -> [bool; JOB_BUCKETS] {
         std::array::from_fn(|bucket| self.owns(format!("jobs-{bucket}").as_bytes()))
--- a/crates/cj-node/src/work/driver.rs
+++ b/crates/cj-node/src/work/driver.rs
@@ -144,9 +144,9 @@
         match step {
             Step::StartTask => task::start(&node, &job).await,
             Step::Rerun => rerun(&node, &job).await,
-            Step::Cancel => drop(node.replica.propose(Entry::Cancel { job }, PROPOSE_LIMIT).await),
+            Step::Cancel => drop(node.propose(Entry::Cancel { job }, PROPOSE_LIMIT).await),
             Step::Expire(token) => {
-                drop(node.replica.propose(Entry::Expire { job, token }, PROPOSE_LIMIT).await)
+                drop(node.propose(Entry::Expire { job, token }, PROPOSE_LIMIT).await)
             }
             Step::NotSent(token) => {
                 let outcome = Outcome::NotRun { reason: "the holder never sent it".into() };
--- a/crates/cj-node/src/work/finish.rs
+++ b/crates/cj-node/src/work/finish.rs
@@ -35,7 +35,7 @@
 {
     loop {
         let Some(entry) = entry(node, job, token, &outcome) else { return };
-        match node.replica.propose(entry, FINISH_LIMIT).await {
+        match node.propose(entry, FINISH_LIMIT).await {
             Proposed::Decided { verdict: Verdict::Rejected { reason }, .. } => {
                 log::warn!(target: "decision", "job={job} claim={token} outcome rejected reason={reason:?}");
                 // A lease that ended in between turns a finish into a resolution; anything else is
--- a/crates/cj-node/src/work/intake.rs
+++ b/crates/cj-node/src/work/intake.rs
@@ -156,7 +156,7 @@
 {
     const CANCEL_LIMIT: Duration = Duration::from_secs(5);
     let entry = Entry::Cancel { job: job.clone() };
-    match node.replica.propose(entry, CANCEL_LIMIT).await {
+    match node.propose(entry, CANCEL_LIMIT).await {
         Proposed::Decided { .. } => answer_job(node, job),
         Proposed::Withdrawn => Answer::explain(
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/cj-node/src/work/recorded.rs
+++ b/crates/cj-node/src/work/recorded.rs
@@ -186,7 +186,7 @@
 {
     let mut submit = submission(node, work, job);
     submit.claim = Some((upstream.clone(), lease.millis()));
-    let proposed = node.replica.propose(Entry::Submit(submit), decide_within(node, work)).await;
+    let proposed = node.propose(Entry::Submit(submit), decide_within(node, work)).await;
     match proposed {
         Proposed::Decided { offset, verdict: Verdict::Accepted { .. } } => {
             log::info!(target: "decision", "job={job} request={} claim={offset} upstream={upstream}", work.id);
@@ -234,7 +234,7 @@
         target: upstream.clone(),
         lease_ms: lease.millis(),
     };
-    match node.replica.propose(entry, decide_within(node, work)).await {
+    match node.propose(entry, decide_within(node, work)).await {
         Proposed::Decided { offset, verdict: Verdict::Accepted { .. } } => {
             log::info!(target: "decision", "job={job} request={} claim={offset} upstream={upstream} attempt={}", work.id, attempts + 1);
             Step::Holds(Token(offset.0))
@@ -362,7 +362,7 @@
         sleep(REQUEST_LEASE / 3).await;
         let lease_ms = REQUEST_LEASE.as_millis() as u32;
         let entry = Entry::Renew { job: job.clone(), token, lease_ms };
-        node.replica.propose(entry, REQUEST_LEASE / 3).await;
+        node.propose(entry, REQUEST_LEASE / 3).await;
     }
 }
 
@@ -393,7 +393,7 @@
         return Answer::pending("accepted; it will be tried again", POLL_AFTER);
     }
     let cancel = Entry::Cancel { job: job.clone() };
-    match node.replica.propose(cancel, LOG_RETRY).await {
+    match node.propose(cancel, LOG_RETRY).await {
         Proposed::Decided { verdict: Verdict::Accepted { .. }, .. } if !has_failed(node, job) => {
             Answer::refused(reason, retry_after)
         }
@@ -445,7 +445,7 @@
     if let Some(answer) = refuse_task(node, work, &job, &submit) {
         return answer;
     }
-    match node.replica.propose(Entry::Submit(submit), decide_within(node, work)).await {
+    match node.propose(Entry::Submit(submit), decide_within(node, work)).await {
         Proposed::Decided { verdict: Verdict::Rejected { reason }, .. } => {
             rejected(node, work, &job, &reason)
         }
--- a/crates/cj-node/src/work/supervise.rs
+++ b/crates/cj-node/src/work/supervise.rs
@@ -125,7 +125,7 @@
     }
     let lease_ms = TASK_LEASE.as_millis() as u32;
     let entry = Entry::Renew { job: job.clone(), token: claim.token, lease_ms };
-    let renewed = node.replica.propose(entry, PROPOSE_LIMIT).await;
+    let renewed = node.propose(entry, PROPOSE_LIMIT).await;
     if matches!(renewed, Proposed::Decided { verdict: Verdict::Accepted { .. }, .. })
         && let Err(e) = node.workers.renew(address, &name, claim.token, lease_ms).await
     {
@@ -171,5 +171,5 @@
     } else {
         Entry::Finish { job, token, outcome }
     };
-    node.replica.propose(entry, PROPOSE_LIMIT).await;
+    node.propose(entry, PROPOSE_LIMIT).await;
 }
--- a/crates/cj-node/src/work/task.rs
+++ b/crates/cj-node/src/work/task.rs
@@ -31,7 +31,7 @@
     let entry =
         Entry::Claim { job: id.clone(), attempt, target: target.clone(), lease_ms: lease.millis() };
     let Proposed::Decided { offset, verdict: Verdict::Accepted { .. } } =
-        node.replica.propose(entry, CLAIM_LIMIT).await
+        node.propose(entry, CLAIM_LIMIT).await
     else {
         return;
     };
