Choose another upstream when the first one began to drain, and measure the added latency

Cause: a recorded request whose upstream began to drain between the router's choice and the fold was refused, although other upstreams of the pool were free. The latency that a daemon adds was not measured. Change: such a submission goes back to the router, which chooses elsewhere; bench added compares requests through a daemon and straight to the stand-in in one run. Conclusion: nothing else changes for callers.

--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Benchmarks behind `copperjunction bench`. Each file holds one benchmark and returns a JSON report.
 
+pub mod added;
 pub mod append;
 pub mod buffer;
 pub mod cancel;
@@ -35,6 +36,7 @@
 
 /// All benchmarks by the name used on the command line.
 pub const BENCHMARKS: &[(&str, Benchmark)] = &[
+    ("added", added::run),
     ("append", append::run),
     ("buffer", buffer::run),
     ("cancel", cancel::run),
--- a/crates/cj-node/src/work/recorded.rs
+++ b/crates/cj-node/src/work/recorded.rs
@@ -44,6 +44,8 @@
     Holds(Token),
     /// The job exists; its recorded state is the answer.
     Recorded,
+    /// The upstream left the pool or its service in the meantime; nothing is recorded.
+    Elsewhere,
     /// Final answer for the caller.
     Answer(Answer),
 }
@@ -104,6 +106,10 @@
                 drop(admitted);
                 return wait_for_end(node, work, &job).await;
             }
+            Step::Elsewhere => {
+                admitted.complete(Completion::NotRun { load: None });
+                continue;
+            }
             Step::Answer(answer) => return answer,
         };
         submitted = true;
@@ -193,6 +199,11 @@
             Step::Holds(Token(offset.0))
         }
         Proposed::Decided { verdict: Verdict::Existing { .. }, .. } => Step::Recorded,
+        Proposed::Decided { verdict: Verdict::Rejected { .. }, .. }
+            if is_gone(node, work, upstream) =>
+        {
+            Step::Elsewhere
+        }
         Proposed::Decided { verdict: Verdict::Rejected { reason }, .. } => {
             Step::Answer(rejected(node, work, job, &reason))
         }
@@ -205,6 +216,16 @@
     }
 }
 
+/// True when the upstream takes no work of the pool any more: it began to drain after the router chose it.
+fn is_gone<L, C>(node: &Shared<L, C>, work: &Work, upstream: &VmId) -> bool
+where
+    L: LogService,
+    C: Clock + 'static,
+{
+    let state = node.replica.state();
+    state.vms.get(upstream).is_none_or(|vm| vm.pool != work.pool || !vm.phase.is_active())
+}
+
 fn rejected<L, C>(node: &Shared<L, C>, work: &Work, job: &JobId, reason: &str) -> Answer
 where
     L: LogService,
