Ask only workers with tasks for their usage

Cause: the usage loop took the target of every claim, so it also asked minions with a recorded request for usage and task lists once a second, two calls each that a minion refuses. Change: only claims of tasks count.

--- a/crates/cj-node/src/work/usage.rs
+++ b/crates/cj-node/src/work/usage.rs
@@ -8,7 +8,7 @@
 
 use compact_str::CompactString;
 
-use cj_fold::{Claim, JobPhase, State};
+use cj_fold::{Claim, Job, JobPhase, State};
 use cj_log::LogService;
 use cj_place::{Relief, ReliefStep, TaskUsage, UsageReport};
 use cj_types::{Clock, JobId, VmId};
@@ -64,8 +64,7 @@
     C: Clock + 'static,
 {
     let state = node.replica.state();
-    let busy: BTreeSet<&VmId> =
-        state.open_jobs().filter_map(|(_, job)| task_on(&job.phase)).collect();
+    let busy: BTreeSet<&VmId> = state.open_jobs().filter_map(|(_, job)| task_on(job)).collect();
     let owned = busy.into_iter().filter(|vm| node.owns(vm.as_str().as_bytes()));
     let mut owned: Vec<&VmId> = owned.collect();
     let start = last.map_or(0, |last| owned.partition_point(|vm| *vm <= last));
@@ -75,9 +74,9 @@
     known.filter_map(|vm| Some((vm.clone(), state.vms.get(vm)?.address.clone()))).collect()
 }
 
-fn task_on(phase: &JobPhase) -> Option<&VmId> {
-    match phase {
-        JobPhase::Claimed(Claim { target, .. }) => Some(target),
+fn task_on(job: &Job) -> Option<&VmId> {
+    match &job.phase {
+        JobPhase::Claimed(Claim { target, .. }) if job.task => Some(target),
         _ => None,
     }
 }
