--- a/crates/cj-bench/src/control.rs
+++ b/crates/cj-bench/src/control.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 
 use cj_fleet::{Evidence, plan_all};
-use cj_member::{PROTOCOL_VERSION, Report};
+use cj_member::Report;
 use cj_node::work::pool_view;
 use cj_record::{Entry, SettingRecord, SignedSetting, VmFacts};
 use cj_types::{JOB_BUCKETS, NodeId, Offset, Result, VmId, rendezvous};
@@ -263,20 +263,16 @@
     let node: NodeId = "entry-1".parse()?;
     let in_flight: BTreeMap<VmId, u32> =
         region.state.vms.keys().take(DRAINING).map(|vm| (vm.clone(), 3)).collect();
+    let node = cj_types::NodeIncarnation { node, incarnation: cj_types::Incarnation(u64::MAX / 3) };
+    let address = std::net::SocketAddr::from(([10, 0, 1, 5], 7001));
     Ok(Report {
-        protocol: PROTOCOL_VERSION,
-        cluster: "kartica".into(),
-        node: cj_types::NodeIncarnation { node, incarnation: cj_types::Incarnation(u64::MAX / 3) },
         counter: 100_000,
-        address: std::net::SocketAddr::from(([10, 0, 1, 5], 7001)),
-        centre: "dc-1".parse()?,
         applied: region.state.next,
         settings: Offset(12_000),
         hash_at: region.state.next,
         hash: region.state.hash,
         in_flight,
-        deciding: true,
-        leaving: false,
+        ..Report::new("kartica".into(), node, address, "dc-1".parse()?)
     })
 }
 
--- a/crates/cj-bench/src/membership.rs
+++ b/crates/cj-bench/src/membership.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 
 use cj_member::{
-    Gossip, PROTOCOL_VERSION, Report, ViewOptions,
+    Gossip, Report, ViewOptions,
     wire::{self, Answer, Request},
 };
 use cj_record::{BatchHeader, MAX_BATCH_BYTES};
@@ -301,23 +301,19 @@
     let in_flight = (0..DRAINING)
         .map(|n| Ok((format!("minion-{n}").parse()?, 3 + n)))
         .collect::<Result<BTreeMap<_, _>>>()?;
+    let node = NodeIncarnation {
+        node: format!("entry-{number:03}").parse()?,
+        incarnation: Incarnation(u64::MAX / 3 + u64::from(number)),
+    };
+    let address = ([127, 0, 0, 1], number as u16).into();
     Ok(Report {
-        protocol: PROTOCOL_VERSION,
-        cluster: "kartica".into(),
-        node: NodeIncarnation {
-            node: format!("entry-{number:03}").parse()?,
-            incarnation: Incarnation(u64::MAX / 3 + u64::from(number)),
-        },
         counter: 100_000,
-        address: ([127, 0, 0, 1], number as u16).into(),
-        centre: "dc-1".parse()?,
         applied: Offset(5_000_000),
         settings: Offset(40_000),
         hash_at: Offset(5_000_000),
         hash: [7; 32],
         in_flight,
-        leaving: false,
-        deciding: true,
+        ..Report::new("kartica".into(), node, address, "dc-1".parse()?)
     })
 }
 
--- a/crates/cj-bench/src/settings.rs
+++ b/crates/cj-bench/src/settings.rs
@@ -20,7 +20,7 @@
 use cj_log::{
     COPY_KEY, Faults, MemoryLog, RecordSource, RelayPage, Replica, ReplicaOptions, RuntimeClock,
 };
-use cj_member::{PROTOCOL_VERSION, PeerView, Report, ViewOptions};
+use cj_member::{PeerView, Report, ViewOptions};
 use cj_record::{SettingRecord, SignedSetting};
 use cj_types::{
     Clock, Incarnation, NodeIncarnation, Offset, Result, StreamId, Version, rendezvous,
@@ -186,21 +186,8 @@
 }
 
 fn report(node: &NodeIncarnation, number: u32) -> Result<Report> {
-    Ok(Report {
-        protocol: PROTOCOL_VERSION,
-        cluster: "bench".into(),
-        node: node.clone(),
-        counter: 0,
-        address: ([127, 0, 0, 1], number as u16).into(),
-        centre: "dc-1".parse()?,
-        applied: Offset(0),
-        settings: Offset(0),
-        hash_at: Offset(0),
-        hash: [0; 32],
-        in_flight: BTreeMap::new(),
-        leaving: false,
-        deciding: true,
-    })
+    let address = ([127, 0, 0, 1], number as u16).into();
+    Ok(Report::new("bench".into(), node.clone(), address, "dc-1".parse()?))
 }
 
 /// Heartbeats: every node tells all others once per interval, at its own phase.
--- a/crates/cj-fold/src/state.rs
+++ b/crates/cj-fold/src/state.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::index::Index;
-use cj_record::{Outcome, Purpose, SettingPath, VmKind};
+use cj_record::{Purpose, SettingPath, VmKind};
 use cj_settings::FleetSettings;
 use cj_types::{
     BootId, ClassId, DataCentreId, Generation, JobId, NodeIncarnation, OfficeId, Offset, OpId,
@@ -363,8 +363,3 @@
         )
     }
 }
-
-/// True when the outcome proves that the attempt had no effect.
-pub fn proves_not_run(outcome: &Outcome) -> bool {
-    matches!(outcome, Outcome::NotRun { .. })
-}
--- a/crates/cj-member/src/report.rs
+++ b/crates/cj-member/src/report.rs
@@ -42,3 +42,29 @@
     /// True when the node shuts down; it gets no ownership any more.
     pub leaving: bool,
 }
+
+impl Report {
+    /// The first report of a process start: nothing is folded or in flight yet.
+    pub fn new(
+        cluster: CompactString,
+        node: NodeIncarnation,
+        address: SocketAddr,
+        centre: DataCentreId,
+    ) -> Self {
+        Report {
+            protocol: PROTOCOL_VERSION,
+            cluster,
+            node,
+            counter: 0,
+            address,
+            centre,
+            applied: Offset(0),
+            settings: Offset(0),
+            hash_at: Offset(0),
+            hash: [0; 32],
+            in_flight: BTreeMap::new(),
+            deciding: true,
+            leaving: false,
+        }
+    }
+}
--- a/crates/cj-node/src/node.rs
+++ b/crates/cj-node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeSet,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -17,7 +17,7 @@
 
 use cj_fleet::Evidence;
 use cj_log::{LogService, Replica, ReplicaOptions};
-use cj_member::{Membership, MembershipOptions, PROTOCOL_VERSION, Report, ViewOptions};
+use cj_member::{Membership, MembershipOptions, Report, ViewOptions};
 use cj_place::Placer;
 use cj_route::Router;
 use cj_settings::NodeSettings;
@@ -149,21 +149,8 @@
 }
 
 fn membership_options(settings: &NodeSettings, node: &NodeIncarnation) -> MembershipOptions {
-    let report = Report {
-        protocol: PROTOCOL_VERSION,
-        cluster: settings.cluster.clone(),
-        node: node.clone(),
-        counter: 0,
-        address: settings.peer,
-        centre: settings.centre.clone(),
-        applied: Offset(0),
-        settings: Offset(0),
-        hash_at: Offset(0),
-        hash: [0; 32],
-        in_flight: BTreeMap::new(),
-        leaving: false,
-        deciding: true,
-    };
+    let (cluster, centre) = (settings.cluster.clone(), settings.centre.clone());
+    let report = Report::new(cluster, node.clone(), settings.peer, centre);
     let seeds = settings.peers.clone();
     let Incarnation(seed) = node.incarnation;
     MembershipOptions { report, view: ViewOptions::default(), key: settings.key.0, seeds, seed }
