--- /dev/null
+++ b/crates/cj-entry/src/dispatch.rs
@@ -0,0 +1,152 @@
+//! Carries out the scheduler's orders.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use cj_sched::{
+    Action, Event,
+    sched::{AdviceAnswer, ListAnswer, OrderAnswer, Refusal, Target, VmAnswer, WorkerId},
+};
+use cj_types::Clock;
+use log::warn;
+use tokio::sync::{Semaphore, mpsc};
+
+use crate::{node::EntryNode, platform::Platform};
+
+/// Orders on their way to one worker, listings aside; each takes a connection.
+const ORDERS_PER_WORKER: usize = 3;
+
+/// Pause before the state of a wave is published again.
+const REPORT_RETRY: Duration = Duration::from_millis(400);
+
+/// Calls a worker, a VM or the policy service for each action, and reports the answers as events.
+pub(crate) struct Dispatcher<P, C> {
+    node: Rc<EntryNode<P, C>>,
+    epoch: u64,
+    active: Rc<Cell<Option<Instant>>>,
+    events: mpsc::UnboundedSender<Event>,
+    lanes: RefCell<HashMap<WorkerId, Rc<Semaphore>>>,
+}
+
+impl<P, C> Dispatcher<P, C>
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    pub(crate) fn new(
+        node: Rc<EntryNode<P, C>>,
+        epoch: u64,
+        active: Rc<Cell<Option<Instant>>>,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Self {
+        Dispatcher { node, epoch, active, events, lanes: RefCell::default() }
+    }
+
+    /// Carries out an action; its answer comes as an event.
+    pub(crate) fn dispatch(&self, action: Action) {
+        let (node, token) = (self.node.clone(), self.epoch);
+        match action {
+            Action::Start(target, order) => {
+                let (worker, task, run) = (target.worker.clone(), order.task, order.run);
+                let event = move |answer| Event::Started(worker, task, run, answer);
+                self.order(target, event, async move |target| {
+                    node.metrics.orders.inc();
+                    node.platform.start(&target, &order, token).await
+                });
+            }
+            Action::Stop(target, task, run) => {
+                let worker = target.worker.clone();
+                let event = move |answer| Event::Stopped(worker, task, run, answer);
+                self.order(target, event, async move |target| {
+                    node.platform.stop(&target, &task, run, token).await
+                });
+            }
+            Action::Pace(target, task, run, percent) => {
+                let worker = target.worker.clone();
+                let event = move |answer| Event::Paced(worker, task, run, answer);
+                self.order(target, event, async move |target| {
+                    node.platform.pace(&target, &task, run, percent, token).await
+                });
+            }
+            Action::List { target, deadline, seen, wait } => {
+                let worker = target.worker.clone();
+                let event = move |(sent, answer)| Event::Listed(worker, sent, answer);
+                let skipped = (self.node.clock.now(), ListAnswer::Unanswered);
+                self.call(event, skipped, async move |sent| {
+                    (sent, node.platform.list(&target, deadline, seen, wait, token).await)
+                });
+            }
+            Action::Advise(step, workers) => {
+                let event = move |answer| Event::Advised(step, answer);
+                self.call(event, AdviceAnswer::Later, async move |_| {
+                    node.platform.advise(&step, &workers).await
+                });
+            }
+            Action::MaintainVm(vm, wave) => {
+                let named = vm.clone();
+                let event = move |answer| Event::Maintained(named, wave, answer);
+                self.call(event, VmAnswer::Later, async move |_| {
+                    node.platform.maintain_vm(&vm, wave, token).await
+                });
+            }
+            Action::ReportWave { wave, completed } => self.report_wave(wave, completed),
+            // The owner's loop handles these itself.
+            Action::Write(..) | Action::StepDown => {}
+        }
+    }
+
+    /// Sends an order when one of the worker's lanes is free.
+    fn order<E, F>(&self, target: Target, event: E, send: F)
+    where
+        E: FnOnce(OrderAnswer) -> Event + 'static,
+        F: AsyncFnOnce(Target) -> OrderAnswer + 'static,
+    {
+        let lane = {
+            let mut lanes = self.lanes.borrow_mut();
+            let lane = lanes.entry(target.worker.clone());
+            lane.or_insert_with(|| Rc::new(Semaphore::new(ORDERS_PER_WORKER))).clone()
+        };
+        let skipped = OrderAnswer::Refused(Refusal::Unhealthy);
+        self.call(event, skipped, async move |_| {
+            let Ok(_permit) = lane.acquire().await else { return skipped };
+            send(target).await
+        });
+    }
+
+    /// Makes a call while the ownership holds, and reports its answer; `skipped` stands for a call that wasn't made.
+    fn call<T, E, F>(&self, event: E, skipped: T, send: F)
+    where
+        T: 'static,
+        E: FnOnce(T) -> Event + 'static,
+        F: AsyncFnOnce(Instant) -> T + 'static,
+    {
+        let (events, active, node) = (self.events.clone(), self.active.clone(), self.node.clone());
+        actix_rt::spawn(async move {
+            let sent = node.clock.now();
+            let answer = if is_active(&active, sent) { send(sent).await } else { skipped };
+            // Sending fails only when the ownership is over.
+            let _ = events.send(event(answer));
+        });
+    }
+
+    fn report_wave(&self, wave: u64, completed: bool) {
+        let node = self.node.clone();
+        actix_rt::spawn(async move {
+            while let Err(error) = node.platform.report_wave(wave, completed).await {
+                warn!(target: "link", "wave={wave} choice=report_again cause=\"{error}\"");
+                tokio::time::sleep(REPORT_RETRY).await;
+                if node.events.borrow().is_none() {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+fn is_active(active: &Cell<Option<Instant>>, now: Instant) -> bool {
+    active.get().is_some_and(|until| now < until)
+}
--- /dev/null
+++ b/crates/cj-entry/src/follow.rs
@@ -0,0 +1,176 @@
+//! Follows a keyed topic: reads the newest record of each key, then each further record in order.
+
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
+
+use cj_types::Clock;
+use log::{info, warn};
+
+use crate::platform::{Platform, RawRecord, StoreError, Topic};
+
+/// Longest wait of a read for a record.
+const READ_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Pause after a read that failed.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// A topic that wasn't read for this long counts as lost.
+pub const LINK_SILENCE: Duration = Duration::from_millis(3_200);
+
+/// What a follower hands on.
+#[derive(Debug)]
+pub enum Update<'a> {
+    /// A record. `in_order` is false for one of the newest records of the keys.
+    Record {
+        /// The record.
+        record: &'a RawRecord,
+        /// All records since the last one were read.
+        in_order: bool,
+    },
+    /// The newest records of all keys were read.
+    Loaded,
+}
+
+/// State of a followed topic.
+#[derive(Debug, Default)]
+pub struct Link {
+    /// The newest records were read at least once.
+    loaded: Cell<bool>,
+    /// When a read was last answered.
+    read_at: Cell<Option<Instant>>,
+    /// Offset of the next record.
+    next: Cell<u64>,
+    /// The last read failed.
+    lost: Cell<bool>,
+}
+
+impl Link {
+    /// True once the topic was read as a whole.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.get()
+    }
+
+    /// Offset of the next record.
+    pub fn next(&self) -> u64 {
+        self.next.get()
+    }
+
+    /// True while the topic is known to be read up to date.
+    pub fn is_fresh(&self, now: Instant) -> bool {
+        let silence = self.read_at.get().map(|at| now.saturating_duration_since(at));
+        self.loaded.get() && silence.is_some_and(|silence| silence < LINK_SILENCE)
+    }
+
+    /// True while reads are answered.
+    pub fn is_answered(&self) -> bool {
+        !self.lost.get()
+    }
+
+    fn note(&self, topic: Topic, now: Instant, result: Result<(), &StoreError>) {
+        match result {
+            Ok(()) => {
+                self.read_at.set(Some(now));
+                if self.lost.replace(false) {
+                    info!(target: "link", "topic={topic} choice=regained next={}", self.next.get());
+                }
+            }
+            Err(error) => {
+                if !self.lost.replace(true) {
+                    warn!(target: "link", "topic={topic} choice=lost next={} cause=\"{error}\"", self.next.get());
+                }
+            }
+        }
+    }
+}
+
+/// Follows a topic until the task is dropped. `pause` is the time between two reads; it lets records gather.
+pub async fn follow<P, C, W, F>(
+    platform: &P,
+    clock: &C,
+    topic: Topic,
+    link: &Link,
+    pause: W,
+    mut apply: F,
+) where
+    P: Platform,
+    C: Clock,
+    W: Fn() -> Duration,
+    F: FnMut(Update<'_>),
+{
+    loop {
+        match load(platform, topic, &mut apply).await {
+            Ok(end) => {
+                link.next.set(end);
+                link.loaded.set(true);
+                link.note(topic, clock.now(), Ok(()));
+                apply(Update::Loaded);
+            }
+            Err(error) => {
+                link.note(topic, clock.now(), Err(&error));
+                tokio::time::sleep(RETRY).await;
+                continue;
+            }
+        }
+        tail(platform, clock, topic, link, &pause, &mut apply).await;
+    }
+}
+
+/// Reads the newest records. Returns the offset from which all later ones have to be read.
+async fn load<P, F>(platform: &P, topic: Topic, apply: &mut F) -> Result<u64, StoreError>
+where
+    P: Platform,
+    F: FnMut(Update<'_>),
+{
+    let mut after = None;
+    let mut end = None;
+    loop {
+        let page = platform.newest(topic, after.as_deref()).await?;
+        // Later pages may hold later records, so the end of the first page counts.
+        end.get_or_insert(page.end);
+        for record in &page.records {
+            apply(Update::Record { record, in_order: false });
+        }
+        after = page.after;
+        if after.is_none() {
+            return Ok(end.unwrap_or_default());
+        }
+    }
+}
+
+/// Reads further records until some are gone.
+async fn tail<P, C, W, F>(
+    platform: &P,
+    clock: &C,
+    topic: Topic,
+    link: &Link,
+    pause: &W,
+    apply: &mut F,
+) where
+    P: Platform,
+    C: Clock,
+    W: Fn() -> Duration,
+    F: FnMut(Update<'_>),
+{
+    loop {
+        match platform.read(topic, link.next.get(), READ_WAIT).await {
+            Ok(page) => {
+                for record in &page.records {
+                    apply(Update::Record { record, in_order: true });
+                }
+                link.next.set(page.next);
+                link.note(topic, clock.now(), Ok(()));
+                tokio::time::sleep(pause()).await;
+            }
+            Err(StoreError::Gap(first)) => {
+                warn!(target: "link", "topic={topic} choice=reload next={} first={first}", link.next.get());
+                return;
+            }
+            Err(error) => {
+                link.note(topic, clock.now(), Err(&error));
+                tokio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cj-entry/src/front.rs
@@ -0,0 +1,254 @@
+//! What callers can ask: submit a job, read its state, cancel it, and count the waiting jobs of a queue.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use cj_sched::{JobKey, JobSpec, JobState, Queue, Record, Submission, codec};
+use cj_types::Clock;
+use compact_str::CompactString;
+use log::info;
+
+use crate::{
+    admission::{Verdict, admit},
+    metrics::AnswerLabels,
+    node::EntryNode,
+    platform::{Guard, Platform, StoreError, Topic},
+};
+
+/// Time after which a caller may return when the node can't reach the store.
+const STORE_RETRY: Duration = Duration::from_secs(1);
+
+/// Pause before an append is repeated.
+const APPEND_RETRY: Duration = Duration::from_millis(100);
+
+/// Time that an answer takes to reach its caller.
+const ANSWER_RESERVE: Duration = Duration::from_millis(150);
+
+/// Longest time that a caller without a deadline waits for.
+pub const DEADLINE: Duration = Duration::from_secs(3);
+
+/// Answer to a submission.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Submitted {
+    /// The job is durable.
+    Accepted,
+    /// There is no such queue.
+    NoQueue,
+    /// The job can't be read; nothing was stored.
+    Invalid(CompactString),
+    /// Not accepted; it never runs. The caller may return after this time.
+    Refused(&'static str, Duration),
+    /// The store didn't tell whether the job is durable.
+    Unknown,
+}
+
+/// Answer to a question about a job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Looked {
+    /// Its state.
+    State(JobState),
+    /// There is no such job.
+    Gone,
+    /// There is no such queue.
+    NoQueue,
+    /// The node doesn't know; the caller may return after this time.
+    Unavailable(Duration),
+}
+
+/// Answer to a cancellation.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Cancelled {
+    /// The cancellation is durable, or the job was over.
+    Done,
+    /// There is no such job.
+    Gone,
+    /// Not cancelled; the caller may return after this time.
+    Refused(Duration),
+    /// The store didn't tell whether the cancellation is durable.
+    Unknown,
+}
+
+/// How an append ended.
+enum Appended {
+    Durable,
+    Refused,
+    Unknown,
+}
+
+impl<P, C> EntryNode<P, C>
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    /// The queue that a path of a host names, with the rest of the path.
+    pub fn queue<'a>(&self, host: &str, path: &'a str) -> Option<(Queue, &'a str)> {
+        let config = self.config.borrow().clone()?;
+        let queue = config.route(host, path)?.clone();
+        let rest = &path[queue.prefix.len()..];
+        Some((queue, rest))
+    }
+
+    /// Accepts a job, if the store takes it and its pool can do it in time.
+    pub async fn submit(
+        self: &Rc<Self>,
+        queue: &Queue,
+        job: JobKey,
+        spec: JobSpec,
+        deadline: Instant,
+    ) -> Submitted {
+        let answer = self.decide_submission(queue, job, spec, deadline).await;
+        let version =
+            self.config.borrow().as_ref().map(|config| config.version).unwrap_or_default();
+        let offset = self.jobs.next();
+        info!(
+            target: "decision",
+            "job={job} request=submit queue={} config={version} offset={offset} choice={answer:?}",
+            queue.name
+        );
+        let outcome = match &answer {
+            Submitted::Accepted => "accepted",
+            Submitted::NoQueue => "no_queue",
+            Submitted::Invalid(_) => "invalid",
+            Submitted::Refused(reason, _) => reason,
+            Submitted::Unknown => "unknown",
+        };
+        self.count("submit", outcome);
+        answer
+    }
+
+    async fn decide_submission(
+        self: &Rc<Self>,
+        queue: &Queue,
+        job: JobKey,
+        spec: JobSpec,
+        deadline: Instant,
+    ) -> Submitted {
+        if self.book.borrow().job(job).is_some() {
+            return Submitted::Accepted;
+        }
+        if let Err(error) = spec.check() {
+            return Submitted::Invalid(CompactString::from(error.to_string()));
+        }
+        if !self.jobs.is_fresh(self.clock.now()) || !self.jobs.is_answered() {
+            return Submitted::Refused("store_unreachable", STORE_RETRY);
+        }
+        let objective = spec.chain().mul_f32(queue.stretch.max(1.0)) + queue.target;
+        let verdict = {
+            let book = self.book.borrow();
+            admit(book.owner().map(|owner| &owner.beat), &queue.service, &spec, objective)
+        };
+        if let Verdict::Refuse(after) = verdict {
+            return Submitted::Refused("overload", after);
+        }
+        let submission = Submission {
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            priority: queue.priority,
+            attempts: queue.attempts,
+            objective,
+            at: self.clock.wall(),
+            spec,
+        };
+        let record = Record::Submission(job, Box::new(submission));
+        let known = || self.book.borrow().job(job).is_some();
+        match self.append(&record, deadline, known).await {
+            Appended::Durable => Submitted::Accepted,
+            Appended::Refused => Submitted::Refused("store_refused", STORE_RETRY),
+            Appended::Unknown => Submitted::Unknown,
+        }
+    }
+
+    /// State of a job.
+    pub fn look(&self, job: JobKey) -> Looked {
+        let state = self.book.borrow().job(job).map(|entry| entry.state());
+        let answer = match state {
+            Some(state) => Looked::State(state),
+            None if self.jobs.is_fresh(self.clock.now()) => Looked::Gone,
+            None => Looked::Unavailable(STORE_RETRY),
+        };
+        let outcome = match &answer {
+            Looked::State(_) => "state",
+            Looked::Gone => "gone",
+            Looked::NoQueue => "no_queue",
+            Looked::Unavailable(_) => "unavailable",
+        };
+        self.count("status", outcome);
+        answer
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(self: &Rc<Self>, job: JobKey, deadline: Instant) -> Cancelled {
+        let answer = self.decide_cancel(job, deadline).await;
+        info!(
+            target: "decision",
+            "job={job} request=cancel offset={} choice={answer:?}", self.jobs.next()
+        );
+        let outcome = match &answer {
+            Cancelled::Done => "done",
+            Cancelled::Gone => "gone",
+            Cancelled::Refused(_) => "refused",
+            Cancelled::Unknown => "unknown",
+        };
+        self.count("cancel", outcome);
+        answer
+    }
+
+    async fn decide_cancel(self: &Rc<Self>, job: JobKey, deadline: Instant) -> Cancelled {
+        let known = self.book.borrow().job(job).map(|entry| entry.state());
+        match known {
+            Some(state) if state.is_final() => return Cancelled::Done,
+            Some(_) => {}
+            None if self.jobs.is_fresh(self.clock.now()) => return Cancelled::Gone,
+            None => return Cancelled::Refused(STORE_RETRY),
+        }
+        let record = Record::Cancel(job, self.clock.wall());
+        let seen = || self.book.borrow().job(job).is_some_and(|entry| entry.cancelled.is_some());
+        match self.append(&record, deadline, seen).await {
+            Appended::Durable => Cancelled::Done,
+            Appended::Refused => Cancelled::Refused(STORE_RETRY),
+            Appended::Unknown => Cancelled::Unknown,
+        }
+    }
+
+    /// Number of jobs of a queue of which no task has begun; `None` while the node doesn't know.
+    pub fn waiting(&self, queue: &Queue) -> Option<usize> {
+        let fresh = self.jobs.is_fresh(self.clock.now());
+        self.count("waiting", if fresh { "count" } else { "unavailable" });
+        fresh.then(|| self.book.borrow().waiting(&queue.name))
+    }
+
+    fn count(&self, request: &'static str, outcome: &'static str) {
+        self.metrics.answers.get_or_create(&AnswerLabels { request, outcome }).inc();
+    }
+
+    /// Appends a record whose repetition changes nothing, until the store tells what became of it, the record is read, or
+    /// the deadline comes near.
+    async fn append<F>(&self, record: &Record, deadline: Instant, known: F) -> Appended
+    where
+        F: Fn() -> bool,
+    {
+        let encoded = [(record.key_text(), codec::encode(record))];
+        let mut unanswered = false;
+        loop {
+            let now = self.clock.now();
+            let left = deadline.saturating_duration_since(now + ANSWER_RESERVE);
+            if left.is_zero() {
+                return Appended::Unknown;
+            }
+            let call = self.platform.append(Topic::Jobs, &encoded, Guard::None);
+            match tokio::time::timeout(left, call).await {
+                Ok(Ok(_)) => return Appended::Durable,
+                Ok(Err(StoreError::Unanswered(_))) | Err(_) => unanswered = true,
+                // An earlier call may still be carried out, so this refusal doesn't say that the record is not stored.
+                Ok(Err(_)) if unanswered => {}
+                Ok(Err(_)) => return Appended::Refused,
+            }
+            if known() {
+                return Appended::Durable;
+            }
+            tokio::time::sleep(APPEND_RETRY).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/cj-entry/src/logging.rs
@@ -0,0 +1,132 @@
+//! Log lines on standard output that never block the event loop.
+//!
+//! Lines go through a bounded buffer to a thread that writes them. When the buffer is full, lines are dropped and counted.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+    time::Duration,
+};
+
+use cj_types::{Clock, Error, ErrorKind, NodeId, Result, SystemClock};
+use log::LevelFilter;
+
+/// Lines that wait for the output.
+const BUFFER_LINES: usize = 4_096;
+
+/// Time for which lines gather before they are written together.
+const GATHER: Duration = Duration::from_millis(60);
+
+/// Time for the last lines at the end of the process.
+const FLUSH_LIMIT: Duration = Duration::from_millis(200);
+
+static PENDING: OnceLock<Arc<AtomicUsize>> = OnceLock::new();
+
+/// Count of dropped lines.
+#[derive(Clone, Debug, Default)]
+pub struct Dropped(Arc<AtomicU64>);
+
+impl Dropped {
+    /// Lines dropped so far.
+    pub fn count(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Hands each line to the writing thread.
+struct Output {
+    lines: SyncSender<Vec<u8>>,
+    dropped: Dropped,
+    pending: Arc<AtomicUsize>,
+}
+
+impl Write for Output {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        self.pending.fetch_add(1, Ordering::Relaxed);
+        if self.lines.try_send(line.to_vec()).is_err() {
+            self.pending.fetch_sub(1, Ordering::Relaxed);
+            self.dropped.0.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Installs the logger of the process.
+///
+/// # Errors
+///
+/// When a logger is installed already or the writing thread can't be started.
+pub fn install(node: NodeId) -> Result<Dropped> {
+    let (lines, received) = sync_channel(BUFFER_LINES);
+    let dropped = Dropped::default();
+    let pending = Arc::new(AtomicUsize::new(0));
+    let failed = |cause: String| {
+        let kind = ErrorKind::Failed(format!("cannot start logging: {cause}").into());
+        Error::new(kind, "install the logger once, and check the limits of the process")
+    };
+    let counted = (dropped.clone(), pending.clone());
+    let writer = thread::Builder::new().name("log".to_owned());
+    writer
+        .spawn(move || write_lines(&received, &counted.0, &counted.1))
+        .map_err(|e| failed(e.to_string()))?;
+    let output = Output { lines, dropped: dropped.clone(), pending: pending.clone() };
+    let boxed: Box<dyn Write + Send> = Box::new(output);
+    fern::Dispatch::new()
+        .level(LevelFilter::Info)
+        .format(move |out, message, record| {
+            let at = SystemClock.wall().since(Default::default()).as_millis();
+            let (level, target) = (record.level(), record.target());
+            out.finish(format_args!("at={at} level={level} node={node} kind={target} {message}"));
+        })
+        .chain(boxed)
+        .apply()
+        .map_err(|e| failed(e.to_string()))?;
+    // Only the first logger of a process is ever installed, so the cell is empty.
+    let _ = PENDING.set(pending);
+    Ok(dropped)
+}
+
+fn write_lines(received: &Receiver<Vec<u8>>, dropped: &Dropped, pending: &AtomicUsize) {
+    let mut told = 0;
+    let mut batch = Vec::new();
+    while let Ok(first) = received.recv() {
+        thread::sleep(GATHER);
+        batch.clear();
+        batch.extend_from_slice(&first);
+        let mut count = 1;
+        while let Ok(line) = received.try_recv() {
+            batch.extend_from_slice(&line);
+            count += 1;
+        }
+        let lost = dropped.count();
+        if lost > told {
+            batch.extend_from_slice(
+                format!("level=WARN kind=process choice=drop_lines total={lost}\n").as_bytes(),
+            );
+            told = lost;
+        }
+        // There is nowhere to report that the output is gone.
+        let _ = io::stdout().write_all(&batch);
+        pending.fetch_sub(count, Ordering::Relaxed);
+    }
+}
+
+/// Waits a moment until the last lines are written.
+pub fn flush() {
+    let Some(pending) = PENDING.get() else { return };
+    let step = GATHER / 4;
+    let mut waited = Duration::ZERO;
+    while pending.load(Ordering::Relaxed) > 0 && waited < FLUSH_LIMIT {
+        thread::sleep(step);
+        waited += step;
+    }
+}
--- /dev/null
+++ b/crates/cj-entry/src/node.rs
@@ -0,0 +1,213 @@
+//! State of an entry node that its parts share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use cj_sched::{
+    Book, Event, FleetConfig,
+    book::Change,
+    codec,
+    sched::{Limits, Now, WaveOrder},
+};
+use cj_types::{Clock, NodeId};
+use log::{info, warn};
+use tokio::sync::{Notify, mpsc};
+
+use crate::{
+    follow::{Link, Update, follow},
+    metrics::Metrics,
+    platform::{OperatorChange, Platform, Topic},
+};
+
+/// Time between two reads of the jobs by the owner.
+const OWNER_PAUSE: Duration = Duration::from_millis(8);
+
+/// Time between two reads of the jobs by other nodes; callers may see a state this late.
+const STANDBY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Time between two reads of the operator's records.
+const OPERATOR_PAUSE: Duration = Duration::from_millis(10);
+
+/// Settings of an entry node.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// The node.
+    pub node: NodeId,
+    /// Bounds of the platform.
+    pub limits: Limits,
+    /// How long a job that is final can be asked for.
+    pub retention: Duration,
+}
+
+/// An entry node.
+pub struct EntryNode<P, C> {
+    /// The platform.
+    pub platform: P,
+    /// The clock.
+    pub clock: C,
+    /// The settings.
+    pub settings: EntrySettings,
+    /// All jobs.
+    pub book: RefCell<Book>,
+    /// The operators' configuration, once one was read.
+    pub config: RefCell<Option<Rc<FleetConfig>>>,
+    /// Waves that the operators ordered.
+    pub waves: RefCell<BTreeMap<u64, WaveOrder>>,
+    /// State of the jobs' topic.
+    pub jobs: Link,
+    /// State of the operator's topic.
+    pub operator: Link,
+    /// Counters.
+    pub metrics: Metrics,
+    /// The book changed.
+    pub changed: Notify,
+    /// When the owner was last heard of.
+    pub heard: Cell<Option<Instant>>,
+    /// Where events go while this node owns the fleet.
+    pub events: RefCell<Option<mpsc::UnboundedSender<Event>>>,
+    /// The node is shutting down.
+    pub stopping: Cell<bool>,
+    /// Set with `stopping`.
+    pub stop: Notify,
+}
+
+impl<P, C> EntryNode<P, C>
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    /// A node that knows nothing yet.
+    pub fn new(platform: P, clock: C, settings: EntrySettings) -> Rc<Self> {
+        Rc::new(EntryNode {
+            platform,
+            clock,
+            settings,
+            book: RefCell::default(),
+            config: RefCell::default(),
+            waves: RefCell::default(),
+            jobs: Link::default(),
+            operator: Link::default(),
+            metrics: Metrics::default(),
+            changed: Notify::new(),
+            heard: Cell::default(),
+            events: RefCell::default(),
+            stopping: Cell::default(),
+            stop: Notify::new(),
+        })
+    }
+
+    /// Both clocks.
+    pub fn now(&self) -> Now {
+        Now { mono: self.clock.now(), wall: self.clock.wall() }
+    }
+
+    /// True when the node can take submissions.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get()
+            && self.config.borrow().is_some()
+            && self.jobs.is_fresh(self.clock.now())
+    }
+
+    /// Begins the shutdown.
+    pub fn begin_stop(&self) {
+        self.stopping.set(true);
+        self.stop.notify_waiters();
+    }
+
+    /// Sends an event to the scheduler, if this node owns the fleet.
+    pub fn send(&self, event: Event) {
+        if let Some(events) = &*self.events.borrow() {
+            // The owner's loop ends before its receiver is dropped, so a failed send concerns an ownership that is over.
+            let _ = events.send(event);
+        }
+    }
+
+    /// Follows the jobs and the operator until the task is dropped.
+    pub async fn follow(self: Rc<Self>) {
+        let pause = || if self.events.borrow().is_some() { OWNER_PAUSE } else { STANDBY_PAUSE };
+        let jobs = follow(&self.platform, &self.clock, Topic::Jobs, &self.jobs, pause, |update| {
+            self.read_job(update);
+        });
+        let operator = follow(
+            &self.platform,
+            &self.clock,
+            Topic::Operator,
+            &self.operator,
+            || OPERATOR_PAUSE,
+            |update| self.read_operator(update),
+        );
+        futures::join!(jobs, operator);
+    }
+
+    fn read_job(&self, update: Update<'_>) {
+        let Update::Record { record, in_order } = update else {
+            return self.changed.notify_waiters();
+        };
+        let decoded = match codec::decode(&record.key, &record.value) {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                warn!(target: "link", "topic=jobs offset={} choice=skip cause=\"{error}\"", record.offset);
+                return;
+            }
+        };
+        let change = self.book.borrow_mut().apply(record.offset, decoded, in_order);
+        match change {
+            Change::Submitted(job) => {
+                let book = self.book.borrow();
+                let Some(entry) = book.job(job) else { return };
+                let Some(submission) = entry.submission().cloned() else { return };
+                let fresh = entry.epoch != 0 && entry.epoch == book.epoch();
+                let cancelled = entry.cancelled.is_some();
+                drop(book);
+                if !cancelled {
+                    self.send(Event::Submitted { job, submission, fresh });
+                }
+            }
+            Change::Cancelled(job) => self.send(Event::Cancelled(job)),
+            Change::Owner => self.heard.set(Some(self.clock.now())),
+            Change::Progressed(_) | Change::Nothing => {}
+        }
+        self.changed.notify_waiters();
+    }
+
+    fn read_operator(&self, update: Update<'_>) {
+        let Update::Record { record, .. } = update else { return };
+        match self.platform.operator_change(&record.key, &record.value) {
+            Ok(OperatorChange::Config(config)) => self.configure(config, record.offset),
+            Ok(OperatorChange::Wave(order)) => {
+                let done = self.book.borrow().wave(order.number).to_vec();
+                self.waves.borrow_mut().insert(order.number, order.clone());
+                self.send(Event::Wave(order, done));
+            }
+            Ok(OperatorChange::Other) => {}
+            Err(error) => {
+                warn!(
+                    target: "link",
+                    "topic=operator key={} offset={} choice=skip cause=\"{error}\"",
+                    record.key, record.offset
+                );
+            }
+        }
+    }
+
+    /// Takes a configuration into force unless a newer one is.
+    fn configure(&self, config: FleetConfig, offset: u64) {
+        let known = self.config.borrow().as_ref().map(|config| config.version);
+        if known.is_some_and(|known| known > config.version) {
+            return;
+        }
+        info!(
+            target: "decision",
+            "config={} offset={offset} choice=apply queues={} pools={}",
+            config.version, config.queues.len(), config.pools.len()
+        );
+        let config = Rc::new(config);
+        *self.config.borrow_mut() = Some(config.clone());
+        self.metrics.config.set(config.version.0 as i64);
+        self.send(Event::Config(config));
+    }
+}
--- /dev/null
+++ b/crates/cj-entry/src/writer.rs
@@ -0,0 +1,198 @@
+//! The owner's writes: progress and heartbeats, one append at a time.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use cj_sched::{
+    Record, codec,
+    record::{OwnerBeat, ServiceLoad},
+    sched::TENURE,
+};
+use cj_types::{Clock, ServiceId};
+use log::warn;
+use tokio::sync::Notify;
+
+use crate::{
+    node::EntryNode,
+    platform::{Guard, Platform, StoreError, Topic},
+};
+
+/// Time between two heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(550);
+
+/// Pause before an append is repeated.
+const RETRY: Duration = Duration::from_millis(120);
+
+/// Records to be written.
+pub(crate) struct WriteJob {
+    /// Number under which the scheduler hears of the write.
+    pub(crate) number: Option<u64>,
+    pub(crate) records: Vec<Record>,
+}
+
+/// What became of a write.
+pub(crate) enum WriterEvent {
+    /// The records of the job are durable.
+    Written(u64),
+    /// Another owner has written.
+    Deposed,
+}
+
+/// Writes for one ownership.
+pub(crate) struct Writer<P, C> {
+    pub(crate) node: Rc<EntryNode<P, C>>,
+    epoch: u64,
+    jobs: RefCell<VecDeque<WriteJob>>,
+    pushed: Notify,
+    load: RefCell<Vec<(ServiceId, ServiceLoad)>>,
+    sequence: Cell<u64>,
+    /// When the last acknowledged heartbeat was sent.
+    confirmed: Cell<Option<Instant>>,
+    /// Heartbeats sent before this confirm nothing.
+    not_before: Cell<Option<Instant>>,
+    beat_due: Cell<Option<Instant>>,
+    /// The next append is the last one, and says that ownership is free.
+    closing: Cell<bool>,
+}
+
+impl<P, C> Writer<P, C>
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    pub(crate) fn new(node: Rc<EntryNode<P, C>>, epoch: u64) -> Rc<Self> {
+        let now = node.clock.now();
+        Rc::new(Writer {
+            node,
+            epoch,
+            jobs: RefCell::default(),
+            pushed: Notify::new(),
+            load: RefCell::default(),
+            sequence: Cell::new(1),
+            confirmed: Cell::new(Some(now)),
+            not_before: Cell::new(None),
+            beat_due: Cell::new(Some(now)),
+            closing: Cell::new(false),
+        })
+    }
+
+    pub(crate) fn push(&self, job: WriteJob) {
+        self.jobs.borrow_mut().push_back(job);
+        self.pushed.notify_one();
+    }
+
+    pub(crate) fn set_load(&self, load: Vec<(ServiceId, ServiceLoad)>) {
+        *self.load.borrow_mut() = load;
+    }
+
+    /// Orders may be given until then.
+    pub(crate) fn tenure(&self) -> Option<Instant> {
+        self.confirmed.get().map(|sent| sent + TENURE)
+    }
+
+    /// Only a heartbeat sent from now on confirms the ownership.
+    pub(crate) fn hold_until_confirmed(&self, now: Instant) {
+        self.confirmed.set(None);
+        self.not_before.set(Some(now));
+        self.beat_due.set(Some(now));
+        self.pushed.notify_one();
+    }
+
+    fn beat(&self, released: bool) -> Record {
+        let load = self.load.borrow().clone();
+        let node = self.node.settings.node.clone();
+        Record::Owner(OwnerBeat { epoch: self.epoch, node, released, load })
+    }
+
+    /// Writes until it is closed, another owner takes over, or the task is dropped.
+    pub(crate) async fn run<F>(&self, report: F)
+    where
+        F: Fn(WriterEvent),
+    {
+        loop {
+            self.wait_for_work().await;
+            let jobs: Vec<WriteJob> = self.jobs.borrow_mut().drain(..).collect();
+            let mut records: Vec<Record> = Vec::new();
+            let numbers: Vec<u64> = jobs.iter().filter_map(|job| job.number).collect();
+            records.extend(jobs.into_iter().flat_map(|job| job.records));
+            let released = self.closing.get();
+            records.push(self.beat(released));
+            if !self.append(&records).await {
+                return report(WriterEvent::Deposed);
+            }
+            for number in numbers {
+                report(WriterEvent::Written(number));
+            }
+            if released {
+                return;
+            }
+        }
+    }
+
+    /// Waits until a heartbeat is due or records are to be written.
+    async fn wait_for_work(&self) {
+        loop {
+            let now = self.node.clock.now();
+            let due = self.beat_due.get().unwrap_or(now);
+            if !self.jobs.borrow().is_empty() || due <= now {
+                return;
+            }
+            let _ = tokio::time::timeout(due - now, self.pushed.notified()).await;
+        }
+    }
+
+    /// Appends records, repeatedly until the store tells what became of them. Returns false when another owner has written.
+    async fn append(&self, records: &[Record]) -> bool {
+        let encoded: Vec<_> =
+            records.iter().map(|record| (record.key_text(), codec::encode(record))).collect();
+        let sequence = self.sequence.get();
+        let guard = Guard::Owner { epoch: self.epoch, sequence };
+        let mut unanswered = false;
+        loop {
+            let sent = self.node.clock.now();
+            match self.node.platform.append(Topic::Jobs, &encoded, guard).await {
+                Ok(_) => {
+                    self.sequence.set(sequence + 1);
+                    self.confirm(sent);
+                    return true;
+                }
+                // An unanswered append took effect, and its answer is no longer kept.
+                Err(StoreError::Sequence(next)) if unanswered && next == sequence + 1 => {
+                    self.sequence.set(sequence + 1);
+                    self.confirm(sent);
+                    return true;
+                }
+                Err(StoreError::Refused(cause)) => {
+                    warn!(target: "link", "choice=write_again sequence={sequence} cause=\"{cause}\"");
+                }
+                Err(StoreError::Unanswered(cause)) => {
+                    unanswered = true;
+                    warn!(target: "link", "choice=write_again sequence={sequence} cause=\"{cause}\"");
+                }
+                Err(error) => {
+                    warn!(target: "decision", "choice=step_down epoch={} cause=\"{error}\"", self.epoch);
+                    return false;
+                }
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
+    fn confirm(&self, sent: Instant) {
+        self.beat_due.set(Some(sent + HEARTBEAT));
+        if self.not_before.get().is_none_or(|earliest| sent >= earliest) {
+            self.confirmed.set(Some(sent));
+        }
+    }
+
+    /// Writes what is left and that ownership is free; the writer then ends.
+    pub(crate) fn close(&self) {
+        self.closing.set(true);
+        self.beat_due.set(None);
+        self.pushed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/cj-http/src/body.rs
@@ -0,0 +1,52 @@
+//! Reads request bodies within bounds.
+
+use std::time::Duration;
+
+use actix_http::{HttpMessage, Request};
+use bytes::{Bytes, BytesMut};
+use compact_str::{CompactString, ToCompactString};
+use derive_more::Display;
+use futures::StreamExt;
+
+/// Time for a client to send its whole body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why a body can't be used.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum BodyError {
+    /// It is larger than allowed.
+    #[display("body is larger than {_0} bytes; send less")]
+    TooLarge(usize),
+    /// It ended early.
+    #[display("body is incomplete: {_0}")]
+    Incomplete(CompactString),
+    /// It took too long.
+    #[display("body did not arrive within 5 s")]
+    Late,
+}
+
+/// Reads the body of a request, at most `limit` bytes.
+///
+/// # Errors
+///
+/// [`BodyError`] when the body is too large, incomplete, or late.
+pub async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, BodyError> {
+    let length = request.headers().get("content-length").and_then(|value| value.to_str().ok());
+    let declared = length.and_then(|text| text.trim().parse::<usize>().ok());
+    if declared.is_some_and(|length| length > limit) {
+        return Err(BodyError::TooLarge(limit));
+    }
+    let mut payload = request.take_payload();
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|e| BodyError::Incomplete(e.to_compact_string()))?;
+            if body.len() + chunk.len() > limit {
+                return Err(BodyError::TooLarge(limit));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    tokio::time::timeout(BODY_TIMEOUT, read).await.unwrap_or(Err(BodyError::Late))
+}
--- a/crates/cj-node/src/http/listener.rs
+++ b/crates/cj-http/src/listener.rs
@@ -9,15 +9,14 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::Bytes;
 use tokio::{
-    net::TcpListener,
+    io::{AsyncRead, AsyncWrite},
+    net::{TcpListener, TcpStream},
     sync::{Notify, Semaphore},
     task::{JoinHandle, JoinSet},
 };
 
 use cj_types::{Error, ErrorKind, Result};
 
-use super::explained::Explained;
-
 /// Time for a client to send a complete request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for a client to close its side of a finished connection.
@@ -120,17 +119,21 @@
         self.address
     }
 
-    /// Serves requests until the shutdown begins. Connections run on the current thread.
-    pub fn serve<F, R>(self, shutdown: Shutdown, handler: F) -> JoinHandle<()>
+    /// Serves requests until the shutdown begins. Connections run on the current thread; each is passed through `wrap`.
+    pub fn serve<W, S, F, R>(self, shutdown: Shutdown, wrap: W, handler: F) -> JoinHandle<()>
     where
+        W: Fn(TcpStream) -> S + 'static,
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
         F: Fn(Request) -> R + 'static,
         R: Future<Output = Response<Bytes>> + 'static,
     {
-        actix_rt::spawn(self.accept(shutdown, Rc::new(handler)))
+        actix_rt::spawn(self.accept(shutdown, wrap, Rc::new(handler)))
     }
 
-    async fn accept<F, R>(self, shutdown: Shutdown, handler: Rc<F>)
+    async fn accept<W, S, F, R>(self, shutdown: Shutdown, wrap: W, handler: Rc<F>)
     where
+        W: Fn(TcpStream) -> S + 'static,
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
         F: Fn(Request) -> R + 'static,
         R: Future<Output = Response<Bytes>> + 'static,
     {
@@ -164,11 +167,9 @@
             };
             let Ok((stream, peer)) = accepted else { continue };
             let _ = stream.set_nodelay(true);
-            let service = service.clone();
+            let (service, stream) = (service.clone(), wrap(stream));
             tasks.spawn_local(async move {
-                if let Err(e) =
-                    service.call((Explained::new(stream), Protocol::Http1, Some(peer))).await
-                {
+                if let Err(e) = service.call((stream, Protocol::Http1, Some(peer))).await {
                     log::debug!(target: "http", "connection from {peer} ended: {e}");
                 }
                 drop(permit);
--- a/crates/cj-log/src/http.rs
+++ b/crates/cj-log/src/http.rs
@@ -4,11 +4,12 @@
 
 use awc::{
     Client, Connector,
-    error::{ConnectError, PayloadError, SendRequestError},
+    error::{PayloadError, SendRequestError},
     http::{StatusCode, Uri},
 };
 use serde::Deserialize;
 
+use cj_http::is_unsent;
 use cj_types::{Error, ErrorKind, Offset, Result, StreamId};
 
 use crate::{
@@ -115,25 +116,6 @@
     if is_unsent(error) { refused(error.to_string()) } else { unanswered(error.to_string()) }
 }
 
-/// True when nothing of the request can have reached the server. `Disconnected` isn't such a case: it is also reported
-/// when the server closes the connection after it took the request.
-pub fn is_unsent(error: &SendRequestError) -> bool {
-    match error {
-        SendRequestError::Url(_) => true,
-        SendRequestError::Connect(ConnectError::Io(error)) => {
-            error.kind() == std::io::ErrorKind::ConnectionRefused
-        }
-        SendRequestError::Connect(error) => matches!(
-            error,
-            ConnectError::Resolver(_)
-                | ConnectError::NoRecords
-                | ConnectError::Unresolved
-                | ConnectError::Timeout
-        ),
-        _ => false,
-    }
-}
-
 /// The log answers 4xx before it stores anything. A 5xx may come from a proxy that lost the answer.
 fn status_error(status: StatusCode) -> Error {
     if status.is_client_error() && status != StatusCode::REQUEST_TIMEOUT {
--- a/crates/cj-log/src/lib.rs
+++ b/crates/cj-log/src/lib.rs
@@ -14,9 +14,10 @@
 pub mod ticks;
 pub mod writer;
 
+pub use cj_http::is_unsent;
 pub use clock::RuntimeClock;
 pub use copies::COPY_KEY;
-pub use http::{HttpLog, is_unsent};
+pub use http::HttpLog;
 pub use memory::{Faults, MemoryLog};
 pub use replica::{Fault, IsOwner, Lag, Proposed, Replica, ReplicaOptions};
 pub use service::{LogService, ReadPage};
--- a/crates/cj-node/src/http/explained.rs
+++ b/crates/cj-node/src/http/explained.rs
@@ -26,7 +26,7 @@
 
 /// A connection whose empty error responses get a JSON body and `x-outcome`. The library answers malformed, oversized
 /// and late request heads without asking a handler, so those responses can only be changed on their way out.
-pub(super) struct Explained<S> {
+pub(crate) struct Explained<S> {
     stream: S,
     position: Position,
 }
@@ -40,7 +40,7 @@
 }
 
 impl<S> Explained<S> {
-    pub(super) fn new(stream: S) -> Self {
+    pub(crate) fn new(stream: S) -> Self {
         Explained { stream, position: Position::Start }
     }
 }
--- a/crates/cj-node/src/http/mod.rs
+++ b/crates/cj-node/src/http/mod.rs
@@ -2,9 +2,10 @@
 
 mod answer;
 mod explained;
-mod listener;
 mod request;
 
+pub use cj_http::{Listener, Shutdown};
+
 pub use answer::{Answer, OutcomeKind};
-pub use listener::{Listener, Shutdown};
+pub(crate) use explained::Explained;
 pub use request::{JobPath, MAX_RECORDED_BYTES, WorkRequest, read_body};
--- a/crates/cj-node/src/http/request.rs
+++ b/crates/cj-node/src/http/request.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use actix_http::{HttpMessage, Method, Request, StatusCode, header::HeaderMap};
-use bytes::{Bytes, BytesMut};
-use futures::StreamExt;
+use bytes::Bytes;
+use cj_http::BodyError;
 
 use cj_types::{CallerId, ClassId, IdempotencyKey, JobId, ServiceId, TeamId};
 
@@ -14,8 +14,6 @@
 const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Largest body of recorded work; it has to fit into a log entry.
 pub const MAX_RECORDED_BYTES: usize = 4 * 1024;
-/// Time for a client to send its whole body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The checked head of a request for work.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -119,25 +117,12 @@
 
 /// Reads the whole body, within [`MAX_BODY_BYTES`] and the time limit.
 pub async fn read_body(request: &mut Request) -> Result<Bytes, Answer> {
-    let too_large = || {
-        Answer::bad_input(StatusCode::PAYLOAD_TOO_LARGE, "body is larger than 64 KiB; send less")
-    };
-    let declared = text(request.headers(), "content-length")?.and_then(|v| v.parse::<usize>().ok());
-    if declared.is_some_and(|n| n > MAX_BODY_BYTES) {
-        return Err(too_large());
-    }
-    let mut payload = request.take_payload();
-    let read = async {
-        let mut body = BytesMut::new();
-        while let Some(chunk) = payload.next().await {
-            let chunk = chunk.map_err(|e| bad(format!("body is incomplete: {e}")))?;
-            if body.len() + chunk.len() > MAX_BODY_BYTES {
-                return Err(too_large());
-            }
-            body.extend_from_slice(&chunk);
-        }
-        Ok(body.freeze())
-    };
-    let late = || Answer::bad_input(StatusCode::REQUEST_TIMEOUT, "body did not arrive within 5 s");
-    tokio::time::timeout(BODY_TIMEOUT, read).await.unwrap_or_else(|_| Err(late()))
+    cj_http::read_body(request, MAX_BODY_BYTES).await.map_err(|e| {
+        let status = match e {
+            BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::Incomplete(_) => StatusCode::BAD_REQUEST,
+            BodyError::Late => StatusCode::REQUEST_TIMEOUT,
+        };
+        Answer::bad_input(status, &e.to_string())
+    })
 }
--- a/crates/cj-node/src/node.rs
+++ b/crates/cj-node/src/node.rs
@@ -25,7 +25,7 @@
 
 use crate::{
     fleet::run_fleet,
-    http::{Answer, JobPath, Listener, Shutdown, WorkRequest, read_body},
+    http::{Answer, Explained, JobPath, Listener, Shutdown, WorkRequest, read_body},
     metrics::{Metrics, RequestLabels},
     operator,
     platform::{VmControl, Workers},
@@ -239,7 +239,7 @@
         (shared.clone(), shared.clone(), shared.clone());
     let counter = Rc::new(Cell::new(0u64));
     let listeners = vec![
-        caller.serve(shared.shutdown.clone(), move |request| {
+        caller.serve(shared.shutdown.clone(), Explained::new, move |request| {
             counter.set(counter.get() + 1);
             let node = for_callers.clone();
             let id = format_compact!(
@@ -250,10 +250,10 @@
             );
             answer_caller(node, id, request)
         }),
-        operator.serve(internal.clone(), move |request| {
+        operator.serve(internal.clone(), Explained::new, move |request| {
             operator::handle(for_operators.clone(), log.clone(), request)
         }),
-        metrics.serve(internal.clone(), move |request| {
+        metrics.serve(internal.clone(), Explained::new, move |request| {
             let node = for_metrics.clone();
             async move { expose(&node, &request) }
         }),
--- /dev/null
+++ b/crates/cj-sched/src/book.rs
@@ -0,0 +1,259 @@
+//! What every node knows of all jobs: the fold of the records in the store.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use cj_types::{UnixMillis, VmId};
+use derive_more::Display;
+
+use crate::{
+    job::JobKey,
+    record::{Outcome, OwnerBeat, Progress, Record, RecordKey, Submission},
+};
+
+/// State of a job as its caller sees it.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum JobState {
+    /// No task has begun.
+    #[display("queued")]
+    Queued,
+    /// A task has begun.
+    #[display("running")]
+    Running,
+    /// All tasks are done.
+    #[display("completed")]
+    Completed,
+    /// A task failed too often.
+    #[display("failed")]
+    Failed,
+    /// The caller cancelled the job.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+impl JobState {
+    /// True when the state doesn't change any more.
+    pub fn is_final(self) -> bool {
+        matches!(self, JobState::Completed | JobState::Failed | JobState::Cancelled)
+    }
+}
+
+/// Progress of an occurrence, with the offset of its record.
+#[derive(Clone, Debug, Default)]
+struct Versioned {
+    offset: u64,
+    progress: Progress,
+}
+
+/// A job with its progress.
+#[derive(Clone, Debug, Default)]
+pub struct JobEntry {
+    submission: Option<Rc<Submission>>,
+    progress: Vec<Versioned>,
+    /// When the caller cancelled the job.
+    pub cancelled: Option<UnixMillis>,
+    /// Epoch of the owner when the submission was first read in the order of the log; 0 when that isn't known.
+    pub epoch: u64,
+}
+
+impl JobEntry {
+    /// The submission. Records of one job may be read in any order, so it may be missing at first.
+    pub fn submission(&self) -> Option<&Rc<Submission>> {
+        self.submission.as_ref()
+    }
+
+    /// Progress of an occurrence, if any is recorded.
+    pub fn progress(&self, occurrence: u32) -> Option<&Progress> {
+        self.progress.get(occurrence as usize).map(|versioned| &versioned.progress)
+    }
+
+    /// State of the job. A job that completed before its cancellation took effect stays completed.
+    pub fn state(&self) -> JobState {
+        let expected = self.submission.as_ref().map_or(1, |s| s.spec.occurrences()) as usize;
+        let outcomes = || self.progress.iter().map(|versioned| versioned.progress.outcome);
+        if outcomes().any(|outcome| outcome == Outcome::Failed) {
+            return JobState::Failed;
+        }
+        if outcomes().filter(|&outcome| outcome == Outcome::Completed).count() >= expected {
+            return JobState::Completed;
+        }
+        if self.cancelled.is_some() {
+            return JobState::Cancelled;
+        }
+        if self.progress.iter().any(|versioned| versioned.progress.started) {
+            return JobState::Running;
+        }
+        JobState::Queued
+    }
+
+    /// When the state became final.
+    fn ended_at(&self) -> Option<UnixMillis> {
+        if !self.state().is_final() {
+            return None;
+        }
+        let decided = self.progress.iter().map(|versioned| versioned.progress.at).max();
+        decided.max(self.cancelled)
+    }
+
+    fn keys(&self, job: JobKey) -> Vec<RecordKey> {
+        let mut keys = vec![RecordKey::Submission(job)];
+        keys.extend(self.cancelled.map(|_| RecordKey::Cancel(job)));
+        keys.extend((0..self.progress.len()).map(|n| RecordKey::Progress(job, n as u32)));
+        keys
+    }
+}
+
+/// The owner as its last record describes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Owner {
+    /// Its heartbeat.
+    pub beat: OwnerBeat,
+    /// Offset of the record.
+    pub offset: u64,
+}
+
+/// What a record changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A job is known for the first time.
+    Submitted(JobKey),
+    /// The caller cancelled a job.
+    Cancelled(JobKey),
+    /// A job made progress.
+    Progressed(JobKey),
+    /// The owner sent a heartbeat.
+    Owner,
+    /// Nothing that matters.
+    Nothing,
+}
+
+/// All jobs and the owner, folded from the records.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    jobs: HashMap<JobKey, JobEntry>,
+    open: BTreeSet<JobKey>,
+    waves: HashMap<u64, Vec<VmId>>,
+    owner: Option<Owner>,
+}
+
+impl Book {
+    /// Applies a record. `in_order` says that the records since the last one were all read; the newest records of the
+    /// keys are read without an order. A record older than the one that is known under its key changes nothing.
+    pub fn apply(&mut self, offset: u64, record: Record, in_order: bool) -> Change {
+        match record {
+            Record::Submission(job, submission) => self.submit(job, *submission, in_order),
+            Record::Progress(job, number, progress) => self.advance(job, number, offset, progress),
+            Record::Cancel(job, at) => self.cancel(job, at),
+            Record::Wave(number, vms) => {
+                self.waves.insert(number, vms);
+                Change::Nothing
+            }
+            Record::Owner(beat) => self.hear_owner(offset, beat),
+            Record::Drop(RecordKey::Submission(job)) => {
+                self.jobs.remove(&job);
+                self.open.remove(&job);
+                Change::Nothing
+            }
+            Record::Drop(_) => Change::Nothing,
+        }
+    }
+
+    fn submit(&mut self, job: JobKey, submission: Submission, in_order: bool) -> Change {
+        let epoch = if in_order { self.epoch() } else { 0 };
+        let entry = self.jobs.entry(job).or_default();
+        if entry.submission.is_some() {
+            return Change::Nothing;
+        }
+        entry.submission = Some(Rc::new(submission));
+        entry.epoch = epoch;
+        if !entry.state().is_final() {
+            self.open.insert(job);
+        }
+        Change::Submitted(job)
+    }
+
+    fn advance(&mut self, job: JobKey, number: u32, offset: u64, progress: Progress) -> Change {
+        let entry = self.jobs.entry(job).or_default();
+        let at = number as usize;
+        if entry.progress.len() <= at {
+            entry.progress.resize(at + 1, Versioned::default());
+        }
+        if entry.progress[at].offset > offset {
+            return Change::Nothing;
+        }
+        entry.progress[at] = Versioned { offset, progress };
+        if entry.state().is_final() {
+            self.open.remove(&job);
+        }
+        Change::Progressed(job)
+    }
+
+    fn cancel(&mut self, job: JobKey, at: UnixMillis) -> Change {
+        let entry = self.jobs.entry(job).or_default();
+        if entry.cancelled.is_some() {
+            return Change::Nothing;
+        }
+        entry.cancelled = Some(at);
+        self.open.remove(&job);
+        Change::Cancelled(job)
+    }
+
+    fn hear_owner(&mut self, offset: u64, beat: OwnerBeat) -> Change {
+        let known = self.owner.as_ref();
+        if known.is_some_and(|owner| owner.offset > offset || owner.beat.epoch > beat.epoch) {
+            return Change::Nothing;
+        }
+        self.owner = Some(Owner { beat, offset });
+        Change::Owner
+    }
+
+    /// The last owner that was heard of.
+    pub fn owner(&self) -> Option<&Owner> {
+        self.owner.as_ref()
+    }
+
+    /// Fencing token of the last owner, 0 when none was heard of.
+    pub fn epoch(&self) -> u64 {
+        self.owner.as_ref().map_or(0, |owner| owner.beat.epoch)
+    }
+
+    /// A job whose submission is known.
+    pub fn job(&self, job: JobKey) -> Option<&JobEntry> {
+        self.jobs.get(&job).filter(|entry| entry.submission.is_some())
+    }
+
+    /// All jobs whose submission is known.
+    pub fn jobs(&self) -> impl Iterator<Item = (JobKey, &JobEntry)> {
+        let known = self.jobs.iter().filter(|(_, entry)| entry.submission.is_some());
+        known.map(|(&job, entry)| (job, entry))
+    }
+
+    /// Jobs that aren't final.
+    pub fn open_jobs(&self) -> impl Iterator<Item = (JobKey, &JobEntry)> {
+        self.open.iter().filter_map(|&job| Some((job, self.job(job)?)))
+    }
+
+    /// VMs whose upkeep for a wave has begun.
+    pub fn wave(&self, number: u64) -> &[VmId] {
+        self.waves.get(&number).map_or(&[], Vec::as_slice)
+    }
+
+    /// Number of accepted jobs of a queue of which no task has begun.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waits = |entry: &&JobEntry| {
+            let named = entry.submission.as_ref().is_some_and(|s| s.queue == queue);
+            named && entry.state() == JobState::Queued
+        };
+        self.open_jobs().map(|(_, entry)| entry).filter(waits).count()
+    }
+
+    /// Keys of jobs that have been final for longer than `retention`, at most `most` jobs.
+    pub fn expired(&self, now: UnixMillis, retention: Duration, most: usize) -> Vec<RecordKey> {
+        let old = |entry: &JobEntry| entry.ended_at().is_some_and(|at| now.since(at) > retention);
+        let jobs = self.jobs().filter(|(_, entry)| old(entry)).take(most);
+        jobs.flat_map(|(job, entry)| entry.keys(job)).collect()
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/src/codec.rs
@@ -0,0 +1,58 @@
+//! Encoding of records: a version byte and a postcard body. A record without a body drops its key.
+
+use cj_types::{Error, Result};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::record::{Record, RecordKey};
+
+/// First byte of each value; it changes when a record gets other fields.
+const FORMAT: u8 = 1;
+
+/// Value of a record; empty for a dropped key.
+pub fn encode(record: &Record) -> Vec<u8> {
+    match record {
+        Record::Submission(_, body) => body_of(body),
+        Record::Progress(_, _, body) => body_of(body),
+        Record::Cancel(_, at) => body_of(at),
+        Record::Wave(_, vms) => body_of(vms),
+        Record::Owner(body) => body_of(body),
+        Record::Drop(_) => Vec::new(),
+    }
+}
+
+fn body_of<T>(body: &T) -> Vec<u8>
+where
+    T: Serialize,
+{
+    let encoded = postcard::to_extend(body, vec![FORMAT]);
+    encoded.expect("writing to a vector doesn't fail")
+}
+
+/// Reads a record from its key and value.
+///
+/// # Errors
+///
+/// An unknown key, another format, or a body that can't be read.
+pub fn decode(key: &str, value: &[u8]) -> Result<Record> {
+    let key: RecordKey = key.parse()?;
+    let Some((format, body)) = value.split_first() else {
+        return Ok(Record::Drop(key));
+    };
+    if *format != FORMAT {
+        return Err(Error::decode("record", format!("format {format}")));
+    }
+    match key {
+        RecordKey::Submission(job) => Ok(Record::Submission(job, Box::new(read(body)?))),
+        RecordKey::Progress(job, number) => Ok(Record::Progress(job, number, read(body)?)),
+        RecordKey::Cancel(job) => Ok(Record::Cancel(job, read(body)?)),
+        RecordKey::Wave(number) => Ok(Record::Wave(number, read(body)?)),
+        RecordKey::Owner => Ok(Record::Owner(read(body)?)),
+    }
+}
+
+fn read<T>(body: &[u8]) -> Result<T>
+where
+    T: DeserializeOwned,
+{
+    postcard::from_bytes(body).map_err(|e| Error::decode("record", e.to_string()))
+}
--- /dev/null
+++ b/crates/cj-sched/src/job.rs
@@ -0,0 +1,198 @@
+//! What a caller submits: a job of steps, and the names of its tasks.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+use cj_types::{Error, Resources, Result, UnixMillis};
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+
+/// Most tasks that a job may have over all steps and occurrences.
+pub const MAX_JOB_TASKS: u32 = 100_000;
+
+/// Id of a job: 16 hexadecimal digits chosen by its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobKey(pub u64);
+
+impl fmt::Display for JobKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for JobKey {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let digits = text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        let help = "use 16 lower-case hexadecimal digits";
+        if text.len() != 16 || !digits {
+            return Err(Error::invalid("job id", text, help));
+        }
+        let parsed = u64::from_str_radix(text, 16).map(JobKey);
+        parsed.map_err(|_| Error::invalid("job id", text, help))
+    }
+}
+
+/// Names one task: job, occurrence, step, and index within the step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskId {
+    /// The job.
+    pub job: JobKey,
+    /// Number of the occurrence, from 0.
+    pub occurrence: u32,
+    /// Number of the step, from 0.
+    pub step: u32,
+    /// Index within the step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let wrong = || Error::invalid("task id", text, "use JOB.OCCURRENCE.STEP.INDEX");
+        let mut parts = text.split('.');
+        let mut part = || parts.next().ok_or_else(wrong);
+        let job = part()?.parse()?;
+        let mut number = || part()?.parse::<u32>().map_err(|_| wrong());
+        let task = TaskId { job, occurrence: number()?, step: number()?, index: number()? };
+        if parts.next().is_some() {
+            return Err(wrong());
+        }
+        Ok(task)
+    }
+}
+
+/// Resources that one task asks for.
+pub type Demand = Resources;
+
+/// One step: tasks that may run side by side once the steps before them are done.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StepSpec {
+    /// Number of tasks.
+    pub count: u32,
+    /// Resources of each task.
+    pub demand: Demand,
+    /// Rough estimate of a task's run time.
+    pub estimate: Duration,
+    /// Numbers of earlier steps whose tasks must all be done first.
+    pub after: Vec<u32>,
+    /// The tasks save checkpoints and can resume from them.
+    pub checkpoints: bool,
+    /// The tasks work only together.
+    pub gang: bool,
+    /// The tasks slow down when they run on more than one rack.
+    pub colocated: bool,
+    /// Label that the VM must have.
+    pub requires: Option<CompactString>,
+    /// Rack that holds the data of the tasks.
+    pub affinity: Option<CompactString>,
+    /// Most tasks of the step on one VM; `None` is unlimited.
+    pub spread: Option<u32>,
+    /// Copies may run side by side; the first to finish counts.
+    pub speculative: bool,
+    /// The tasks run until the job is cancelled and are restarted however they end.
+    pub lasting: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    pub image: CompactString,
+    /// Bound on the tail latency of a serving task.
+    pub target: Option<Duration>,
+    /// The tasks use the processor time that other tasks leave; their own demand for it isn't counted.
+    pub fills: bool,
+    /// Number of tasks of a lasting step that may be unavailable through orders of the system.
+    pub disruptable: Option<u32>,
+}
+
+impl StepSpec {
+    /// Resources that a task takes from a VM's capacity.
+    pub fn counted(&self) -> Demand {
+        let mut demand = self.demand;
+        if self.fills {
+            demand.cores = Default::default();
+        }
+        demand
+    }
+}
+
+/// When the occurrences of a repeated job are due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// Number of occurrences.
+    pub count: u32,
+    /// Due time of occurrence 0.
+    pub start: UnixMillis,
+    /// Time between two occurrences.
+    pub interval: Duration,
+}
+
+impl Schedule {
+    /// Due time of occurrence `number`.
+    pub fn due(&self, number: u32) -> UnixMillis {
+        self.start + self.interval * number
+    }
+}
+
+/// A job as its caller submitted it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Text handed to each task.
+    pub text: String,
+    /// The steps.
+    pub steps: Vec<StepSpec>,
+    /// Due times; `None` runs the steps once, at once.
+    pub schedule: Option<Schedule>,
+}
+
+impl JobSpec {
+    /// Number of occurrences, at least 1.
+    pub fn occurrences(&self) -> u32 {
+        self.schedule.map_or(1, |schedule| schedule.count.max(1))
+    }
+
+    /// Checks the steps.
+    ///
+    /// # Errors
+    ///
+    /// A job without tasks, with too many of them, or with a step that waits for itself or a later one.
+    pub fn check(&self) -> Result<()> {
+        let wrong = |value: String, help: &str| Err(Error::invalid("job", value, help));
+        let per_occurrence: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        let tasks = per_occurrence * u64::from(self.occurrences());
+        if self.steps.iter().any(|step| step.count == 0) || tasks == 0 {
+            return wrong(format!("{tasks} tasks"), "give each step a count of at least 1");
+        }
+        if tasks > u64::from(MAX_JOB_TASKS) {
+            return wrong(
+                format!("{tasks} tasks"),
+                "split the job: a job has at most 100,000 tasks",
+            );
+        }
+        for (number, step) in self.steps.iter().enumerate() {
+            if step.after.iter().any(|&earlier| earlier as usize >= number) {
+                return wrong(format!("step {number}"), "let `after` name earlier steps only");
+            }
+        }
+        Ok(())
+    }
+
+    /// Sum of the estimates along the longest chain of dependent steps.
+    pub fn chain(&self) -> Duration {
+        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let ready = step.after.iter().filter_map(|&n| ends.get(n as usize)).max();
+            ends.push(ready.copied().unwrap_or_default() + step.estimate);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// True when all tasks run until the job is cancelled.
+    pub fn is_lasting(&self) -> bool {
+        self.steps.iter().any(|step| step.lasting)
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/src/sched/load.rs
@@ -0,0 +1,43 @@
+//! Load of each service, which the owner publishes for all nodes.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use cj_types::ServiceId;
+
+use crate::{
+    record::ServiceLoad,
+    sched::{scheduler::Scheduler, work::Job},
+};
+
+impl Scheduler {
+    /// Capacity and open work by service.
+    pub fn load(&self) -> Vec<(ServiceId, ServiceLoad)> {
+        let mut load: BTreeMap<ServiceId, ServiceLoad> = BTreeMap::new();
+        for worker in self.workers.values().filter(|worker| worker.listed && !worker.draining) {
+            let entry = load.entry(worker.service.clone()).or_default();
+            entry.capacity += u64::from(worker.capacity.cores.0);
+        }
+        for job in self.jobs.values().filter(|job| !job.is_over()) {
+            let service = self.service_of(&job.submission).clone();
+            let speed = self.speeds.get(&job.submission.queue).copied().unwrap_or(1.0);
+            load.entry(service).or_default().backlog += (open_work(job) as f32 * speed) as u64;
+        }
+        load.into_iter().collect()
+    }
+}
+
+/// Estimated work of the finite tasks that aren't done, in thousandths of a core times milliseconds.
+pub(super) fn open_work(job: &Job) -> u64 {
+    let mut sum = 0;
+    for occurrence in &job.occurrences {
+        for (number, step) in occurrence.steps.iter().enumerate() {
+            let spec = job.step_spec(number as u32);
+            if spec.lasting || spec.estimate == Duration::ZERO {
+                continue;
+            }
+            let open = step.tasks.iter().filter(|task| !task.is_done()).count() as u64;
+            sum += open * u64::from(spec.demand.cores.0) * spec.estimate.as_millis() as u64;
+        }
+    }
+    sum
+}
--- /dev/null
+++ b/crates/cj-sched/src/sched/orders.rs
@@ -0,0 +1,275 @@
+//! Orders for single runs, and their answers.
+
+use std::time::Instant;
+
+use log::{info, warn};
+
+use crate::{
+    job::TaskId,
+    sched::{
+        event::{Action, OrderAnswer, Refusal, StartOrder, WorkerId},
+        scheduler::Scheduler,
+        settings::{HANG, START_TRIES, STOP_RETRY, WORKER_PAUSE},
+        work::{Placed, Stage, TaskRef},
+        worker::WorkerKey,
+    },
+};
+
+/// A finite task is taken to hang after this multiple of its estimate at the earliest.
+const HANG_FACTOR: u32 = 3;
+
+impl Scheduler {
+    /// Puts an idle task on a worker and orders its start.
+    pub(super) fn start_run(&mut self, at: TaskRef, worker: WorkerKey, run: u64) {
+        let now = self.now.mono;
+        let placed = Placed {
+            worker,
+            run,
+            stage: Stage::Starting,
+            ordering: true,
+            touched: now,
+            tries: 0,
+            since: now,
+            percent: 0,
+            moved: now,
+            sample: 0,
+            pace: 100,
+        };
+        self.assign(at, placed);
+        self.order_start(at);
+    }
+
+    fn order_start(&mut self, at: TaskRef) {
+        let (now, tenure) = (self.now.mono, self.tenure);
+        let job = &mut self.jobs[at.job];
+        let task = job.task_id(at);
+        let submission = job.submission.clone();
+        let spec = job.step_spec(at.step);
+        let checkpoints = spec.checkpoints;
+        let entry = job.task_mut(at);
+        let checkpoint = if checkpoints { entry.saved.clone() } else { Default::default() };
+        let Some(placed) = entry.placed_mut() else { return };
+        placed.ordering = true;
+        placed.touched = now;
+        let (key, run) = (placed.worker, placed.run);
+        let worker = &mut self.workers[key];
+        let Some(deadline) = worker.grant(now, tenure) else { return };
+        let target = worker.target();
+        let ticket = self.ticket_for(at, &target.worker);
+        let order = StartOrder { task, run, submission, deadline, checkpoint, ticket };
+        self.actions.push(Action::Start(target, order));
+    }
+
+    /// Orders a run to stop, whatever its stage.
+    pub(super) fn stop_run(&mut self, at: TaskRef) {
+        let now = self.now.mono;
+        let id = self.jobs[at.job].task_id(at);
+        let Some(placed) = self.task_mut(at).placed_mut() else { return };
+        if placed.stage == Stage::Stopping {
+            return;
+        }
+        placed.stage = Stage::Stopping;
+        placed.ordering = true;
+        placed.touched = now;
+        let (key, run) = (placed.worker, placed.run);
+        self.stop_unknown(key, id, run);
+    }
+
+    /// Orders a run to stop that no task claims.
+    pub(super) fn stop_unknown(&mut self, key: WorkerKey, task: TaskId, run: u64) {
+        let target = self.workers[key].target();
+        info!(target: "decision", "task={task} run={run} worker={} choice=stop epoch={}", target.worker, self.epoch);
+        self.actions.push(Action::Stop(target, task, run));
+    }
+
+    /// The placement of `task` if it is this run on this worker.
+    fn current(&self, worker: &WorkerId, task: &TaskId, run: u64) -> Option<TaskRef> {
+        let key = *self.worker_index.get(worker)?;
+        let at = self.find(task)?;
+        let placed = self.task(at).placed()?;
+        (placed.worker == key && placed.run == run).then_some(at)
+    }
+
+    pub(super) fn started(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        run: u64,
+        answer: OrderAnswer,
+    ) {
+        if answer == OrderAnswer::Refused(Refusal::Fenced) {
+            return self.step_down(worker);
+        }
+        let Some(at) = self.current(worker, task, run) else { return };
+        let now = self.now.mono;
+        let placed = self.task_mut(at).placed_mut().expect("current() found a placement");
+        if placed.stage != Stage::Starting {
+            return;
+        }
+        placed.ordering = false;
+        placed.touched = now;
+        match answer {
+            OrderAnswer::Done => self.begin(at),
+            OrderAnswer::Unanswered => self.retry_start(at),
+            OrderAnswer::Refused(reason) => self.start_refused(at, reason),
+        }
+    }
+
+    /// A start took effect.
+    fn begin(&mut self, at: TaskRef) {
+        let now = self.now.mono;
+        let placed = self.task_mut(at).placed_mut().expect("called for a placed task");
+        placed.stage = Stage::Running;
+        let key = placed.worker;
+        self.note_started(at);
+        let lasting = self.jobs[at.job].step_spec(at.step).lasting;
+        let gap = if lasting { super::settings::RENEWAL_GAP } else { super::settings::LISTING_GAP };
+        self.workers[key].list_by(now + gap);
+    }
+
+    /// A task of the occurrence has begun; callers see the job as running once that is written.
+    pub(super) fn note_started(&mut self, at: TaskRef) {
+        let occurrence = &mut self.jobs[at.job].occurrences[at.occurrence as usize];
+        if !occurrence.started {
+            occurrence.started = true;
+            occurrence.dirty = true;
+            self.write.wants(at.job, at.occurrence, self.now.mono, false);
+        }
+    }
+
+    fn retry_start(&mut self, at: TaskRef) {
+        let placed = self.task_mut(at).placed_mut().expect("called for a placed task");
+        placed.tries += 1;
+        let (tries, key) = (placed.tries, placed.worker);
+        self.pause_worker(key);
+        if tries < START_TRIES && self.may_order() && self.is_wanted(at) {
+            return self.order_start(at);
+        }
+        // The order may be carried out later: only a stop settles the run.
+        self.stop_run(at);
+    }
+
+    fn start_refused(&mut self, at: TaskRef, reason: Refusal) {
+        let placed = self.task(at).placed().expect("called for a placed task");
+        let (key, tries) = (placed.worker, placed.tries);
+        let id = self.jobs[at.job].task_id(at);
+        info!(
+            target: "decision",
+            "task={id} run={} worker={} choice=not_started reason={reason:?}",
+            placed.run, self.workers[key].id
+        );
+        match reason {
+            Refusal::Ticket => self.drop_tickets(at),
+            Refusal::Late => self.workers[key].list_by(self.now.mono),
+            Refusal::OtherLife => {
+                self.workers[key].swept = false;
+                self.workers[key].list_by(self.now.mono);
+            }
+            _ => {}
+        }
+        self.pause_worker(key);
+        if tries > 0 {
+            // An earlier order for the same run went unanswered and may still be carried out.
+            return self.stop_run(at);
+        }
+        self.release(at);
+        self.break_gang(at);
+        self.retire(at.job);
+    }
+
+    pub(super) fn pause_worker(&mut self, key: WorkerKey) {
+        let until = self.now.mono + WORKER_PAUSE;
+        let worker = &mut self.workers[key];
+        worker.paused = Some(until);
+        worker.list_by(self.now.mono);
+    }
+
+    pub(super) fn stopped(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        run: u64,
+        answer: OrderAnswer,
+    ) {
+        if answer == OrderAnswer::Refused(Refusal::Fenced) {
+            return self.step_down(worker);
+        }
+        let now = self.now.mono;
+        if let Some(&key) = self.worker_index.get(worker) {
+            self.workers[key].list_by(now + super::settings::LISTING_GAP);
+        }
+        let Some(at) = self.current(worker, task, run) else { return };
+        let placed = self.task_mut(at).placed_mut().expect("current() found a placement");
+        if placed.stage != Stage::Stopping {
+            return;
+        }
+        placed.touched = now;
+        // A refusal other than the ones above leaves the run where it was, so the order is repeated.
+        placed.ordering = answer != OrderAnswer::Done;
+    }
+
+    /// Repeats stops that weren't answered.
+    pub(super) fn retry_stops(&mut self) {
+        if !self.may_order() {
+            return;
+        }
+        let now = self.now.mono;
+        let mut again = Vec::new();
+        for (key, worker) in &self.workers {
+            for &at in &worker.runs {
+                let Some(placed) = self.task(at).placed() else { continue };
+                let waited = now.saturating_duration_since(placed.touched);
+                if placed.stage == Stage::Stopping && placed.ordering && waited > STOP_RETRY {
+                    again.push((key, at, placed.run));
+                }
+            }
+        }
+        for (key, at, run) in again {
+            let id = self.jobs[at.job].task_id(at);
+            if let Some(placed) = self.task_mut(at).placed_mut() {
+                placed.touched = now;
+            }
+            self.stop_unknown(key, id, run);
+        }
+    }
+
+    /// Stops finite tasks whose progress stands still, to start them elsewhere.
+    pub(super) fn check_hangs(&mut self) {
+        if !self.may_order() {
+            return;
+        }
+        let now = self.now.mono;
+        let mut hanging: Vec<(WorkerKey, TaskRef)> = Vec::new();
+        for (key, worker) in &self.workers {
+            for &at in &worker.runs {
+                if worker.misses == 0 && self.hangs(at, now) {
+                    hanging.push((key, at));
+                }
+            }
+        }
+        for (key, at) in hanging {
+            let id = self.jobs[at.job].task_id(at);
+            info!(target: "decision", "task={id} worker={} choice=restart reason=hang", self.workers[key].id);
+            self.task_mut(at).avoid = Some(key);
+            self.quarantine(key);
+            self.stop_run(at);
+        }
+    }
+
+    fn hangs(&self, at: TaskRef, now: Instant) -> bool {
+        let spec = self.jobs[at.job].step_spec(at.step);
+        let Some(placed) = self.task(at).placed() else { return false };
+        if spec.lasting || spec.gang || placed.stage != Stage::Running {
+            return false;
+        }
+        let limit = HANG.max(spec.estimate * HANG_FACTOR);
+        now.saturating_duration_since(placed.moved) > limit
+    }
+
+    /// Another owner gave orders with a higher fencing token.
+    pub(super) fn step_down(&mut self, worker: &WorkerId) {
+        warn!(target: "decision", "worker={worker} choice=step_down epoch={} reason=fenced", self.epoch);
+        self.tenure = self.now.mono;
+        self.actions.push(Action::StepDown);
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/src/sched/persist.rs
@@ -0,0 +1,147 @@
+//! Progress that is written to the store in groups.
+//!
+//! An end is acknowledged to its worker once what it means for the job is durable: else a later owner would start a task
+//! again that is done.
+
+use std::{collections::BTreeSet, time::Instant};
+
+use crate::{
+    record::Record,
+    sched::{
+        event::Action,
+        scheduler::Scheduler,
+        settings::{LAZY_WRITE, LISTING_GAP, WRITE_GAP},
+        work::JobSlot,
+        worker::WorkerKey,
+    },
+};
+
+/// A batch on its way to the store.
+#[derive(Debug)]
+struct Batch {
+    number: u64,
+    occurrences: Vec<(JobSlot, u32)>,
+    /// Ends of workers that the batch covers, with the start of the worker's life.
+    ends: Vec<(WorkerKey, Option<u64>, u64)>,
+}
+
+/// What is to be written, and the batch on its way.
+#[derive(Debug, Default)]
+pub(super) struct WriteState {
+    dirty: BTreeSet<(JobSlot, u32)>,
+    extra: Vec<Record>,
+    due: Option<Instant>,
+    last: Option<Instant>,
+    hurried: bool,
+    flight: Option<Batch>,
+    number: u64,
+}
+
+impl WriteState {
+    /// An occurrence changed. `urgent`: an acknowledgement waits for the write.
+    pub(super) fn wants(&mut self, job: JobSlot, occurrence: u32, now: Instant, urgent: bool) {
+        self.dirty.insert((job, occurrence));
+        let at = if urgent { now + WRITE_GAP } else { now + LAZY_WRITE };
+        self.due = Some(self.due.map_or(at, |due| due.min(at)));
+    }
+
+    /// Writes another record with the next batch.
+    pub(super) fn add(&mut self, record: Record, now: Instant) {
+        self.extra.push(record);
+        self.due = Some(now);
+    }
+
+    /// A caller waits for the next write.
+    pub(super) fn hurry(&mut self) {
+        self.hurried = true;
+    }
+
+    /// True when the job has changes that aren't durable.
+    pub(super) fn covers(&self, slot: JobSlot) -> bool {
+        let in_flight = self.flight.as_ref();
+        in_flight.is_some_and(|batch| batch.occurrences.iter().any(|(job, _)| *job == slot))
+            || self.dirty.iter().any(|(job, _)| *job == slot)
+    }
+
+    fn is_due(&self, now: Instant) -> bool {
+        let rested = self.last.is_none_or(|last| last + WRITE_GAP <= now);
+        let due = self.hurried || self.due.is_some_and(|due| due <= now);
+        self.flight.is_none() && rested && due
+    }
+}
+
+impl Scheduler {
+    pub(super) fn write_progress(&mut self) {
+        let now = self.now.mono;
+        if self.write.dirty.is_empty() && self.write.extra.is_empty() && self.write.flight.is_none()
+        {
+            self.acknowledge_all();
+        }
+        if !self.write.is_due(now) {
+            return;
+        }
+        let mut records = std::mem::take(&mut self.write.extra);
+        let mut occurrences = Vec::new();
+        for (slot, number) in std::mem::take(&mut self.write.dirty) {
+            let Some(job) = self.jobs.get_mut(slot) else { continue };
+            let occurrence = &mut job.occurrences[number as usize];
+            occurrence.dirty = false;
+            records.push(Record::Progress(job.key, number, occurrence.progress()));
+            occurrences.push((slot, number));
+        }
+        self.write.due = None;
+        self.write.hurried = false;
+        self.write.last = Some(now);
+        if records.is_empty() {
+            return;
+        }
+        self.write.number += 1;
+        let covered = |(key, worker): (WorkerKey, &super::worker::Worker)| {
+            (worker.ended_seen > worker.ended_durable).then_some((
+                key,
+                worker.born,
+                worker.ended_seen,
+            ))
+        };
+        let ends = self.workers.iter().filter_map(covered).collect();
+        let number = self.write.number;
+        self.write.flight = Some(Batch { number, occurrences, ends });
+        self.actions.push(Action::Write(number, records));
+    }
+
+    pub(super) fn written(&mut self, number: u64, durable: bool) {
+        let now = self.now.mono;
+        let Some(batch) = self.write.flight.take_if(|batch| batch.number == number) else { return };
+        if !durable {
+            for (slot, occurrence) in batch.occurrences {
+                if let Some(job) = self.jobs.get_mut(slot) {
+                    job.occurrences[occurrence as usize].dirty = true;
+                    self.write.wants(slot, occurrence, now, false);
+                }
+            }
+            return;
+        }
+        for (key, born, ended) in batch.ends {
+            let Some(worker) = self.workers.get_mut(key).filter(|worker| worker.born == born)
+            else {
+                continue;
+            };
+            worker.ended_durable = worker.ended_durable.max(ended);
+            worker.list_by(now + LISTING_GAP);
+        }
+        for (slot, _) in batch.occurrences {
+            self.retire(slot);
+        }
+    }
+
+    /// Without unwritten changes, all ends that were read mean nothing that isn't durable.
+    fn acknowledge_all(&mut self) {
+        let at = self.now.mono + LISTING_GAP * 2;
+        for worker in self.workers.values_mut() {
+            if worker.ended_seen > worker.ended_durable {
+                worker.ended_durable = worker.ended_seen;
+                worker.list_by(at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -0,0 +1,375 @@
+//! The scheduler: events in, actions out.
+
+use std::{
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::Instant,
+};
+
+use cj_types::{ServiceId, UnixMillis, VmId};
+use log::info;
+use slotmap::SlotMap;
+
+use crate::{
+    book::Book,
+    config::FleetConfig,
+    job::{JobKey, TaskId},
+    record::{Outcome, Submission},
+    sched::{
+        event::{Action, Event, VmRow, WorkerId, WorkerReport},
+        settings::Limits,
+        wave::Wave,
+        work::{Job, JobSlot, Phase, Stage, Task, TaskRef},
+        worker::{Worker, WorkerKey},
+    },
+};
+
+/// Both clocks at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// Monotonic time.
+    pub mono: Instant,
+    /// Wall-clock time.
+    pub wall: UnixMillis,
+}
+
+/// Places the tasks of all jobs on workers, and maintains and moves their VMs. It lives as long as one ownership.
+pub struct Scheduler {
+    pub(super) epoch: u64,
+    pub(super) limits: Limits,
+    pub(super) config: Rc<FleetConfig>,
+    pub(super) jobs: SlotMap<JobSlot, Job>,
+    pub(super) job_index: HashMap<JobKey, JobSlot>,
+    pub(super) workers: SlotMap<WorkerKey, Worker>,
+    pub(super) worker_index: HashMap<WorkerId, WorkerKey>,
+    pub(super) vms: HashMap<VmId, VmRow>,
+    /// The list of VMs was read under this ownership.
+    pub(super) vms_known: bool,
+    pub(super) waves: Vec<Wave>,
+    /// Services whose workers were all listed under this ownership.
+    pub(super) swept: HashSet<ServiceId>,
+    /// Runs of earlier owners on workers that can't be reached have surely ended after this.
+    pub(super) horizon: Instant,
+    /// Orders and leases end by then.
+    pub(super) tenure: Instant,
+    /// Run time in multiples of the estimate, by queue.
+    pub(super) speeds: HashMap<compact_str::CompactString, f32>,
+    pub(super) write: super::persist::WriteState,
+    pub(super) actions: Vec<Action>,
+    pub(super) place_due: bool,
+    pub(super) placed_at: Instant,
+    pub(super) now: Now,
+}
+
+impl Scheduler {
+    /// A scheduler for the owner with fencing token `epoch`, with all open jobs of the book. Runs that earlier owners
+    /// started end by `horizon` unless they are seen.
+    pub fn new(
+        epoch: u64,
+        limits: Limits,
+        config: Rc<FleetConfig>,
+        book: &Book,
+        horizon: Instant,
+        now: Now,
+    ) -> Self {
+        let mut scheduler = Scheduler {
+            epoch,
+            limits,
+            config,
+            jobs: SlotMap::with_key(),
+            job_index: HashMap::new(),
+            workers: SlotMap::with_key(),
+            worker_index: HashMap::new(),
+            vms: HashMap::new(),
+            vms_known: false,
+            waves: Vec::new(),
+            swept: HashSet::new(),
+            horizon,
+            tenure: now.mono,
+            speeds: HashMap::new(),
+            write: Default::default(),
+            actions: Vec::new(),
+            place_due: true,
+            placed_at: now.mono,
+            now,
+        };
+        for (key, entry) in book.open_jobs() {
+            let Some(submission) = entry.submission() else { continue };
+            let progress = |number| entry.progress(number);
+            let job = Job::new(key, submission.clone(), false, now.mono, progress);
+            scheduler.insert_job(job);
+        }
+        scheduler
+    }
+
+    /// Orders and leases may be given until `until`. It follows from the last acknowledged heartbeat of the owner.
+    pub fn set_tenure(&mut self, until: Instant) {
+        self.tenure = until;
+    }
+
+    /// Fencing token of this ownership.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Takes note of an event.
+    pub fn handle(&mut self, event: Event, now: Now) {
+        self.now = now;
+        match event {
+            Event::Submitted { job, submission, fresh } => self.submit(job, submission, fresh),
+            Event::Cancelled(job) => self.cancel(job),
+            Event::Config(config) => self.configure(config),
+            Event::Reported(report) => self.report(report),
+            Event::Unlisted(id) => self.unlist(&id),
+            Event::Vms(rows) => self.list_vms(rows),
+            Event::Wave(order, done) => self.order_wave(order, done),
+            Event::Started(worker, task, run, answer) => self.started(&worker, &task, run, answer),
+            Event::Stopped(worker, task, run, answer) => self.stopped(&worker, &task, run, answer),
+            Event::Paced(worker, task, run, answer) => self.paced(&worker, &task, run, answer),
+            Event::Listed(worker, sent, answer) => self.listed(&worker, sent, answer),
+            Event::Advised(step, answer) => self.advised(step, answer),
+            Event::Written(batch, durable) => self.written(batch, durable),
+            Event::Maintained(vm, wave, answer) => self.maintained(&vm, wave, answer),
+        }
+    }
+
+    /// What is to be done now.
+    pub fn poll(&mut self, now: Now) -> Vec<Action> {
+        self.now = now;
+        self.expire_leases();
+        self.retry_stops();
+        self.check_hangs();
+        self.run_waves();
+        self.place_tasks();
+        self.pace_tasks();
+        self.list_workers();
+        self.write_progress();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// True while orders may be given.
+    pub(super) fn may_order(&self) -> bool {
+        self.now.mono + super::settings::TENURE_RESERVE < self.tenure
+    }
+
+    fn submit(&mut self, key: JobKey, submission: Rc<Submission>, fresh: bool) {
+        if self.job_index.contains_key(&key) {
+            return;
+        }
+        self.insert_job(Job::new(key, submission, fresh, self.now.mono, |_| None));
+        self.place_due = true;
+    }
+
+    fn insert_job(&mut self, job: Job) {
+        let key = job.key;
+        let slot = self.jobs.insert(job);
+        self.job_index.insert(key, slot);
+    }
+
+    fn cancel(&mut self, key: JobKey) {
+        let Some(&slot) = self.job_index.get(&key) else { return };
+        let job = &mut self.jobs[slot];
+        if job.cancelled {
+            return;
+        }
+        job.cancelled = true;
+        info!(target: "decision", "job={key} choice=cancel runs={}", job.placed);
+        self.stop_job(slot);
+        self.retire(slot);
+    }
+
+    /// Stops all runs of a job.
+    pub(super) fn stop_job(&mut self, slot: JobSlot) {
+        for at in self.placed_tasks(slot) {
+            self.stop_run(at);
+        }
+    }
+
+    /// All tasks of a job that are on workers.
+    pub(super) fn placed_tasks(&self, slot: JobSlot) -> Vec<TaskRef> {
+        let mut found = Vec::new();
+        for (number, occurrence) in self.jobs[slot].occurrences.iter().enumerate() {
+            for (step_number, step) in occurrence.steps.iter().enumerate() {
+                let placed = step.tasks.iter().enumerate().filter(|(_, t)| t.placed().is_some());
+                found.extend(placed.map(|(index, _)| TaskRef {
+                    job: slot,
+                    occurrence: number as u32,
+                    step: step_number as u32,
+                    index: index as u32,
+                }));
+            }
+        }
+        found
+    }
+
+    /// Forgets a job that is over, whose last write is durable and which has no runs.
+    pub(super) fn retire(&mut self, slot: JobSlot) {
+        let Some(job) = self.jobs.get(slot) else { return };
+        let written = job.occurrences.iter().all(|occurrence| !occurrence.dirty);
+        if job.is_over() && job.placed == 0 && written && !self.write.covers(slot) {
+            let key = job.key;
+            self.jobs.remove(slot);
+            self.job_index.remove(&key);
+        }
+    }
+
+    fn configure(&mut self, config: Rc<FleetConfig>) {
+        if config.version >= self.config.version {
+            self.config = config;
+            self.place_due = true;
+        }
+    }
+
+    fn report(&mut self, report: WorkerReport) {
+        let now = self.now.mono;
+        self.place_due = true;
+        let Some(&key) = self.worker_index.get(&report.id) else {
+            info!(target: "decision", "worker={} choice=add service={}", report.id, report.service);
+            let id = report.id.clone();
+            let key = self.workers.insert(Worker::new(report, now));
+            self.worker_index.insert(id, key);
+            self.match_vm(key);
+            return;
+        };
+        let reborn = report
+            .born
+            .is_some_and(|born| self.workers[key].born.is_some_and(|known| born > known));
+        if reborn {
+            self.end_life(key, report.born, "registered again");
+        }
+        let was_draining = self.workers[key].draining;
+        self.workers[key].update(report, now);
+        if !self.workers[key].swept {
+            self.workers[key].list_by(now);
+        }
+        if self.workers[key].draining && !was_draining {
+            self.leave_draining(key);
+        }
+    }
+
+    fn unlist(&mut self, id: &WorkerId) {
+        if let Some(&key) = self.worker_index.get(id) {
+            self.workers[key].listed = false;
+            info!(target: "decision", "worker={id} choice=unlist runs={}", self.workers[key].runs.len());
+        }
+    }
+
+    /// Service of the workers that may run a job: that of its queue now, or at its submission when the queue is gone.
+    pub(super) fn service_of<'a>(&'a self, submission: &'a Submission) -> &'a ServiceId {
+        self.config.queue(&submission.queue).map_or(&submission.service, |queue| &queue.service)
+    }
+
+    /// Puts a task on a worker.
+    pub(super) fn assign(&mut self, at: TaskRef, placed: super::work::Placed) {
+        let demand = self.jobs[at.job].step_spec(at.step).counted();
+        let worker = &mut self.workers[placed.worker];
+        worker.used = worker.used.plus(demand);
+        worker.runs.push(at);
+        let job = &mut self.jobs[at.job];
+        job.placed += 1;
+        let task = job.task_mut(at);
+        task.run = task.run.max(placed.run);
+        task.phase = Phase::Placed(placed);
+    }
+
+    /// Takes a task off its worker; it becomes idle.
+    pub(super) fn release(&mut self, at: TaskRef) {
+        let now = self.now.mono;
+        let job = &mut self.jobs[at.job];
+        let demand = job.step_spec(at.step).counted();
+        let task = job.task_mut(at);
+        let Phase::Placed(placed) = std::mem::replace(&mut task.phase, Phase::Idle) else { return };
+        task.idle_since = now;
+        job.placed -= 1;
+        if let Some(worker) = self.workers.get_mut(placed.worker) {
+            worker.used = worker.used.minus(demand);
+            worker.runs.retain(|run| *run != at);
+        }
+        self.place_due = true;
+    }
+
+    /// The task named by `id`, if its job is known.
+    pub(super) fn find(&self, id: &TaskId) -> Option<TaskRef> {
+        let slot = *self.job_index.get(&id.job)?;
+        self.jobs[slot].locate(slot, id)
+    }
+
+    pub(super) fn task(&self, at: TaskRef) -> &Task {
+        self.jobs[at.job].task(at)
+    }
+
+    pub(super) fn task_mut(&mut self, at: TaskRef) -> &mut Task {
+        self.jobs[at.job].task_mut(at)
+    }
+
+    /// True when the job still wants this task to run.
+    pub(super) fn is_wanted(&self, at: TaskRef) -> bool {
+        let job = &self.jobs[at.job];
+        let open = job.occurrences[at.occurrence as usize].outcome == Outcome::Open;
+        open && !job.is_over() && !job.task(at).is_done()
+    }
+
+    /// The life of a worker is over: its runs are gone.
+    pub(super) fn end_life(&mut self, key: WorkerKey, born: Option<u64>, cause: &str) {
+        let worker = &mut self.workers[key];
+        let runs = std::mem::take(&mut worker.runs);
+        info!(target: "decision", "worker={} choice=end_life runs={} cause=\"{cause}\"", worker.id, runs.len());
+        worker.runs = runs.clone();
+        worker.begin_life(born, self.now.mono);
+        for at in runs {
+            self.lose(at);
+        }
+    }
+
+    /// A run is gone without a listed end.
+    pub(super) fn lose(&mut self, at: TaskRef) {
+        let id = self.jobs[at.job].task_id(at);
+        info!(target: "decision", "task={id} run={} choice=lose", self.task(at).run);
+        self.release(at);
+        self.break_gang(at);
+        self.retire(at.job);
+    }
+
+    /// Runs on workers whose leases have surely ended are gone; workers that left are forgotten.
+    fn expire_leases(&mut self) {
+        let now = self.now.mono;
+        let ended = |worker: &Worker| worker.lease_end.is_none_or(|end| end < now);
+        let silent = |worker: &Worker| worker.misses > 0 || !worker.swept;
+        let lapsed: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| silent(worker) && ended(worker) && !worker.runs.is_empty())
+            .map(|(key, _)| key)
+            .collect();
+        for key in lapsed {
+            let runs = self.workers[key].runs.clone();
+            let id = &self.workers[key].id;
+            info!(target: "decision", "worker={id} choice=lapse runs={}", runs.len());
+            for at in runs {
+                self.lose(at);
+            }
+        }
+        let gone = |worker: &Worker| {
+            !worker.listed && worker.runs.is_empty() && silent(worker) && ended(worker)
+        };
+        let horizon = self.horizon;
+        self.workers.retain(|_, worker| !(gone(worker) && now > horizon));
+        let workers = &self.workers;
+        self.worker_index.retain(|_, key| workers.contains_key(*key));
+    }
+
+    /// Starts of a gang can't succeed any more when one member is gone: the others are stopped.
+    pub(super) fn break_gang(&mut self, at: TaskRef) {
+        if !self.jobs[at.job].step_spec(at.step).gang {
+            return;
+        }
+        let step = &self.jobs[at.job].occurrences[at.occurrence as usize].steps[at.step as usize];
+        let others: Vec<_> = (0..step.tasks.len())
+            .filter(|&index| step.tasks[index].placed().is_some_and(|p| p.stage != Stage::Stopping))
+            .map(|index| TaskRef { index: index as u32, ..at })
+            .collect();
+        for other in others {
+            self.stop_run(other);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/src/sched/settings.rs
@@ -0,0 +1,97 @@
+//! Bounds of the platform that the scheduler keeps, and its own time constants.
+
+use std::time::Duration;
+
+/// Bounds given by the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Longest lease that a VM grants.
+    pub lease_max: Duration,
+    /// Longest time that a task takes to stop.
+    pub stop: Duration,
+    /// How long the first tasks of a gang wait for the others.
+    pub gang_wait: Duration,
+    /// Run time factor of a task away from its data or its gang.
+    pub far_factor: f32,
+    /// A lasting task that was out of work for this long counts as unavailable.
+    pub notice: Duration,
+    /// Time that a VM is off while it moves to another pool.
+    pub move_time: Duration,
+    /// Time that a VM is off for its upkeep.
+    pub upkeep_time: Duration,
+    /// Time until a change of pace takes effect.
+    pub pace: Duration,
+    /// A serving task must not exceed its target for this long because of its neighbours.
+    pub harm: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            lease_max: Duration::from_secs(10),
+            stop: Duration::from_millis(400),
+            gang_wait: Duration::from_secs(3),
+            far_factor: 1.5,
+            notice: Duration::from_millis(4500),
+            move_time: Duration::from_millis(1500),
+            upkeep_time: Duration::from_secs(2),
+            pace: Duration::from_millis(100),
+            harm: Duration::from_secs(4),
+        }
+    }
+}
+
+/// Lease of the tasks on a VM. It outlives a takeover, which takes up to 3.5 s after the last renewal, and bounds how long
+/// the tasks of a lost VM wait before they start again.
+pub(super) const LEASE: Duration = Duration::from_millis(5_000);
+
+/// Clocks of VMs run at least this fast.
+pub(super) const CLOCK_RATE: f64 = 0.98;
+
+/// Leases and orders end within this time after the owner's last acknowledged heartbeat was sent.
+pub const TENURE: Duration = Duration::from_millis(8_000);
+
+/// An owner whose tenure ends within this time gives no more orders: they might arrive after the end.
+pub(super) const TENURE_RESERVE: Duration = Duration::from_millis(1_000);
+
+/// Longest wait of a listing for the end of a task.
+pub(super) const LISTING_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Shortest time between two listings of a VM; ends that come together are then read together.
+pub(super) const LISTING_GAP: Duration = Duration::from_millis(90);
+
+/// Time between two listings of a VM that runs lasting tasks only.
+pub(super) const RENEWAL_GAP: Duration = Duration::from_millis(900);
+
+/// Time between two tries to list a VM that doesn't answer.
+pub(super) const LISTING_RETRY: Duration = Duration::from_millis(350);
+
+/// A VM that didn't answer, refused for want of room, or is unhealthy gets no new task for this time.
+pub(super) const WORKER_PAUSE: Duration = Duration::from_millis(400);
+
+/// A VM that fails all its tasks gets new ones only as the last choice for this time.
+pub(super) const QUARANTINE: Duration = Duration::from_secs(6);
+
+/// Failed runs in a row after which a VM is quarantined.
+pub(super) const QUARANTINE_FAILURES: u32 = 2;
+
+/// Orders of a start that may go unanswered before its run is stopped.
+pub(super) const START_TRIES: u8 = 2;
+
+/// Time between two orders to stop the same run.
+pub(super) const STOP_RETRY: Duration = Duration::from_millis(600);
+
+/// A finite task whose progress stands still for this long, and for several times its estimate, hangs.
+pub(super) const HANG: Duration = Duration::from_millis(2_500);
+
+/// A lasting task that has found no room for this long makes room by preemption.
+pub(super) const LASTING_PATIENCE: Duration = Duration::from_millis(700);
+
+/// Progress that no acknowledgement waits for is written this late at most.
+pub(super) const LAZY_WRITE: Duration = Duration::from_millis(300);
+
+/// Shortest time between two writes of progress.
+pub(super) const WRITE_GAP: Duration = Duration::from_millis(30);
+
+/// Candidates without room after which a pass of placement ends.
+pub(super) const BLOCKED_STEPS: usize = 48;
--- /dev/null
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -0,0 +1,277 @@
+//! Maintenance waves: empties VMs in turn and takes them off for their upkeep.
+//!
+//! Unplanned failures come first: a lasting task is stopped only while enough others of its step are at work, and at most
+//! `cap` VMs of a wave are off at once.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use cj_types::{ServiceId, VmId};
+use log::info;
+
+use crate::{
+    record::Record,
+    sched::{
+        event::{Action, VmAnswer, VmRow, VmState, WaveOrder},
+        scheduler::Scheduler,
+        work::{Stage, TaskRef},
+        worker::WorkerKey,
+    },
+};
+
+/// A VM with finite tasks that can't be saved is taken off after this time all the same.
+const EVACUATION_LIMIT: Duration = Duration::from_secs(9);
+
+/// Finite tasks that save checkpoints are stopped after this time.
+const CHECKPOINT_AFTER: Duration = Duration::from_millis(1_500);
+
+/// Time between two calls for the same VM.
+const CALL_RETRY: Duration = Duration::from_millis(700);
+
+/// VMs that are emptied ahead of those that may be off.
+const AHEAD: usize = 2;
+
+/// At most one in this many VMs of a pool is emptied or off at once.
+const POOL_SHARE: usize = 4;
+
+/// What is being done to a VM.
+#[derive(Clone, Copy, Debug)]
+enum Stand {
+    /// It gets no new tasks and loses those it has.
+    Emptying(Instant),
+    /// The call for its upkeep is on its way or unanswered.
+    Calling(Instant),
+    /// Its upkeep began.
+    Off(Instant),
+}
+
+/// A wave that isn't completed.
+#[derive(Clone, Debug)]
+pub(super) struct Wave {
+    order: WaveOrder,
+    begun: Vec<VmId>,
+    stands: HashMap<VmId, Stand>,
+    reported: bool,
+}
+
+impl Wave {
+    fn is_begun(&self, vm: &VmId) -> bool {
+        self.begun.contains(vm)
+    }
+
+    fn off(&self) -> usize {
+        self.stands.values().filter(|stand| !matches!(stand, Stand::Emptying(_))).count()
+    }
+}
+
+impl Scheduler {
+    /// True while a wave isn't completed, so that the list of VMs has to be kept up to date.
+    pub fn has_waves(&self) -> bool {
+        !self.waves.is_empty()
+    }
+
+    pub(super) fn order_wave(&mut self, order: WaveOrder, begun: Vec<VmId>) {
+        if self.waves.iter().any(|wave| wave.order.number == order.number) {
+            return;
+        }
+        info!(
+            target: "decision",
+            "wave={} choice=begin vms={} done={} cap={}",
+            order.number, order.vms.len(), begun.len(), order.cap
+        );
+        self.waves.push(Wave { order, begun, stands: HashMap::new(), reported: false });
+    }
+
+    pub(super) fn list_vms(&mut self, rows: Vec<VmRow>) {
+        self.vms = rows.into_iter().map(|row| (row.vm.clone(), row)).collect();
+        self.vms_known = true;
+        for key in self.workers.keys().collect::<Vec<_>>() {
+            self.match_vm(key);
+        }
+        self.place_due = true;
+    }
+
+    /// Finds the VM on which a worker runs.
+    pub(super) fn match_vm(&mut self, key: WorkerKey) {
+        let worker = &mut self.workers[key];
+        let row = self.vms.values().find(|row| row.worker.as_ref() == Some(&worker.id));
+        worker.vm = row.map(|row| row.vm.clone());
+    }
+
+    pub(super) fn run_waves(&mut self) {
+        if !self.vms_known || !self.may_order() {
+            return;
+        }
+        for mut wave in std::mem::take(&mut self.waves) {
+            self.settle_off(&mut wave);
+            self.choose_vms(&mut wave);
+            self.empty_vms(&mut wave);
+            if !self.report_wave(&mut wave) {
+                self.waves.push(wave);
+            }
+        }
+    }
+
+    /// VMs that are back count as done.
+    fn settle_off(&mut self, wave: &mut Wave) {
+        let now = self.now.mono;
+        let back = |vm: &VmId, since: Instant| {
+            let row = self.vms.get(vm);
+            let up = row.is_none_or(|row| row.state == VmState::Up);
+            up && now.saturating_duration_since(since) > self.limits.upkeep_time + CALL_RETRY
+        };
+        wave.stands.retain(|vm, stand| !matches!(stand, Stand::Off(since) if back(vm, *since)));
+    }
+
+    /// Picks the VMs to empty next, at most a share of each pool.
+    fn choose_vms(&mut self, wave: &mut Wave) {
+        let now = self.now.mono;
+        let most = wave.order.cap as usize + AHEAD;
+        let mut busy: BTreeMap<ServiceId, usize> = BTreeMap::new();
+        for row in self.vms.values() {
+            let taken = wave.stands.contains_key(&row.vm) || row.state != VmState::Up;
+            *busy.entry(row.pool.clone()).or_default() += usize::from(taken);
+        }
+        let mut waiting: Vec<&VmRow> = wave
+            .order
+            .vms
+            .iter()
+            .filter(|vm| !wave.is_begun(vm) && !wave.stands.contains_key(*vm))
+            .filter_map(|vm| self.vms.get(vm))
+            .filter(|row| row.state == VmState::Up)
+            .collect();
+        waiting.sort_by_key(|row| self.runs_on(row));
+        let mut chosen = Vec::new();
+        for row in waiting {
+            let size = self.vms.values().filter(|other| other.pool == row.pool).count();
+            let taken = busy.entry(row.pool.clone()).or_default();
+            if wave.stands.len() + chosen.len() < most && *taken < (size / POOL_SHARE).max(1) {
+                *taken += 1;
+                chosen.push(row.vm.clone());
+            }
+        }
+        for vm in chosen {
+            info!(target: "decision", "wave={} vm={vm} choice=empty", wave.order.number);
+            wave.stands.insert(vm, Stand::Emptying(now));
+        }
+    }
+
+    fn runs_on(&self, row: &VmRow) -> usize {
+        let key = row.worker.as_ref().and_then(|id| self.worker_index.get(id));
+        key.map_or(0, |key| self.workers[*key].runs.len())
+    }
+
+    fn empty_vms(&mut self, wave: &mut Wave) {
+        let now = self.now.mono;
+        let mut vms: Vec<_> = wave.stands.iter().map(|(vm, stand)| (vm.clone(), *stand)).collect();
+        vms.sort_by(|a, b| a.0.cmp(&b.0));
+        for (vm, stand) in vms {
+            let room = wave.off() < wave.order.cap as usize;
+            match stand {
+                Stand::Emptying(since) => {
+                    if self.empty_vm(&vm, since) && room {
+                        info!(target: "decision", "wave={} vm={vm} choice=maintain", wave.order.number);
+                        self.actions.push(Action::MaintainVm(vm.clone(), wave.order.number));
+                        wave.stands.insert(vm, Stand::Calling(now));
+                    }
+                }
+                Stand::Calling(sent) if now.saturating_duration_since(sent) > CALL_RETRY => {
+                    self.actions.push(Action::MaintainVm(vm.clone(), wave.order.number));
+                    wave.stands.insert(vm, Stand::Calling(now));
+                }
+                Stand::Calling(_) | Stand::Off(_) => {}
+            }
+        }
+    }
+
+    /// Empties the worker of a VM. Returns true when nothing runs there.
+    fn empty_vm(&mut self, vm: &VmId, since: Instant) -> bool {
+        let worker = self.vms.get(vm).and_then(|row| row.worker.as_ref());
+        let Some(&key) = worker.and_then(|id| self.worker_index.get(id)) else { return true };
+        self.workers[key].evacuating = true;
+        if self.workers[key].runs.is_empty() {
+            return true;
+        }
+        let waited = self.now.mono.saturating_duration_since(since);
+        for at in self.workers[key].runs.clone() {
+            let spec = self.jobs[at.job].step_spec(at.step);
+            let save = spec.checkpoints && waited > CHECKPOINT_AFTER;
+            if (spec.lasting && self.may_interrupt(at)) || save {
+                self.stop_run(at);
+            }
+        }
+        let lasting = |at: &TaskRef| self.jobs[at.job].step_spec(at.step).lasting;
+        waited > EVACUATION_LIMIT && !self.workers[key].runs.iter().any(lasting)
+    }
+
+    /// True when the system may take this lasting task out of work: fewer than the allowed number of its step are away.
+    pub(super) fn may_interrupt(&self, at: TaskRef) -> bool {
+        let Some(allowed) = self.jobs[at.job].step_spec(at.step).disruptable else { return true };
+        let step = &self.jobs[at.job].occurrences[at.occurrence as usize].steps[at.step as usize];
+        let away = |(index, task): (usize, &super::work::Task)| {
+            let at_work = task.placed().is_some_and(|placed| {
+                let worker = &self.workers[placed.worker];
+                let sound = worker.misses == 0 && !worker.draining;
+                placed.stage == Stage::Running && placed.percent == 100 && sound
+            });
+            index != at.index as usize && !at_work
+        };
+        (step.tasks.iter().enumerate().filter(|task| away(*task)).count() as u32) < allowed
+    }
+
+    pub(super) fn maintained(&mut self, vm: &VmId, number: u64, answer: VmAnswer) {
+        let now = self.now.mono;
+        let Some(wave) = self.waves.iter_mut().find(|wave| wave.order.number == number) else {
+            return;
+        };
+        info!(target: "decision", "wave={number} vm={vm} answer={answer:?}");
+        match answer {
+            VmAnswer::Done => {
+                wave.stands.insert(vm.clone(), Stand::Off(now));
+                if !wave.is_begun(vm) {
+                    wave.begun.push(vm.clone());
+                }
+                let record = Record::Wave(number, wave.begun.clone());
+                self.write.add(record, now);
+                self.end_vm_life(vm);
+            }
+            VmAnswer::Fenced => {
+                self.tenure = now;
+                self.actions.push(Action::StepDown);
+            }
+            VmAnswer::Invalid => {
+                wave.stands.remove(vm);
+                wave.begun.push(vm.clone());
+            }
+            VmAnswer::Busy => {
+                wave.stands.insert(vm.clone(), Stand::Emptying(now));
+            }
+            VmAnswer::Later | VmAnswer::Unanswered => {}
+        }
+    }
+
+    /// Everything that ran on the VM has ended.
+    fn end_vm_life(&mut self, vm: &VmId) {
+        let worker = self.vms.get(vm).and_then(|row| row.worker.clone());
+        let Some(&key) = worker.and_then(|id| self.worker_index.get(&id)).as_ref() else { return };
+        let key = *key;
+        self.end_life(key, None, "the VM went off for its upkeep");
+        let worker = &mut self.workers[key];
+        worker.listed = false;
+        worker.list_at = None;
+    }
+
+    /// Reports the state of a wave. Returns true when it is completed.
+    fn report_wave(&mut self, wave: &mut Wave) -> bool {
+        let completed =
+            wave.order.vms.iter().all(|vm| wave.is_begun(vm) || !self.vms.contains_key(vm))
+                && wave.stands.is_empty();
+        if completed || !wave.reported {
+            wave.reported = true;
+            self.actions.push(Action::ReportWave { wave: wave.order.number, completed });
+        }
+        completed
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/src/sched/work.rs
@@ -0,0 +1,305 @@
+//! The owner's state of each job.
+
+use std::{rc::Rc, time::Duration, time::Instant};
+
+use cj_types::UnixMillis;
+use compact_str::CompactString;
+use slotmap::new_key_type;
+
+use crate::{
+    job::{JobKey, JobSpec, StepSpec, TaskId},
+    record::{Failures, Outcome, Progress, StepProgress, Submission},
+    sched::{event::Ticket, worker::WorkerKey},
+};
+
+new_key_type! {
+    /// Key of a job of the scheduler.
+    pub(super) struct JobSlot;
+}
+
+/// Names a task of the scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) struct TaskRef {
+    pub(super) job: JobSlot,
+    pub(super) occurrence: u32,
+    pub(super) step: u32,
+    pub(super) index: u32,
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stage {
+    /// Its order isn't answered.
+    Starting,
+    /// It runs.
+    Running,
+    /// It is to be stopped.
+    Stopping,
+}
+
+/// A run on a worker.
+#[derive(Clone, Debug)]
+pub(super) struct Placed {
+    pub(super) worker: WorkerKey,
+    pub(super) run: u64,
+    pub(super) stage: Stage,
+    /// An order for the run is on its way.
+    pub(super) ordering: bool,
+    /// When the last order for the run was sent or answered.
+    pub(super) touched: Instant,
+    /// Orders that weren't answered.
+    pub(super) tries: u8,
+    /// When the run began.
+    pub(super) since: Instant,
+    pub(super) percent: u8,
+    /// When `percent` last changed.
+    pub(super) moved: Instant,
+    pub(super) sample: u32,
+    /// Share of its speed that it may work at.
+    pub(super) pace: u8,
+}
+
+/// State of a task.
+#[derive(Clone, Debug)]
+pub(super) enum Phase {
+    Idle,
+    Placed(Placed),
+    Done,
+}
+
+/// A task.
+#[derive(Clone, Debug)]
+pub(super) struct Task {
+    pub(super) phase: Phase,
+    pub(super) failures: u32,
+    /// Run whose failure was counted last.
+    pub(super) failed_run: u64,
+    /// Last run number that was used.
+    pub(super) run: u64,
+    pub(super) saved: CompactString,
+    /// When it became idle.
+    pub(super) idle_since: Instant,
+    /// Worker of the last run that failed.
+    pub(super) avoid: Option<WorkerKey>,
+}
+
+impl Task {
+    fn new(now: Instant) -> Self {
+        Task {
+            phase: Phase::Idle,
+            failures: 0,
+            failed_run: 0,
+            run: 0,
+            saved: CompactString::default(),
+            idle_since: now,
+            avoid: None,
+        }
+    }
+
+    pub(super) fn placed(&self) -> Option<&Placed> {
+        match &self.phase {
+            Phase::Placed(placed) => Some(placed),
+            _ => None,
+        }
+    }
+
+    pub(super) fn placed_mut(&mut self) -> Option<&mut Placed> {
+        match &mut self.phase {
+            Phase::Placed(placed) => Some(placed),
+            _ => None,
+        }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        matches!(self.phase, Phase::Idle)
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        matches!(self.phase, Phase::Done)
+    }
+}
+
+/// Tickets of a step.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Tickets {
+    pub(super) good: Vec<Ticket>,
+    /// When they stop being valid.
+    pub(super) until: Option<Instant>,
+    /// When the policy service may be asked again; a call is on its way until then.
+    pub(super) ask_at: Option<Instant>,
+}
+
+/// A step of an occurrence.
+#[derive(Clone, Debug)]
+pub(super) struct Step {
+    pub(super) tasks: Vec<Task>,
+    pub(super) tickets: Tickets,
+}
+
+impl Step {
+    pub(super) fn is_done(&self) -> bool {
+        self.tasks.iter().all(Task::is_done)
+    }
+}
+
+/// An occurrence of a job.
+#[derive(Clone, Debug)]
+pub(super) struct Occurrence {
+    /// Not to be started before; `None` is at once.
+    pub(super) due: Option<UnixMillis>,
+    pub(super) steps: Vec<Step>,
+    pub(super) started: bool,
+    pub(super) outcome: Outcome,
+    pub(super) at: UnixMillis,
+    /// It changed since it was last written.
+    pub(super) dirty: bool,
+}
+
+impl Occurrence {
+    fn new(spec: &JobSpec, number: u32, progress: Option<&Progress>, now: Instant) -> Self {
+        let restore = |(at, step): (usize, &StepSpec)| {
+            let known = progress.and_then(|progress| progress.steps.get(at));
+            restore_step(step, known, now)
+        };
+        Occurrence {
+            due: spec.schedule.map(|schedule| schedule.due(number)),
+            steps: spec.steps.iter().enumerate().map(restore).collect(),
+            started: progress.is_some_and(|progress| progress.started),
+            outcome: progress.map_or(Outcome::Open, |progress| progress.outcome),
+            at: progress.map_or(UnixMillis::default(), |progress| progress.at),
+            dirty: false,
+        }
+    }
+
+    /// The durable form.
+    pub(super) fn progress(&self) -> Progress {
+        Progress {
+            started: self.started,
+            outcome: self.outcome,
+            at: self.at,
+            steps: self.steps.iter().map(step_progress).collect(),
+        }
+    }
+
+    /// True when all steps that `step` waits for are done.
+    pub(super) fn is_ready(&self, step: &StepSpec) -> bool {
+        step.after.iter().all(|&n| self.steps.get(n as usize).is_some_and(Step::is_done))
+    }
+}
+
+fn restore_step(spec: &StepSpec, known: Option<&StepProgress>, now: Instant) -> Step {
+    let mut tasks: Vec<Task> = (0..spec.count).map(|_| Task::new(now)).collect();
+    let Some(known) = known else { return Step { tasks, tickets: Tickets::default() } };
+    for (index, task) in tasks.iter_mut().enumerate() {
+        if known.is_done(index as u32) {
+            task.phase = Phase::Done;
+        }
+    }
+    for failed in &known.failures {
+        if let Some(task) = tasks.get_mut(failed.index as usize) {
+            task.failures = failed.count;
+            task.failed_run = failed.run;
+        }
+    }
+    Step { tasks, tickets: Tickets::default() }
+}
+
+fn step_progress(step: &Step) -> StepProgress {
+    let mut progress = StepProgress::default();
+    for (index, task) in step.tasks.iter().enumerate() {
+        let index = index as u32;
+        if task.is_done() {
+            progress.set_done(index);
+        }
+        if task.failures > 0 {
+            let failures = Failures { index, count: task.failures, run: task.failed_run };
+            progress.failures.push(failures);
+        }
+    }
+    progress
+}
+
+/// A job.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) key: JobKey,
+    pub(super) submission: Rc<Submission>,
+    /// No earlier owner can have started a task of it.
+    pub(super) fresh: bool,
+    pub(super) occurrences: Vec<Occurrence>,
+    pub(super) cancelled: bool,
+    /// Runs on workers, stopping ones included.
+    pub(super) placed: u32,
+}
+
+impl Job {
+    pub(super) fn new<'a, F>(
+        key: JobKey,
+        submission: Rc<Submission>,
+        fresh: bool,
+        now: Instant,
+        progress: F,
+    ) -> Self
+    where
+        F: Fn(u32) -> Option<&'a Progress>,
+    {
+        let spec = &submission.spec;
+        let occurrences = (0..spec.occurrences())
+            .map(|number| Occurrence::new(spec, number, progress(number), now))
+            .collect();
+        Job { key, submission, fresh, occurrences, cancelled: false, placed: 0 }
+    }
+
+    pub(super) fn has_failed(&self) -> bool {
+        self.occurrences.iter().any(|occurrence| occurrence.outcome == Outcome::Failed)
+    }
+
+    /// True when no task of the job is to be started any more.
+    pub(super) fn is_over(&self) -> bool {
+        let completed = |occurrence: &Occurrence| occurrence.outcome == Outcome::Completed;
+        self.cancelled || self.has_failed() || self.occurrences.iter().all(completed)
+    }
+
+    pub(super) fn step_spec(&self, step: u32) -> &StepSpec {
+        &self.submission.spec.steps[step as usize]
+    }
+
+    pub(super) fn task(&self, at: TaskRef) -> &Task {
+        let occurrence = &self.occurrences[at.occurrence as usize];
+        &occurrence.steps[at.step as usize].tasks[at.index as usize]
+    }
+
+    pub(super) fn task_mut(&mut self, at: TaskRef) -> &mut Task {
+        let occurrence = &mut self.occurrences[at.occurrence as usize];
+        &mut occurrence.steps[at.step as usize].tasks[at.index as usize]
+    }
+
+    /// The task's place in this job, if it has such a task.
+    pub(super) fn locate(&self, slot: JobSlot, task: &TaskId) -> Option<TaskRef> {
+        let occurrence = self.occurrences.get(task.occurrence as usize)?;
+        occurrence.steps.get(task.step as usize)?.tasks.get(task.index as usize)?;
+        Some(TaskRef { job: slot, occurrence: task.occurrence, step: task.step, index: task.index })
+    }
+
+    pub(super) fn task_id(&self, at: TaskRef) -> TaskId {
+        TaskId { job: self.key, occurrence: at.occurrence, step: at.step, index: at.index }
+    }
+
+    /// When the latency objective of an occurrence is missed.
+    pub(super) fn objective_end(&self, occurrence: u32) -> UnixMillis {
+        let due = self.occurrences[occurrence as usize].due;
+        due.unwrap_or(self.submission.at).max(self.submission.at) + self.submission.objective
+    }
+
+    /// Estimate of the time that the rest of an occurrence takes without any waiting.
+    pub(super) fn remaining_chain(&self, occurrence: u32) -> Duration {
+        let steps = &self.submission.spec.steps;
+        let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+        for (spec, step) in steps.iter().zip(&self.occurrences[occurrence as usize].steps) {
+            let own = if step.is_done() { Duration::ZERO } else { spec.estimate };
+            let ready = spec.after.iter().filter_map(|&n| ends.get(n as usize)).max();
+            ends.push(ready.copied().unwrap_or_default() + own);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -0,0 +1,204 @@
+//! The owner's view of a worker.
+
+use std::time::{Duration, Instant};
+
+use cj_types::{Resources, ServiceId, VmId};
+use compact_str::CompactString;
+use slotmap::new_key_type;
+
+use crate::sched::{
+    event::{Target, WorkerId, WorkerReport},
+    settings::{CLOCK_RATE, LEASE},
+    work::TaskRef,
+};
+
+new_key_type! {
+    /// Key of a worker of the scheduler.
+    pub(super) struct WorkerKey;
+}
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClockReading {
+    /// When the answer with the reading came.
+    pub(super) at: Instant,
+    /// The reading in ms.
+    pub(super) value: u64,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub(super) struct Worker {
+    pub(super) id: WorkerId,
+    pub(super) service: ServiceId,
+    pub(super) address: CompactString,
+    pub(super) capacity: Resources,
+    pub(super) labels: Vec<CompactString>,
+    pub(super) draining: bool,
+    /// When it leaves at the earliest.
+    pub(super) leaves: Option<Instant>,
+    /// It is registered.
+    pub(super) listed: bool,
+    pub(super) born: Option<u64>,
+    pub(super) vm: Option<VmId>,
+    pub(super) clock: Option<ClockReading>,
+    /// It answered under this owner's fencing token, so no order of an earlier owner is carried out there any more.
+    pub(super) swept: bool,
+    pub(super) used: Resources,
+    pub(super) runs: Vec<TaskRef>,
+    /// Ends up to this number are processed.
+    pub(super) ended_seen: u64,
+    /// What the ends up to this number mean is durable.
+    pub(super) ended_durable: u64,
+    /// Ends up to this number are acknowledged.
+    pub(super) ended_told: u64,
+    /// A listing is on its way.
+    pub(super) listing: bool,
+    /// When the next listing is due; `None` needs none.
+    pub(super) list_at: Option<Instant>,
+    /// Every lease that the worker was given has surely ended after this.
+    pub(super) lease_end: Option<Instant>,
+    /// When it last answered.
+    pub(super) answered: Option<Instant>,
+    /// Listings in a row without an answer.
+    pub(super) misses: u32,
+    /// No new tasks until then.
+    pub(super) paused: Option<Instant>,
+    /// Only as the last choice until then.
+    pub(super) quarantined: Option<Instant>,
+    /// Failed runs in a row.
+    pub(super) failures: u32,
+    /// It gets no new tasks: its VM is to be moved or maintained.
+    pub(super) evacuating: bool,
+    /// It is kept free for a lasting task until then.
+    pub(super) reserved: Option<Instant>,
+    /// Run time of its tasks in multiples of their estimates, relative to other workers.
+    pub(super) slowness: f32,
+    /// Share of their speed at which tasks that fill may work.
+    pub(super) fill_pace: u8,
+    /// When `fill_pace` last changed.
+    pub(super) fill_changed: Option<Instant>,
+}
+
+/// Weight of a new observation of a worker's slowness.
+const SLOWNESS_GAIN: f32 = 0.25;
+
+impl Worker {
+    pub(super) fn new(report: WorkerReport, now: Instant) -> Self {
+        let mut worker = Worker {
+            id: report.id.clone(),
+            service: report.service.clone(),
+            address: report.address.clone(),
+            capacity: report.capacity,
+            labels: Vec::new(),
+            draining: false,
+            leaves: None,
+            listed: true,
+            born: None,
+            vm: None,
+            clock: None,
+            swept: false,
+            used: Resources::default(),
+            runs: Vec::new(),
+            ended_seen: 0,
+            ended_durable: 0,
+            ended_told: 0,
+            listing: false,
+            list_at: Some(now),
+            lease_end: None,
+            answered: None,
+            misses: 0,
+            paused: None,
+            quarantined: None,
+            failures: 0,
+            evacuating: false,
+            reserved: None,
+            slowness: 1.0,
+            fill_pace: 100,
+            fill_changed: None,
+        };
+        worker.update(report, now);
+        worker
+    }
+
+    /// Takes over what the worker says of itself.
+    pub(super) fn update(&mut self, report: WorkerReport, now: Instant) {
+        self.service = report.service;
+        self.address = report.address;
+        self.capacity = report.capacity;
+        self.labels = report.labels;
+        self.draining = report.draining;
+        self.leaves = report.remaining.map(|remaining| now + remaining);
+        self.listed = true;
+    }
+
+    /// Forgets all that belongs to the life that ended.
+    pub(super) fn begin_life(&mut self, born: Option<u64>, now: Instant) {
+        self.born = born;
+        self.clock = None;
+        self.ended_seen = 0;
+        self.ended_durable = 0;
+        self.ended_told = 0;
+        self.lease_end = None;
+        self.swept = false;
+        self.failures = 0;
+        self.fill_pace = 100;
+        self.evacuating = false;
+        self.reserved = None;
+        self.misses = 0;
+        self.list_at = Some(now);
+    }
+
+    pub(super) fn target(&self) -> Target {
+        Target { worker: self.id.clone(), address: self.address.clone() }
+    }
+
+    /// Lease end on the worker's clock for an order sent now that must not hold after `limit`, and notes it.
+    pub(super) fn grant(&mut self, now: Instant, limit: Instant) -> Option<u64> {
+        let clock = self.clock?;
+        let lease = LEASE.min(limit.saturating_duration_since(now));
+        let elapsed = now.saturating_duration_since(clock.at);
+        let deadline = clock.value + (elapsed + lease).as_millis() as u64;
+        let span = Duration::from_millis(deadline - clock.value).div_f64(CLOCK_RATE);
+        let end = clock.at + span;
+        self.lease_end = Some(self.lease_end.map_or(end, |known| known.max(end)));
+        Some(deadline)
+    }
+
+    /// Free capacity.
+    pub(super) fn free(&self) -> Resources {
+        self.capacity.minus(self.used)
+    }
+
+    /// True when it may get new tasks.
+    pub(super) fn accepts(&self, now: Instant) -> bool {
+        self.listed
+            && self.swept
+            && !self.draining
+            && !self.evacuating
+            && self.misses == 0
+            && self.clock.is_some()
+            && self.paused.is_none_or(|until| until <= now)
+    }
+
+    pub(super) fn has_label(&self, label: &str) -> bool {
+        self.labels.iter().any(|own| own == label)
+    }
+
+    /// The rack: the last label.
+    pub(super) fn rack(&self) -> Option<&CompactString> {
+        self.labels.last()
+    }
+
+    /// Brings the next listing forward to `at`.
+    pub(super) fn list_by(&mut self, at: Instant) {
+        self.list_at = Some(self.list_at.map_or(at, |known| known.min(at)));
+    }
+
+    /// Learns from a run that took `actual` where `expected` was usual.
+    pub(super) fn observe(&mut self, actual: Duration, expected: Duration) {
+        let ratio = actual.as_secs_f32() / expected.as_secs_f32().max(0.05);
+        let ratio = ratio.clamp(0.2, 10.0);
+        self.slowness += SLOWNESS_GAIN * (ratio - self.slowness);
+    }
+}
