--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -39,7 +39,8 @@
             let worker = &mut self.workers[key];
             worker.listing = true;
             worker.list_at = None;
-            let holds = worker.swept && !worker.runs.is_empty();
+            // A renewal that isn't answered may be carried out later, so a silent worker gets none: its leases have to end.
+            let holds = worker.swept && worker.misses == 0 && !worker.runs.is_empty();
             let deadline = if holds { worker.grant(now, tenure) } else { None };
             worker.ended_told = worker.ended_durable;
             let wait = if finite { LISTING_WAIT } else { Default::default() };
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -188,11 +188,14 @@
 
     /// Empties the worker of a VM. Returns true when nothing runs there.
     fn empty_vm(&mut self, vm: &VmId, since: Instant) -> bool {
-        let worker = self.vms.get(vm).and_then(|row| row.worker.as_ref());
-        let Some(&key) = worker.and_then(|id| self.worker_index.get(id)) else { return true };
+        let Some(id) = self.vms.get(vm).and_then(|row| row.worker.as_ref()) else { return true };
+        let Some(&key) = self.worker_index.get(id) else {
+            // Tasks of an earlier owner may run on a worker that isn't known yet.
+            return self.now.mono > self.horizon;
+        };
         self.workers[key].evacuating = true;
         if self.workers[key].runs.is_empty() {
-            return true;
+            return self.workers[key].swept || self.now.mono > self.horizon;
         }
         let waited = self.now.mono.saturating_duration_since(since);
         for at in self.workers[key].runs.clone() {
