--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -69,6 +69,8 @@
     pub heard: Cell<Option<Instant>>,
     /// Where events go while this node owns the fleet.
     pub events: RefCell<Option<mpsc::UnboundedSender<Event>>>,
+    /// The scheduler needs an up-to-date list of VMs.
+    pub wants_vms: Cell<bool>,
     /// The node is shutting down.
     pub stopping: Cell<bool>,
     /// Set with `stopping`.
@@ -95,6 +97,7 @@
             changed: Notify::new(),
             heard: Cell::default(),
             events: RefCell::default(),
+            wants_vms: Cell::default(),
             stopping: Cell::default(),
             stop: Notify::new(),
         })
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -330,6 +330,7 @@
                 other => self.dispatcher.dispatch(other),
             }
         }
+        node.wants_vms.set(self.scheduler.wants_vms());
         if now.mono.saturating_duration_since(self.loaded) > WATCH_GAP * 5 {
             self.loaded = now.mono;
             self.writer.set_load(self.scheduler.load());
@@ -418,9 +419,10 @@
     C: Clock + 'static,
 {
     loop {
+        let sent = node.clock.now();
         let listed = match node.platform.vms().await {
             Ok(rows) => {
-                node.send(Event::Vms(rows));
+                node.send(Event::Vms(sent, rows));
                 true
             }
             Err(error) => {
@@ -428,7 +430,10 @@
                 false
             }
         };
-        let eager = !listed || !node.waves.borrow().is_empty();
-        tokio::time::sleep(if eager { VMS_GAP } else { VMS_IDLE_GAP }).await;
+        let due = sent + if listed { VMS_IDLE_GAP } else { VMS_GAP };
+        tokio::time::sleep(VMS_GAP).await;
+        while node.clock.now() < due && !node.wants_vms.get() {
+            tokio::time::sleep(VMS_GAP / 4).await;
+        }
     }
 }
--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -244,8 +244,8 @@
     Reported(WorkerReport),
     /// A registration lapsed or was removed.
     Unlisted(WorkerId),
-    /// The platform's list of VMs.
-    Vms(Vec<VmRow>),
+    /// The platform's list of VMs, with the time at which it was asked for.
+    Vms(Instant, Vec<VmRow>),
     /// An operator ordered a wave; the upkeep of the VMs named second has begun under an earlier owner.
     Wave(WaveOrder, Vec<VmId>),
     /// Answer to [`Action::Start`].
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -8,7 +8,7 @@
 use crate::{
     record::Outcome,
     sched::{
-        event::{Action, EndKind, EndRow, ListAnswer, Listing, Refusal, RunRow, VmRow, WorkerId},
+        event::{Action, EndKind, EndRow, ListAnswer, Listing, Refusal, RunRow, VmRow, VmState, WorkerId},
         scheduler::Scheduler,
         settings::{
             LISTING_GAP, LISTING_RETRY, LISTING_WAIT, QUARANTINE, QUARANTINE_FAILURES, RENEWAL_GAP,
@@ -353,18 +353,20 @@
 
     /// True when no worker of the service can run unseen tasks of earlier owners.
     pub(super) fn is_swept(&mut self, service: &ServiceId) -> bool {
-        if self.now.mono > self.horizon || self.swept.contains(service) {
+        if self.swept.contains_key(service) {
             return true;
         }
         let unswept = |worker: &Worker| worker.service == *service && !worker.swept;
         let hidden = |row: &VmRow| {
-            let worker = row.worker.as_ref().filter(|_| row.pool == *service);
+            let runs = row.pool == *service && row.state == VmState::Up;
+            let worker = row.worker.as_ref().filter(|_| runs);
             worker.is_some_and(|id| !self.worker_index.contains_key(id))
         };
-        let swept =
+        let seen =
             self.vms_known && !self.workers.values().any(unswept) && !self.vms.values().any(hidden);
+        let swept = seen || self.now.mono > self.horizon;
         if swept {
-            self.swept.insert(service.clone());
+            self.swept.insert(service.clone(), self.now.mono);
         }
         swept
     }
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -1,7 +1,7 @@
 //! The scheduler: events in, actions out.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     rc::Rc,
     time::Instant,
 };
@@ -46,8 +46,8 @@
     /// The list of VMs was read under this ownership.
     pub(super) vms_known: bool,
     pub(super) waves: Vec<Wave>,
-    /// Services whose workers were all listed under this ownership.
-    pub(super) swept: HashSet<ServiceId>,
+    /// Services whose workers were all listed under this ownership, and since when.
+    pub(super) swept: HashMap<ServiceId, Instant>,
     /// Runs of earlier owners on workers that can't be reached have surely ended after this.
     pub(super) horizon: Instant,
     /// Orders and leases end by then.
@@ -83,7 +83,7 @@
             vms: HashMap::new(),
             vms_known: false,
             waves: Vec::new(),
-            swept: HashSet::new(),
+            swept: HashMap::new(),
             horizon,
             tenure: now.mono,
             speeds: HashMap::new(),
@@ -121,7 +121,7 @@
             Event::Config(config) => self.configure(config),
             Event::Reported(report) => self.report(report),
             Event::Unlisted(id) => self.unlist(&id),
-            Event::Vms(rows) => self.list_vms(rows),
+            Event::Vms(sent, rows) => self.list_vms(sent, rows),
             Event::Wave(order, done) => self.order_wave(order, done),
             Event::Started(worker, task, run, answer) => self.started(&worker, &task, run, answer),
             Event::Stopped(worker, task, run, answer) => self.stopped(&worker, &task, run, answer),
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -4,7 +4,7 @@
 //! `cap` VMs of a wave are off at once.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -14,10 +14,11 @@
 use crate::{
     record::Record,
     sched::{
-        event::{Action, VmAnswer, VmRow, VmState, WaveOrder},
+        event::{Action, VmAnswer, VmRow, VmState, WaveOrder, WorkerId},
         scheduler::Scheduler,
+        settings::TENURE,
         work::{Stage, TaskRef},
-        worker::WorkerKey,
+        worker::{Worker, WorkerKey},
     },
 };
 
@@ -33,6 +34,13 @@
 /// VMs that are emptied ahead of those that may be off.
 const AHEAD: usize = 2;
 
+/// A worker that was heard of this long before the list of VMs was asked for is on it, if its VM runs.
+const LIST_LAG: Duration = Duration::from_millis(500);
+
+/// Lasting tasks are taken out of work only by an owner whose last acknowledged heartbeat is at most this old; another
+/// owner takes over no earlier than that.
+const RECENT_HEARTBEAT: Duration = Duration::from_millis(1_500);
+
 /// At most one in this many VMs of a pool is emptied or off at once.
 const POOL_SHARE: usize = 4;
 
@@ -67,11 +75,6 @@
 }
 
 impl Scheduler {
-    /// True while a wave isn't completed, so that the list of VMs has to be kept up to date.
-    pub fn has_waves(&self) -> bool {
-        !self.waves.is_empty()
-    }
-
     pub(super) fn order_wave(&mut self, order: WaveOrder, begun: Vec<VmId>) {
         if self.waves.iter().any(|wave| wave.order.number == order.number) {
             return;
@@ -84,15 +87,42 @@
         self.waves.push(Wave { order, begun, stands: HashMap::new(), reported: false });
     }
 
-    pub(super) fn list_vms(&mut self, rows: Vec<VmRow>) {
+    /// True while the list of VMs has to be kept up to date: a wave runs, or tasks are on a worker that is silent.
+    pub fn wants_vms(&self) -> bool {
+        let unsure = |worker: &Worker| !worker.swept || (worker.misses > 0 && !worker.runs.is_empty());
+        !self.waves.is_empty() || self.workers.values().any(unsure)
+    }
+
+    pub(super) fn list_vms(&mut self, sent: Instant, rows: Vec<VmRow>) {
         self.vms = rows.into_iter().map(|row| (row.vm.clone(), row)).collect();
         self.vms_known = true;
+        self.end_replaced_lives(sent);
         for key in self.workers.keys().collect::<Vec<_>>() {
             self.match_vm(key);
         }
         self.place_due = true;
     }
 
+    /// Silent workers that no running VM names any more are gone, whatever their leases say.
+    fn end_replaced_lives(&mut self, sent: Instant) {
+        let up = self.vms.values().filter(|row| row.state == VmState::Up);
+        let alive: HashSet<WorkerId> = up.filter_map(|row| row.worker.clone()).collect();
+        let silent = |worker: &Worker| worker.misses > 0 || !worker.swept;
+        let named = |worker: &Worker| alive.contains(&worker.id) || worker.known + LIST_LAG > sent;
+        let gone: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| silent(worker) && !named(worker))
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.end_life(key, None, "no running VM names it");
+            if let Some(worker) = self.workers.remove(key) {
+                self.worker_index.remove(&worker.id);
+            }
+        }
+    }
+
     /// Finds the VM on which a worker runs.
     pub(super) fn match_vm(&mut self, key: WorkerKey) {
         let worker = &mut self.workers[key];
@@ -209,8 +239,21 @@
         waited > EVACUATION_LIMIT && !self.workers[key].runs.iter().any(lasting)
     }
 
+    /// True when no orders of an earlier owner can still take tasks of this service out of work, and this owner's last
+    /// heartbeat is recent enough that no other owner gives such orders.
+    fn is_settled(&self, at: TaskRef) -> bool {
+        let now = self.now.mono;
+        let service = self.service_of(&self.jobs[at.job].submission);
+        let settled = self.limits.stop * 2 + CALL_RETRY;
+        let swept = self.swept.get(service).is_some_and(|since| now > *since + settled);
+        swept && now + TENURE < self.tenure + RECENT_HEARTBEAT
+    }
+
     /// True when the system may take this lasting task out of work: fewer than the allowed number of its step are away.
     pub(super) fn may_interrupt(&self, at: TaskRef) -> bool {
+        if !self.is_settled(at) {
+            return false;
+        }
         let Some(allowed) = self.jobs[at.job].step_spec(at.step).disruptable else { return true };
         let step = &self.jobs[at.job].occurrences[at.occurrence as usize].steps[at.step as usize];
         let away = |(index, task): (usize, &super::work::Task)| {
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -37,6 +37,8 @@
     pub(super) draining: bool,
     /// When it leaves at the earliest.
     pub(super) leaves: Option<Instant>,
+    /// When it was heard of first.
+    pub(super) known: Instant,
     /// It is registered.
     pub(super) listed: bool,
     pub(super) born: Option<u64>,
@@ -93,6 +95,7 @@
             labels: Vec::new(),
             draining: false,
             leaves: None,
+            known: now,
             listed: true,
             born: None,
             vm: None,
