--- a/crates/cj-entry/src/admission.rs
+++ b/crates/cj-entry/src/admission.rs
@@ -13,7 +13,7 @@
 use cj_types::ServiceId;
 
 /// A job is refused when its turn would come after this multiple of its latency objective.
-const WAIT_FACTOR: f64 = 3.0;
+const WAIT_FACTOR: f64 = 8.0;
 
 /// Shortest time after which a refused caller is asked to return.
 const RETRY_LEAST: Duration = Duration::from_secs(1);
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -231,7 +231,8 @@
         for at in self.workers[key].runs.clone() {
             let spec = self.jobs[at.job].step_spec(at.step);
             let save = spec.checkpoints && waited > CHECKPOINT_AFTER;
-            if (spec.lasting && self.may_interrupt(at)) || save {
+            let lasting = spec.lasting;
+            if (lasting && self.may_interrupt(at)) || save {
                 self.stop_run(at);
             }
         }
@@ -241,16 +242,17 @@
 
     /// True when no orders of an earlier owner can still take tasks of this service out of work, and this owner's last
     /// heartbeat is recent enough that no other owner gives such orders.
-    fn is_settled(&self, at: TaskRef) -> bool {
+    fn is_settled(&mut self, at: TaskRef) -> bool {
         let now = self.now.mono;
-        let service = self.service_of(&self.jobs[at.job].submission);
+        let service = self.service_of(&self.jobs[at.job].submission).clone();
         let settled = self.limits.stop * 2 + CALL_RETRY;
-        let swept = self.swept.get(service).is_some_and(|since| now > *since + settled);
+        let swept = self.is_swept(&service)
+            && self.swept.get(&service).is_some_and(|since| now > *since + settled);
         swept && now + TENURE < self.tenure + RECENT_HEARTBEAT
     }
 
     /// True when the system may take this lasting task out of work: fewer than the allowed number of its step are away.
-    pub(super) fn may_interrupt(&self, at: TaskRef) -> bool {
+    pub(super) fn may_interrupt(&mut self, at: TaskRef) -> bool {
         if !self.is_settled(at) {
             return false;
         }
