Move idle VMs to the pools where tasks wait, and park the others

Cause: the queues' demand comes in turns of 4 to 5 s, more than a pool holds, while the other pools idle and are paid for.

--- a/crates/cj-entry/src/dispatch.rs
+++ b/crates/cj-entry/src/dispatch.rs
@@ -86,6 +86,13 @@
                     node.platform.advise(&step, &workers).await
                 });
             }
+            Action::MoveVm(vm, pool) => {
+                let named = vm.clone();
+                let event = move |answer| Event::Moved(named, answer);
+                self.call(event, VmAnswer::Later, async move |_| {
+                    node.platform.move_vm(&vm, &pool, token).await
+                });
+            }
             Action::MaintainVm(vm, wave) => {
                 let named = vm.clone();
                 let event = move |answer| Event::Maintained(named, wave, answer);
--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -260,6 +260,8 @@
     Advised(StepKey, AdviceAnswer),
     /// The records of a batch are durable, or (false) were refused and have to be written again.
     Written(u64, bool),
+    /// Answer to [`Action::MoveVm`].
+    Moved(VmId, VmAnswer),
     /// Answer to [`Action::MaintainVm`].
     Maintained(VmId, u64, VmAnswer),
 }
@@ -331,6 +333,8 @@
     Advise(StepKey, Vec<WorkerId>),
     /// Write records; answered by [`Event::Written`] with the number.
     Write(u64, Vec<Record>),
+    /// Move a VM to a pool.
+    MoveVm(VmId, ServiceId),
     /// Take a VM off for the upkeep of a wave.
     MaintainVm(VmId, u64),
     /// Publish the state of a wave.
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -8,6 +8,7 @@
 mod pace;
 mod persist;
 mod place;
+mod pool;
 mod rank;
 mod scheduler;
 mod settings;
--- a/crates/cj-sched/src/sched/orders.rs
+++ b/crates/cj-sched/src/sched/orders.rs
@@ -266,10 +266,15 @@
         now.saturating_duration_since(placed.moved) > limit
     }
 
+    /// Gives no more orders.
+    pub(super) fn step_down_now(&mut self) {
+        self.tenure = self.now.mono;
+        self.actions.push(Action::StepDown);
+    }
+
     /// Another owner gave orders with a higher fencing token.
     pub(super) fn step_down(&mut self, worker: &WorkerId) {
         warn!(target: "decision", "worker={worker} choice=step_down epoch={} reason=fenced", self.epoch);
-        self.tenure = self.now.mono;
-        self.actions.push(Action::StepDown);
+        self.step_down_now();
     }
 }
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -274,7 +274,8 @@
         let neighbours = if spec.lasting {
             let same = view.by_worker.get(&key).copied().unwrap_or_default();
             let rack = worker.rack().and_then(|rack| view.racks.get(rack)).copied();
-            8 * self.opposites(spec, worker) + 4 * same + rack.unwrap_or_default()
+            let fresh = u32::from(!self.hosts_lasting(worker));
+            16 * self.opposites(spec, worker) + 4 * same + 2 * rack.unwrap_or_default() + fresh
         } else {
             0
         };
@@ -291,6 +292,11 @@
         }
     }
 
+    /// True when a lasting task runs on the worker, so that it stays in its pool anyway.
+    fn hosts_lasting(&self, worker: &Worker) -> bool {
+        worker.runs.iter().any(|at| self.jobs[at.job].step_spec(at.step).lasting)
+    }
+
     /// Tasks that fill beside a serving one, or serving ones beside one that fills.
     fn opposites(&self, spec: &StepSpec, worker: &Worker) -> u32 {
         let opposite = |at: &&TaskRef| {
--- /dev/null
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -0,0 +1,315 @@
+//! Sizes of the pools: moves idle VMs to where tasks wait, and parks those that nobody needs.
+//!
+//! Answers queues whose demand comes in turns: each pool keeps what its lasting tasks and its small share of work between
+//! the turns need, and the rest of the VMs follows the demand. A parked VM costs nothing, a move costs about as much as a
+//! second of a VM in a pool, so a VM is parked only after it was idle for a while, and goes straight to another pool
+//! when one has tasks waiting.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use cj_types::{ServiceId, VmId};
+use log::info;
+
+use crate::{
+    record::Outcome,
+    sched::{
+        event::{Action, VmAnswer, VmRow, VmState},
+        scheduler::Scheduler,
+        settings::TENURE_RESERVE,
+        work::{Job, JobSlot, Phase},
+        worker::WorkerKey,
+    },
+};
+
+/// Time between two plans.
+const PLAN_GAP: Duration = Duration::from_millis(80);
+
+/// An idle VM that its pool doesn't need is parked after this time.
+const PARK_AFTER: Duration = Duration::from_millis(2_000);
+
+/// An idle VM that its pool doesn't need may go to another pool after this time.
+const LEND_AFTER: Duration = Duration::from_millis(300);
+
+/// Least VMs of a pool: one may be lost or in maintenance while the other takes work.
+const LEAST_VMS: usize = 2;
+
+/// Share of the waiting tasks' demand that is provided for: some of them start as running ones end.
+const PROVIDED: f32 = 0.8;
+
+/// Share of a VM's processors that tasks fill in practice.
+const FILLED: f32 = 0.9;
+
+/// Time after which an unanswered call to move a VM is repeated.
+const CALL_RETRY: Duration = Duration::from_millis(900);
+
+/// A VM that moves is taken to have arrived after its move time and this.
+const ARRIVAL_RESERVE: Duration = Duration::from_millis(1_500);
+
+/// A move that was ordered.
+#[derive(Clone, Debug)]
+struct Move {
+    from: ServiceId,
+    to: ServiceId,
+    sent: Instant,
+    /// When it took effect.
+    done: Option<Instant>,
+}
+
+/// Moves on their way, and how long workers have been idle.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PoolPlan {
+    moves: HashMap<VmId, Move>,
+    idle: HashMap<WorkerKey, Instant>,
+    planned: Option<Instant>,
+}
+
+/// What a pool needs and has.
+#[derive(Clone, Debug, Default)]
+struct Need {
+    /// Processors for running and waiting tasks, in thousandths of a core.
+    cores: f32,
+    /// Processors of one VM.
+    unit: f32,
+    /// VMs that the lasting tasks need because of their spread.
+    spread: usize,
+    /// VMs in the pool or on their way to it.
+    size: usize,
+    /// Idle VMs that may leave.
+    idle: Vec<(VmId, WorkerKey, Duration)>,
+}
+
+impl Need {
+    fn target(&self) -> usize {
+        let vms = (self.cores / (self.unit * FILLED).max(1.0)).ceil() as usize;
+        vms.max(self.spread).max(LEAST_VMS)
+    }
+
+    fn surplus(&self) -> usize {
+        self.size.saturating_sub(self.target())
+    }
+
+    fn deficit(&self) -> usize {
+        self.target().saturating_sub(self.size)
+    }
+}
+
+impl Scheduler {
+    pub(super) fn plan_pools(&mut self) {
+        let now = self.now.mono;
+        let planned = self.pools.planned.is_some_and(|at| now < at + PLAN_GAP);
+        if planned || !self.vms_known || now + TENURE_RESERVE * 2 > self.tenure {
+            return;
+        }
+        self.pools.planned = Some(now);
+        self.settle_moves();
+        self.note_idle();
+        let Some(spare) = self.config.spare_pool().cloned() else { return };
+        let mut needs = self.needs(&spare);
+        let mut parked = self.parked(&spare);
+        let mut wanting: Vec<ServiceId> = needs.keys().cloned().collect();
+        wanting.sort_by_key(|service| std::cmp::Reverse(needs[service].deficit()));
+        for service in wanting {
+            for _ in 0..needs[&service].deficit() {
+                let Some(vm) = self.lender(&mut needs, &service).or_else(|| parked.pop()) else { break };
+                self.move_vm(vm, &service);
+            }
+        }
+        let surplus: Vec<VmId> = needs.values().flat_map(parkable).collect();
+        for vm in surplus {
+            self.move_vm(vm, &spare);
+        }
+    }
+
+    /// Moves that took effect long enough ago are over; unanswered ones are repeated.
+    fn settle_moves(&mut self) {
+        let now = self.now.mono;
+        let arrived = self.limits.move_time + ARRIVAL_RESERVE;
+        let rows = &self.vms;
+        self.pools.moves.retain(|vm, moving| {
+            let up = rows.get(vm).is_none_or(|row| {
+                row.state == VmState::Up && row.pool == moving.to && row.worker.is_some()
+            });
+            let waited = moving.done.map(|done| now.saturating_duration_since(done));
+            !waited.is_some_and(|waited| waited > arrived || (up && waited > self.limits.move_time))
+        });
+        let mut again = Vec::new();
+        for (vm, moving) in &mut self.pools.moves {
+            if moving.done.is_none() && now > moving.sent + CALL_RETRY {
+                moving.sent = now;
+                again.push(Action::MoveVm(vm.clone(), moving.to.clone()));
+            }
+        }
+        self.actions.extend(again);
+    }
+
+    fn note_idle(&mut self) {
+        let now = self.now.mono;
+        for (key, worker) in &self.workers {
+            if worker.runs.is_empty() {
+                self.pools.idle.entry(key).or_insert(now);
+            } else {
+                self.pools.idle.remove(&key);
+            }
+        }
+        let workers = &self.workers;
+        self.pools.idle.retain(|key, _| workers.contains_key(*key));
+    }
+
+    /// Needs of all pools but the spare one.
+    fn needs(&self, spare: &ServiceId) -> BTreeMap<ServiceId, Need> {
+        let mut needs: BTreeMap<ServiceId, Need> = BTreeMap::new();
+        for (service, _) in self.config.pools.iter().filter(|(service, _)| *service != spare) {
+            needs.entry(service.clone()).or_default();
+        }
+        for row in self.vms.values() {
+            let pool = self.pools.moves.get(&row.vm).map_or(&row.pool, |moving| &moving.to);
+            let Some(need) = needs.get_mut(pool) else { continue };
+            need.unit = need.unit.max(row.capacity.cores.0 as f32);
+            if row.state == VmState::Down {
+                continue;
+            }
+            need.size += 1;
+            need.idle.extend(self.idle_vm(row));
+        }
+        for slot in self.jobs.keys() {
+            self.add_demand(slot, &mut needs);
+        }
+        needs
+    }
+
+    /// The VM with its idle time, if it is free to leave its pool.
+    fn idle_vm(&self, row: &VmRow) -> Option<(VmId, WorkerKey, Duration)> {
+        if row.state != VmState::Up || self.pools.moves.contains_key(&row.vm) {
+            return None;
+        }
+        let key = *self.worker_index.get(row.worker.as_ref()?)?;
+        let worker = &self.workers[key];
+        let free = worker.swept && worker.misses == 0 && !worker.evacuating && worker.runs.is_empty();
+        let since = self.pools.idle.get(&key).filter(|_| free && worker.service == row.pool)?;
+        Some((row.vm.clone(), key, self.now.mono.saturating_duration_since(*since)))
+    }
+
+    fn add_demand(&self, slot: JobSlot, needs: &mut BTreeMap<ServiceId, Need>) {
+        let job = &self.jobs[slot];
+        let Some(need) = needs.get_mut(self.service_of(&job.submission)) else { return };
+        if job.is_over() {
+            return;
+        }
+        for occurrence in &job.occurrences {
+            let waits = occurrence.due.is_some_and(|due| due > self.now.wall);
+            if occurrence.outcome != Outcome::Open || waits {
+                continue;
+            }
+            for (number, step) in occurrence.steps.iter().enumerate() {
+                let spec = job.step_spec(number as u32);
+                let ready = occurrence.is_ready(spec);
+                let cores = spec.counted().cores.0 as f32;
+                for task in &step.tasks {
+                    need.cores += match &task.phase {
+                        Phase::Placed(_) => cores,
+                        Phase::Idle if spec.lasting => cores,
+                        Phase::Idle if ready => cores * PROVIDED,
+                        Phase::Idle | Phase::Done => 0.0,
+                    };
+                }
+                need.spread = need.spread.max(spread_vms(job, number));
+            }
+        }
+    }
+
+    /// Parked VMs that can be moved, those that were parked last at the end.
+    fn parked(&self, spare: &ServiceId) -> Vec<VmId> {
+        let waves = |vm: &VmId| self.waves.iter().any(|wave| wave.is_busy(vm));
+        let free = |row: &&VmRow| {
+            row.pool == *spare
+                && row.state == VmState::Up
+                && !self.pools.moves.contains_key(&row.vm)
+                && !waves(&row.vm)
+        };
+        let mut vms: Vec<VmId> = self.vms.values().filter(free).map(|row| row.vm.clone()).collect();
+        vms.sort();
+        vms
+    }
+
+    /// Takes an idle VM from the pool with the largest surplus.
+    fn lender(&self, needs: &mut BTreeMap<ServiceId, Need>, to: &ServiceId) -> Option<VmId> {
+        let lends = |need: &Need| {
+            need.surplus() > 0 && need.idle.iter().any(|(_, _, idle)| *idle >= LEND_AFTER)
+        };
+        let lenders = needs.iter_mut().filter(|(service, need)| *service != to && lends(need));
+        let (_, need) = lenders.max_by_key(|(_, need)| need.surplus())?;
+        let longest = need.idle.iter().enumerate().max_by_key(|(_, (_, _, idle))| *idle)?.0;
+        need.size -= 1;
+        Some(need.idle.swap_remove(longest).0)
+    }
+
+    fn move_vm(&mut self, vm: VmId, to: &ServiceId) {
+        let now = self.now.mono;
+        let Some(row) = self.vms.get(&vm) else { return };
+        let from = row.pool.clone();
+        if let Some(&key) = row.worker.as_ref().and_then(|id| self.worker_index.get(id)) {
+            self.workers[key].evacuating = true;
+        }
+        info!(target: "decision", "vm={vm} choice=move from={from} to={to} epoch={}", self.epoch);
+        self.pools.moves.insert(vm.clone(), Move { from, to: to.clone(), sent: now, done: None });
+        self.actions.push(Action::MoveVm(vm, to.clone()));
+    }
+
+    pub(super) fn moved(&mut self, vm: &VmId, answer: VmAnswer) {
+        let now = self.now.mono;
+        info!(target: "decision", "vm={vm} choice=move answer={answer:?}");
+        match answer {
+            VmAnswer::Done => {
+                self.end_vm_life(vm, "the VM moved to another pool");
+                let Some(moving) = self.pools.moves.get_mut(vm) else { return };
+                moving.done = Some(now);
+                if let Some(row) = self.vms.get_mut(vm) {
+                    row.pool = moving.to.clone();
+                    row.state = VmState::Moving;
+                    row.worker = None;
+                }
+            }
+            VmAnswer::Fenced => self.step_down_now(),
+            VmAnswer::Busy | VmAnswer::Invalid => self.forget_move(vm),
+            VmAnswer::Later | VmAnswer::Unanswered => {}
+        }
+    }
+
+    fn forget_move(&mut self, vm: &VmId) {
+        let Some(moving) = self.pools.moves.remove(vm) else { return };
+        let worker = self.vms.get(vm).filter(|row| row.pool == moving.from);
+        let worker = worker.and_then(|row| row.worker.as_ref());
+        if let Some(&key) = worker.and_then(|id| self.worker_index.get(id)) {
+            self.workers[key].evacuating = false;
+        }
+    }
+
+    /// True while a move is on its way.
+    pub(super) fn has_moves(&self) -> bool {
+        !self.pools.moves.is_empty()
+    }
+
+    /// True while the VM is on its way to another pool.
+    pub(super) fn is_moving(&self, vm: &VmId) -> bool {
+        self.pools.moves.contains_key(vm)
+    }
+}
+
+/// Idle VMs that a pool doesn't need, long enough after they became idle.
+fn parkable(need: &Need) -> Vec<VmId> {
+    let mut idle: Vec<_> = need.idle.iter().filter(|(_, _, idle)| *idle >= PARK_AFTER).collect();
+    idle.sort_by_key(|(_, _, idle)| std::cmp::Reverse(*idle));
+    idle.into_iter().take(need.surplus()).map(|(vm, _, _)| vm.clone()).collect()
+}
+
+/// VMs that a lasting step needs because only so many of its tasks may share one.
+fn spread_vms(job: &Job, step: usize) -> usize {
+    let spec = job.step_spec(step as u32);
+    match spec.spread {
+        Some(most) if spec.lasting => spec.count.div_ceil(most.max(1)) as usize,
+        _ => 0,
+    }
+}
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -17,6 +17,7 @@
     record::{Outcome, Submission},
     sched::{
         event::{Action, Event, VmRow, WorkerId, WorkerReport},
+        pool::PoolPlan,
         settings::Limits,
         wave::Wave,
         work::{Job, JobSlot, Phase, Stage, Task, TaskRef},
@@ -46,6 +47,7 @@
     /// The list of VMs was read under this ownership.
     pub(super) vms_known: bool,
     pub(super) waves: Vec<Wave>,
+    pub(super) pools: PoolPlan,
     /// Services whose workers were all listed under this ownership, and since when.
     pub(super) swept: HashMap<ServiceId, Instant>,
     /// Runs of earlier owners on workers that can't be reached have surely ended after this.
@@ -83,6 +85,7 @@
             vms: HashMap::new(),
             vms_known: false,
             waves: Vec::new(),
+            pools: PoolPlan::default(),
             swept: HashMap::new(),
             horizon,
             tenure: now.mono,
@@ -129,6 +132,7 @@
             Event::Listed(worker, sent, answer) => self.listed(&worker, sent, answer),
             Event::Advised(step, answer) => self.advised(step, answer),
             Event::Written(batch, durable) => self.written(batch, durable),
+            Event::Moved(vm, answer) => self.moved(&vm, answer),
             Event::Maintained(vm, wave, answer) => self.maintained(&vm, wave, answer),
         }
     }
@@ -140,6 +144,7 @@
         self.retry_stops();
         self.check_hangs();
         self.run_waves();
+        self.plan_pools();
         self.place_tasks();
         self.pace_tasks();
         self.list_workers();
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -69,6 +69,11 @@
         self.begun.contains(vm)
     }
 
+    /// True while the VM is emptied or off for the wave.
+    pub(super) fn is_busy(&self, vm: &VmId) -> bool {
+        self.stands.contains_key(vm)
+    }
+
     fn off(&self) -> usize {
         self.stands.values().filter(|stand| !matches!(stand, Stand::Emptying(_))).count()
     }
@@ -90,7 +95,7 @@
     /// True while the list of VMs has to be kept up to date: a wave runs, or tasks are on a worker that is silent.
     pub fn wants_vms(&self) -> bool {
         let unsure = |worker: &Worker| !worker.swept || (worker.misses > 0 && !worker.runs.is_empty());
-        !self.waves.is_empty() || self.workers.values().any(unsure)
+        !self.waves.is_empty() || self.has_moves() || self.workers.values().any(unsure)
     }
 
     pub(super) fn list_vms(&mut self, sent: Instant, rows: Vec<VmRow>) {
@@ -170,7 +175,7 @@
             .iter()
             .filter(|vm| !wave.is_begun(vm) && !wave.stands.contains_key(*vm))
             .filter_map(|vm| self.vms.get(vm))
-            .filter(|row| row.state == VmState::Up)
+            .filter(|row| row.state == VmState::Up && !self.is_moving(&row.vm))
             .collect();
         waiting.sort_by_key(|row| self.runs_on(row));
         let mut chosen = Vec::new();
@@ -283,12 +288,9 @@
                 }
                 let record = Record::Wave(number, wave.begun.clone());
                 self.write.add(record, now);
-                self.end_vm_life(vm);
-            }
-            VmAnswer::Fenced => {
-                self.tenure = now;
-                self.actions.push(Action::StepDown);
+                self.end_vm_life(vm, "the VM went off for its upkeep");
             }
+            VmAnswer::Fenced => self.step_down_now(),
             VmAnswer::Invalid => {
                 wave.stands.remove(vm);
                 wave.begun.push(vm.clone());
@@ -301,11 +303,11 @@
     }
 
     /// Everything that ran on the VM has ended.
-    fn end_vm_life(&mut self, vm: &VmId) {
+    pub(super) fn end_vm_life(&mut self, vm: &VmId, cause: &str) {
         let worker = self.vms.get(vm).and_then(|row| row.worker.clone());
         let Some(&key) = worker.and_then(|id| self.worker_index.get(&id)).as_ref() else { return };
         let key = *key;
-        self.end_life(key, None, "the VM went off for its upkeep");
+        self.end_life(key, None, cause);
         let worker = &mut self.workers[key];
         worker.listed = false;
         worker.list_at = None;
