--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use cj_types::{ServiceId, VmId};
+use cj_types::{Resources, ServiceId, VmId};
 use log::info;
 
 use crate::{
@@ -42,6 +42,9 @@
 /// Share of a VM's processors that tasks fill in practice.
 const FILLED: f32 = 0.9;
 
+/// A lasting task that waits this long shows that its pool is too small.
+const STUCK_AFTER: Duration = Duration::from_millis(500);
+
 /// Time after which an unanswered call to move a VM is repeated.
 const CALL_RETRY: Duration = Duration::from_millis(900);
 
@@ -71,8 +74,12 @@
 struct Need {
     /// Processors for running and waiting tasks, in thousandths of a core.
     cores: f32,
-    /// Processors of one VM.
-    unit: f32,
+    /// Memory for the same tasks, in MiB.
+    memory: f32,
+    /// Capacity of one VM.
+    unit: Resources,
+    /// A lasting task finds no worker although the pool has as many VMs as it seems to need.
+    stuck: bool,
     /// VMs that the lasting tasks need because of their spread.
     spread: usize,
     /// VMs in the pool or on their way to it.
@@ -83,8 +90,11 @@
 
 impl Need {
     fn target(&self) -> usize {
-        let vms = (self.cores / (self.unit * FILLED).max(1.0)).ceil() as usize;
-        vms.max(self.spread).max(LEAST_VMS)
+        let share = |amount: f32, unit: u32| (amount / (unit as f32 * FILLED).max(1.0)).ceil() as usize;
+        let cores = share(self.cores, self.unit.cores.0);
+        let memory = share(self.memory, self.unit.memory.0);
+        let grown = if self.stuck { self.size + 1 } else { 0 };
+        cores.max(memory).max(self.spread).max(LEAST_VMS).max(grown)
     }
 
     fn surplus(&self) -> usize {
@@ -167,8 +177,9 @@
         for row in self.vms.values() {
             let pool = self.pools.moves.get(&row.vm).map_or(&row.pool, |moving| &moving.to);
             let Some(need) = needs.get_mut(pool) else { continue };
-            need.unit = need.unit.max(row.capacity.cores.0 as f32);
-            if row.state == VmState::Down {
+            need.unit.cores = need.unit.cores.max(row.capacity.cores);
+            need.unit.memory = need.unit.memory.max(row.capacity.memory);
+            if row.state == VmState::Down || self.waves.iter().any(|wave| wave.is_busy(&row.vm)) {
                 continue;
             }
             need.size += 1;
@@ -177,6 +188,12 @@
         for slot in self.jobs.keys() {
             self.add_demand(slot, &mut needs);
         }
+        // A VM on its way may be all that is missing.
+        for moving in self.pools.moves.values() {
+            if let Some(need) = needs.get_mut(&moving.to) {
+                need.stuck = false;
+            }
+        }
         needs
     }
 
@@ -206,14 +223,18 @@
             for (number, step) in occurrence.steps.iter().enumerate() {
                 let spec = job.step_spec(number as u32);
                 let ready = occurrence.is_ready(spec);
-                let cores = spec.counted().cores.0 as f32;
+                let demand = spec.counted();
                 for task in &step.tasks {
-                    need.cores += match &task.phase {
-                        Phase::Placed(_) => cores,
-                        Phase::Idle if spec.lasting => cores,
-                        Phase::Idle if ready => cores * PROVIDED,
+                    let share = match &task.phase {
+                        Phase::Placed(_) => 1.0,
+                        Phase::Idle if spec.lasting => 1.0,
+                        Phase::Idle if ready => PROVIDED,
                         Phase::Idle | Phase::Done => 0.0,
                     };
+                    need.cores += demand.cores.0 as f32 * share;
+                    need.memory += demand.memory.0 as f32 * share;
+                    let waited = self.now.mono.saturating_duration_since(task.idle_since);
+                    need.stuck |= spec.lasting && task.is_idle() && waited > STUCK_AFTER;
                 }
                 need.spread = need.spread.max(spread_vms(job, number));
             }
