--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -232,6 +232,10 @@
             () = tokio::time::sleep(TICK) => None,
             () = node.stop.notified() => None,
         };
+        // Submissions after the record of a later owner belong to that owner.
+        if node.book.borrow().epoch() > term.epoch {
+            owner.deposed.set(true);
+        }
         if node.stopping.get() || owner.is_deposed() {
             break;
         }
--- a/crates/cj-sched/src/record.rs
+++ b/crates/cj-sched/src/record.rs
@@ -99,14 +99,13 @@
 }
 
 /// Failed runs of one task.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Failures {
     /// Index of the task in its step.
     pub index: u32,
-    /// Number of failed runs.
-    pub count: u32,
-    /// Number of the last run that was counted; a VM reports an end again until it is acknowledged.
-    pub run: u64,
+    /// The failed runs. A worker reports an end until it is acknowledged, also to later owners and in any order among
+    /// workers, so a count alone would count some ends twice or not at all.
+    pub runs: Vec<u64>,
 }
 
 impl StepProgress {
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -8,7 +8,9 @@
 use crate::{
     record::Outcome,
     sched::{
-        event::{Action, EndKind, EndRow, ListAnswer, Listing, Refusal, RunRow, VmRow, VmState, WorkerId},
+        event::{
+            Action, EndKind, EndRow, ListAnswer, Listing, Refusal, RunRow, VmRow, VmState, WorkerId,
+        },
         scheduler::Scheduler,
         settings::{
             LISTING_GAP, LISTING_RETRY, LISTING_WAIT, QUARANTINE, QUARANTINE_FAILURES, RENEWAL_GAP,
@@ -98,6 +100,7 @@
             }
         }
         let mut seen = HashSet::with_capacity(listing.running.len());
+        self.workers[key].strays = 0;
         for row in listing.running {
             if let Some(at) = self.read_run(key, row) {
                 seen.insert(at);
@@ -112,7 +115,9 @@
         let stopping = |at: &TaskRef| {
             self.task(*at).placed().is_some_and(|placed| placed.stage == Stage::Stopping)
         };
-        let eager = self.has_finite_run(key) || self.workers[key].runs.iter().any(stopping);
+        let strays = self.workers[key].strays > 0;
+        let eager =
+            strays || self.has_finite_run(key) || self.workers[key].runs.iter().any(stopping);
         let worker = &mut self.workers[key];
         if eager {
             worker.list_by((sent + LISTING_GAP).max(now + LISTING_GAP / 3));
@@ -128,7 +133,7 @@
     fn read_run(&mut self, key: WorkerKey, row: RunRow) -> Option<TaskRef> {
         let now = self.now.mono;
         let Some(at) = self.find(&row.task) else {
-            self.stop_unknown(key, row.task, row.run);
+            self.stop_stray(key, row.task, row.run);
             return None;
         };
         let wanted = self.is_wanted(at);
@@ -161,7 +166,7 @@
                 Some(at)
             }
             None => {
-                self.stop_unknown(key, row.task, row.run);
+                self.stop_stray(key, row.task, row.run);
                 None
             }
         }
@@ -288,7 +293,7 @@
             self.release(at);
             // Members of a gang end together; another run of a single task is not needed any more.
             if !self.jobs[at.job].step_spec(at.step).gang {
-                self.stop_unknown(placed.worker, id, placed.run);
+                self.stop_stray(placed.worker, id, placed.run);
             }
         }
         self.task_mut(at).phase = Phase::Done;
@@ -299,12 +304,11 @@
         let lasting = self.jobs[at.job].step_spec(at.step).lasting;
         let task = self.task_mut(at);
         task.avoid = Some(key);
-        if lasting || task.is_done() || run <= task.failed_run {
+        if lasting || task.is_done() || task.failed.contains(&run) {
             return;
         }
-        task.failures += 1;
-        task.failed_run = run;
-        let failures = task.failures;
+        task.failed.push(run);
+        let failures = task.failed.len() as u32;
         self.mark_written(at, true);
         let occurrence = &mut self.jobs[at.job].occurrences[at.occurrence as usize];
         if failures >= attempts && occurrence.outcome == Outcome::Open {
--- a/crates/cj-sched/src/sched/orders.rs
+++ b/crates/cj-sched/src/sched/orders.rs
@@ -72,11 +72,16 @@
         placed.ordering = true;
         placed.touched = now;
         let (key, run) = (placed.worker, placed.run);
-        self.stop_unknown(key, id, run);
+        self.order_stop(key, id, run);
     }
 
     /// Orders a run to stop that no task claims.
-    pub(super) fn stop_unknown(&mut self, key: WorkerKey, task: TaskId, run: u64) {
+    pub(super) fn stop_stray(&mut self, key: WorkerKey, task: TaskId, run: u64) {
+        self.workers[key].strays += 1;
+        self.order_stop(key, task, run);
+    }
+
+    fn order_stop(&mut self, key: WorkerKey, task: TaskId, run: u64) {
         let target = self.workers[key].target();
         info!(target: "decision", "task={task} run={run} worker={} choice=stop epoch={}", target.worker, self.epoch);
         self.actions.push(Action::Stop(target, task, run));
@@ -229,7 +234,7 @@
             if let Some(placed) = self.task_mut(at).placed_mut() {
                 placed.touched = now;
             }
-            self.stop_unknown(key, id, run);
+            self.order_stop(key, id, run);
         }
     }
 
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -64,7 +64,7 @@
 /// Moves on their way, and how long workers have been idle.
 #[derive(Clone, Debug, Default)]
 pub(super) struct PoolPlan {
-    moves: HashMap<VmId, Move>,
+    moves: BTreeMap<VmId, Move>,
     idle: HashMap<WorkerKey, Instant>,
     planned: Option<Instant>,
 }
@@ -90,7 +90,8 @@
 
 impl Need {
     fn target(&self) -> usize {
-        let share = |amount: f32, unit: u32| (amount / (unit as f32 * FILLED).max(1.0)).ceil() as usize;
+        let share =
+            |amount: f32, unit: u32| (amount / (unit as f32 * FILLED).max(1.0)).ceil() as usize;
         let cores = share(self.cores, self.unit.cores.0);
         let memory = share(self.memory, self.unit.memory.0);
         let grown = if self.stuck { self.size + 1 } else { 0 };
@@ -123,7 +124,9 @@
         wanting.sort_by_key(|service| std::cmp::Reverse(needs[service].deficit()));
         for service in wanting {
             for _ in 0..needs[&service].deficit() {
-                let Some(vm) = self.lender(&mut needs, &service).or_else(|| parked.pop()) else { break };
+                let Some(vm) = self.lender(&mut needs, &service).or_else(|| parked.pop()) else {
+                    break;
+                };
                 self.move_vm(vm, &service);
             }
         }
@@ -204,7 +207,8 @@
         }
         let key = *self.worker_index.get(row.worker.as_ref()?)?;
         let worker = &self.workers[key];
-        let free = worker.swept && worker.misses == 0 && !worker.evacuating && worker.runs.is_empty();
+        let free =
+            worker.swept && worker.misses == 0 && !worker.evacuating && worker.runs.is_empty();
         let since = self.pools.idle.get(&key).filter(|_| free && worker.service == row.pool)?;
         Some((row.vm.clone(), key, self.now.mono.saturating_duration_since(*since)))
     }
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -1,7 +1,7 @@
 //! The scheduler: events in, actions out.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     rc::Rc,
     time::Instant,
 };
@@ -43,7 +43,7 @@
     pub(super) job_index: HashMap<JobKey, JobSlot>,
     pub(super) workers: SlotMap<WorkerKey, Worker>,
     pub(super) worker_index: HashMap<WorkerId, WorkerKey>,
-    pub(super) vms: HashMap<VmId, VmRow>,
+    pub(super) vms: BTreeMap<VmId, VmRow>,
     /// The list of VMs was read under this ownership.
     pub(super) vms_known: bool,
     pub(super) waves: Vec<Wave>,
@@ -82,7 +82,7 @@
             job_index: HashMap::new(),
             workers: SlotMap::with_key(),
             worker_index: HashMap::new(),
-            vms: HashMap::new(),
+            vms: BTreeMap::new(),
             vms_known: false,
             waves: Vec::new(),
             pools: PoolPlan::default(),
@@ -322,10 +322,21 @@
         worker.runs = runs.clone();
         worker.begin_life(born, self.now.mono);
         for at in runs {
-            self.lose(at);
+            if born.is_some() && self.may_arrive(at) {
+                self.stop_run(at);
+            } else {
+                self.lose(at);
+            }
         }
     }
 
+    /// True when an order to start the run went unanswered: a later life under the same id would carry it out, since it
+    /// knows nothing of the earlier one. Only a stop by that life settles the run.
+    fn may_arrive(&self, at: TaskRef) -> bool {
+        let placed = self.task(at).placed();
+        placed.is_some_and(|placed| placed.stage == Stage::Starting || placed.tries > 0)
+    }
+
     /// A run is gone without a listed end.
     pub(super) fn lose(&mut self, at: TaskRef) {
         let id = self.jobs[at.job].task_id(at);
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -4,7 +4,7 @@
 //! `cap` VMs of a wave are off at once.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -60,7 +60,7 @@
 pub(super) struct Wave {
     order: WaveOrder,
     begun: Vec<VmId>,
-    stands: HashMap<VmId, Stand>,
+    stands: BTreeMap<VmId, Stand>,
     reported: bool,
 }
 
@@ -89,12 +89,13 @@
             "wave={} choice=begin vms={} done={} cap={}",
             order.number, order.vms.len(), begun.len(), order.cap
         );
-        self.waves.push(Wave { order, begun, stands: HashMap::new(), reported: false });
+        self.waves.push(Wave { order, begun, stands: BTreeMap::new(), reported: false });
     }
 
     /// True while the list of VMs has to be kept up to date: a wave runs, or tasks are on a worker that is silent.
     pub fn wants_vms(&self) -> bool {
-        let unsure = |worker: &Worker| !worker.swept || (worker.misses > 0 && !worker.runs.is_empty());
+        let unsure =
+            |worker: &Worker| !worker.swept || (worker.misses > 0 && !worker.runs.is_empty());
         !self.waves.is_empty() || self.has_moves() || self.workers.values().any(unsure)
     }
 
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -71,9 +71,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Task {
     pub(super) phase: Phase,
-    pub(super) failures: u32,
-    /// Run whose failure was counted last.
-    pub(super) failed_run: u64,
+    /// Failed runs.
+    pub(super) failed: Vec<u64>,
     /// Last run number that was used.
     pub(super) run: u64,
     pub(super) saved: CompactString,
@@ -87,8 +86,7 @@
     fn new(now: Instant) -> Self {
         Task {
             phase: Phase::Idle,
-            failures: 0,
-            failed_run: 0,
+            failed: Vec::new(),
             run: 0,
             saved: CompactString::default(),
             idle_since: now,
@@ -197,8 +195,7 @@
     }
     for failed in &known.failures {
         if let Some(task) = tasks.get_mut(failed.index as usize) {
-            task.failures = failed.count;
-            task.failed_run = failed.run;
+            task.failed = failed.runs.clone();
         }
     }
     Step { tasks, tickets: Tickets::default() }
@@ -211,9 +208,8 @@
         if task.is_done() {
             progress.set_done(index);
         }
-        if task.failures > 0 {
-            let failures = Failures { index, count: task.failures, run: task.failed_run };
-            progress.failures.push(failures);
+        if !task.failed.is_empty() {
+            progress.failures.push(Failures { index, runs: task.failed.clone() });
         }
     }
     progress
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -48,6 +48,8 @@
     pub(super) swept: bool,
     pub(super) used: Resources,
     pub(super) runs: Vec<TaskRef>,
+    /// Runs there that no task claims. They take room until they have ended, so it gets no new tasks before.
+    pub(super) strays: usize,
     /// Ends up to this number are processed.
     pub(super) ended_seen: u64,
     /// What the ends up to this number mean is durable.
@@ -103,6 +105,7 @@
             swept: false,
             used: Resources::default(),
             runs: Vec::new(),
+            strays: 0,
             ended_seen: 0,
             ended_durable: 0,
             ended_told: 0,
@@ -139,6 +142,7 @@
     pub(super) fn begin_life(&mut self, born: Option<u64>, now: Instant) {
         self.born = born;
         self.clock = None;
+        self.strays = 0;
         self.ended_seen = 0;
         self.ended_durable = 0;
         self.ended_told = 0;
@@ -180,6 +184,7 @@
             && !self.draining
             && !self.evacuating
             && self.misses == 0
+            && self.strays == 0
             && self.clock.is_some()
             && self.paused.is_none_or(|until| until <= now)
     }
--- /dev/null
+++ b/crates/cj-sched/tests/sim/check.rs
@@ -0,0 +1,103 @@
+//! Promises that are checked at each event of the simulation.
+
+use std::collections::{HashMap, HashSet};
+
+use cj_sched::{
+    JobKey, TaskId,
+    sched::{EndKind, EndRow, StartOrder, WorkerId},
+};
+
+use crate::worker::SimWorker;
+
+/// What the checks remember.
+#[derive(Debug, Default)]
+pub(crate) struct Checks {
+    /// Tasks that ended done, with the worker, the start of its life and the number of the end.
+    done: HashMap<TaskId, Vec<(WorkerId, u64, u64)>>,
+    /// Ends after which their task was started again; they must never be acknowledged.
+    again: HashSet<(WorkerId, u64, u64)>,
+    /// Acknowledged failed runs.
+    failed: HashMap<TaskId, HashSet<u64>>,
+    pub(crate) starts: u64,
+}
+
+impl Checks {
+    /// A run of a task is done on a worker.
+    pub(crate) fn note_done(&mut self, task: TaskId, worker: &SimWorker) {
+        let number =
+            worker.ended.iter().rev().find(|row| row.task == task).map_or(0, |row| row.number);
+        log::info!(target: "sim", "task={task} worker={} done number={number}", worker.id);
+        self.done.entry(task).or_default().push((worker.id.clone(), worker.born, number));
+    }
+
+    pub(crate) fn is_done(&self, task: &TaskId) -> bool {
+        self.done.contains_key(task)
+    }
+
+    /// Ends were acknowledged: their meaning counts from now on.
+    pub(crate) fn acknowledge(&mut self, worker: &SimWorker, told: &[EndRow]) {
+        for row in told {
+            let lapsed = row.number <= worker.lapsed_to;
+            match row.how {
+                EndKind::Done if !lapsed => {
+                    let end = (worker.id.clone(), worker.born, row.number);
+                    assert!(!self.again.contains(&end), "{} was done and ran again", row.task);
+                }
+                EndKind::Failed => {
+                    self.failed.entry(row.task).or_default().insert(row.run);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// A worker is about to begin a run.
+    pub(crate) fn start(
+        &mut self,
+        order: &StartOrder,
+        worker: &SimWorker,
+        all: &[SimWorker],
+        now: u64,
+        late: bool,
+    ) {
+        self.starts += 1;
+        let task = order.task;
+        log::info!(target: "sim", "at={now} task={task} run={} worker={} began", order.run, worker.id);
+        let spec = &order.submission.spec;
+        let step = &spec.steps[task.step as usize];
+        for other in all.iter().filter(|other| other.alive) {
+            let runs = other.runs.contains_key(&task);
+            assert!(!runs, "{task} runs twice at {now}: on {} and {}", other.id, worker.id);
+        }
+        for earlier in &step.after {
+            for index in 0..spec.steps[*earlier as usize].count {
+                let needed = TaskId { step: *earlier, index, ..task };
+                assert!(self.is_done(&needed), "{task} started before {needed} was done");
+            }
+        }
+        let failed = self.failed.get(&task).map_or(0, HashSet::len) as u32;
+        assert!(
+            step.lasting || failed < order.submission.attempts,
+            "{task} started after {failed} failures"
+        );
+        assert_eq!(
+            order.submission.service, worker.service,
+            "{task} on a worker of another service"
+        );
+        let same = |other: &&TaskId| {
+            (other.job, other.occurrence, other.step) == (task.job, task.occurrence, task.step)
+        };
+        let beside = worker.runs.keys().filter(same).count() as u32;
+        assert!(step.spread.is_none_or(|most| beside < most), "{task}: too many on {}", worker.id);
+        let used = worker.used().plus(step.counted());
+        // An order that was held up and carried out late is no fault of its sender.
+        assert!(late || used.fits(worker.capacity), "{task} exceeds {}: {used}", worker.id);
+        self.again.extend(self.done.get(&task).into_iter().flatten().cloned());
+    }
+
+    /// Failed ends of a job that were acknowledged.
+    pub(crate) fn failures(&self, job: JobKey) -> u32 {
+        let of_job = self.failed.iter().filter(|(task, _)| task.job == job);
+        of_job.map(|(_, runs)| runs.len() as u32).max().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/tests/sim/worker.rs
@@ -0,0 +1,237 @@
+//! A simulated worker: runs tasks under a lease, and keeps their ends until they are acknowledged.
+
+use std::collections::{BTreeMap, HashMap};
+
+use cj_sched::{
+    TaskId,
+    sched::{EndKind, EndRow, Listing, Refusal, RunRow, StartOrder, WorkerId},
+};
+use cj_types::{Resources, ServiceId, VmId};
+
+/// A run of a task.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) run: u64,
+    pub(crate) begun: u64,
+    /// When it ends by itself; `None` for lasting tasks.
+    pub(crate) ends: Option<u64>,
+    pub(crate) fails: bool,
+    pub(crate) demand: Resources,
+}
+
+/// A worker; all times in ms of the simulation.
+#[derive(Clone, Debug)]
+pub(crate) struct SimWorker {
+    pub(crate) id: WorkerId,
+    pub(crate) vm: VmId,
+    pub(crate) service: ServiceId,
+    pub(crate) capacity: Resources,
+    pub(crate) rack: String,
+    pub(crate) born: u64,
+    pub(crate) alive: bool,
+    /// No message arrives before this time.
+    pub(crate) cut_until: u64,
+    pub(crate) draining: bool,
+    /// All tasks fail.
+    pub(crate) broken: bool,
+    /// Speed of its clock.
+    pub(crate) rate: f64,
+    pub(crate) token: u64,
+    pub(crate) runs: BTreeMap<TaskId, Run>,
+    pub(crate) ended: Vec<EndRow>,
+    last_end: u64,
+    /// Highest run that ended or was stopped, by task.
+    settled: HashMap<TaskId, u64>,
+    /// End of the lease on its clock.
+    lease: Option<u64>,
+    /// Numbers of ends before the last time that the lease lapsed.
+    pub(crate) lapsed_to: u64,
+}
+
+impl SimWorker {
+    pub(crate) fn new(
+        id: &str,
+        service: &ServiceId,
+        rack: &str,
+        capacity: Resources,
+        now: u64,
+    ) -> Self {
+        SimWorker {
+            id: WorkerId(id.into()),
+            vm: VmId::try_from(format!("vm-{id}").as_str()).unwrap(),
+            service: service.clone(),
+            capacity,
+            rack: rack.to_owned(),
+            born: now,
+            alive: true,
+            cut_until: 0,
+            draining: false,
+            broken: false,
+            rate: 1.0,
+            token: 0,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            last_end: 0,
+            settled: HashMap::new(),
+            lease: None,
+            lapsed_to: 0,
+        }
+    }
+
+    /// The same worker on another VM.
+    pub(crate) fn on_vm(self, vm: VmId) -> Self {
+        SimWorker { vm, ..self }
+    }
+
+    pub(crate) fn clock(&self, now: u64) -> u64 {
+        ((now - self.born) as f64 * self.rate) as u64 + 1_000
+    }
+
+    fn end(&mut self, task: TaskId, how: EndKind) {
+        let Some(run) = self.runs.remove(&task) else { return };
+        self.last_end += 1;
+        self.settled.insert(task, run.run);
+        self.ended.push(EndRow {
+            number: self.last_end,
+            task,
+            run: run.run,
+            how,
+            saved: Default::default(),
+        });
+    }
+
+    /// Lets time pass: tasks end, and the lease may lapse. Returns the tasks that are done.
+    pub(crate) fn advance(&mut self, now: u64) -> Vec<TaskId> {
+        if !self.alive {
+            return Vec::new();
+        }
+        let mut done = Vec::new();
+        let lapse = self.lease.map(|lease| {
+            self.born + ((lease.saturating_sub(1_000)) as f64 / self.rate).ceil() as u64
+        });
+        let mut due: Vec<(u64, TaskId, bool)> = self
+            .runs
+            .iter()
+            .filter_map(|(task, run)| run.ends.map(|ends| (ends, *task, run.fails)))
+            .filter(|(ends, ..)| *ends <= now && lapse.is_none_or(|lapse| *ends <= lapse))
+            .collect();
+        due.sort();
+        for (_, task, fails) in due {
+            self.end(task, if fails { EndKind::Failed } else { EndKind::Done });
+            if !fails {
+                done.push(task);
+            }
+        }
+        if lapse.is_some_and(|lapse| lapse < now) {
+            let left: Vec<TaskId> = self.runs.keys().copied().collect();
+            self.lapsed_to = self.last_end;
+            for task in left {
+                self.end(task, EndKind::Lapsed);
+            }
+            self.lease = None;
+        }
+        done
+    }
+
+    fn renew(&mut self, deadline: u64) {
+        self.lease = Some(self.lease.map_or(deadline, |lease| lease.max(deadline)));
+    }
+
+    fn fence(&mut self, token: u64) -> Result<(), Refusal> {
+        if token < self.token {
+            return Err(Refusal::Fenced);
+        }
+        self.token = token;
+        Ok(())
+    }
+
+    pub(crate) fn used(&self) -> Resources {
+        self.runs.values().fold(Resources::default(), |sum, run| sum.plus(run.demand))
+    }
+
+    /// Starts a run. `run_ms` is `None` for a lasting task.
+    pub(crate) fn start(
+        &mut self,
+        order: &StartOrder,
+        token: u64,
+        now: u64,
+        run_ms: Option<u64>,
+        fails: bool,
+    ) -> Result<bool, Refusal> {
+        self.fence(token)?;
+        if self.runs.get(&order.task).is_some_and(|run| run.run == order.run) {
+            return Ok(false);
+        }
+        if self.settled.get(&order.task).is_some_and(|run| *run >= order.run) {
+            return Err(Refusal::Old);
+        }
+        if order.deadline <= self.clock(now) {
+            return Err(Refusal::Late);
+        }
+        self.renew(order.deadline);
+        let step = &order.submission.spec.steps[order.task.step as usize];
+        let demand = step.counted();
+        let run = Run {
+            run: order.run,
+            begun: now,
+            ends: run_ms.map(|ms| now + ms),
+            fails: fails || self.broken,
+            demand,
+        };
+        self.runs.insert(order.task, run);
+        Ok(true)
+    }
+
+    pub(crate) fn stop(&mut self, task: TaskId, run: u64, token: u64) -> Result<(), Refusal> {
+        self.fence(token)?;
+        let settled = self.settled.entry(task).or_default();
+        *settled = run.max(*settled);
+        if self.runs.get(&task).is_some_and(|known| known.run <= run) {
+            self.end(task, EndKind::Stopped);
+        }
+        Ok(())
+    }
+
+    /// Lists the worker. Returns the acknowledged ends too.
+    pub(crate) fn list(
+        &mut self,
+        token: u64,
+        seen: u64,
+        deadline: Option<u64>,
+        now: u64,
+    ) -> Result<(Listing, Vec<EndRow>), Refusal> {
+        self.fence(token)?;
+        if let Some(deadline) = deadline {
+            self.renew(deadline);
+        }
+        let (told, kept): (Vec<_>, Vec<_>) =
+            self.ended.drain(..).partition(|row| row.number <= seen);
+        self.ended = kept;
+        let percent = |run: &Run| match run.ends {
+            Some(ends) => (100 * (now - run.begun) / (ends - run.begun).max(1)) as u8,
+            None => 100,
+        };
+        let row = |(task, run): (&TaskId, &Run)| RunRow {
+            task: *task,
+            run: run.run,
+            saved: Default::default(),
+            percent: percent(run),
+            sample: 0,
+        };
+        let running = self.runs.iter().map(row).collect();
+        let clock = self.clock(now);
+        let listing = Listing { born: Some(self.born), clock, running, ended: self.ended.clone() };
+        Ok((listing, told))
+    }
+
+    /// Ends this life; another begins when it starts again under the same id.
+    pub(crate) fn crash(&mut self) {
+        self.alive = false;
+        self.runs.clear();
+    }
+
+    pub(crate) fn restart(&mut self, now: u64) {
+        let fresh = SimWorker::new(&self.id.0, &self.service, &self.rack, self.capacity, now);
+        *self = SimWorker { rate: self.rate, vm: self.vm.clone(), ..fresh };
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -0,0 +1,545 @@
+//! Virtual time, a store, workers, and one or more schedulers that own the fleet or did so before.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use cj_sched::{
+    Action, Book, Event, FleetConfig, JobKey, JobSpec, Pool, Queue, Record, Scheduler, StepSpec,
+    Submission,
+    record::OwnerBeat,
+    sched::{
+        Limits, ListAnswer, Now, OrderAnswer, Refusal, TENURE, Target, VmAnswer, VmRow, VmState,
+        WorkerId, WorkerReport,
+    },
+};
+use cj_types::{
+    Accelerators, Mebibytes, Millicores, NodeId, Resources, ServiceId, UnixMillis, Version, VmId,
+};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{check::Checks, worker::SimWorker};
+
+/// Wall-clock time at the start.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// Time after which a call without an answer is given up, in ms.
+const CALL_LIMIT: u64 = 800;
+
+/// Chances of faults of single calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Faults {
+    /// The call is lost.
+    pub(crate) lost: f64,
+    /// It is carried out and its answer is lost.
+    pub(crate) unanswered: f64,
+    /// It is carried out seconds later, and its answer is lost.
+    pub(crate) late: f64,
+    /// A task fails.
+    pub(crate) failing: f64,
+}
+
+enum Effect {
+    Arrive { owner: usize, action: Action, sent: u64, answered: bool },
+    Reply { owner: usize, event: Event },
+    Poll { owner: usize },
+    Store { owner: usize, number: u64, records: Vec<Record> },
+}
+
+struct Timed {
+    at: u64,
+    order: u64,
+    effect: Effect,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+struct Owner {
+    scheduler: Scheduler,
+    epoch: u64,
+    active: bool,
+    /// It can reach the store.
+    connected: bool,
+    confirmed: u64,
+}
+
+/// The simulated fleet.
+pub(crate) struct World {
+    pub(crate) now: u64,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) workers: Vec<SimWorker>,
+    pub(crate) book: Book,
+    pub(crate) checks: Checks,
+    pub(crate) faults: Faults,
+    pub(crate) steps: u64,
+    base: Instant,
+    owners: Vec<Owner>,
+    queue: BinaryHeap<Reverse<Timed>>,
+    order: u64,
+    offset: u64,
+    config: Rc<FleetConfig>,
+    /// VMs that moved, with the time at which their new worker begins.
+    moving: Vec<(VmId, ServiceId, u64)>,
+}
+
+pub(crate) fn service(name: &str) -> ServiceId {
+    ServiceId::try_from(name).unwrap()
+}
+
+pub(crate) fn resources(cores: u32, memory: u32) -> Resources {
+    Resources { cores: Millicores(cores), memory: Mebibytes(memory), accelerators: Accelerators(0) }
+}
+
+/// A step of `count` equal tasks.
+pub(crate) fn step(count: u32, cores: u32, ms: u64) -> StepSpec {
+    StepSpec {
+        count,
+        demand: resources(cores, 1_000),
+        estimate: Duration::from_millis(ms),
+        ..StepSpec::default()
+    }
+}
+
+fn config() -> FleetConfig {
+    let queue = |name: &str| Queue {
+        name: name.into(),
+        host: "host".into(),
+        prefix: format!("/{name}/").into(),
+        service: service(name),
+        priority: 0,
+        attempts: 3,
+        stretch: 1.6,
+        target: Duration::from_millis(600),
+        advice: None,
+    };
+    let pool = |name: &str, spare| (service(name), Pool { guarded: false, spare });
+    FleetConfig {
+        version: Version(1),
+        queues: vec![queue("red"), queue("blue")],
+        pools: [pool("red", false), pool("blue", false), pool("spare", true)].into(),
+    }
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> Self {
+        crate::show_decisions();
+        World {
+            now: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            workers: Vec::new(),
+            book: Book::default(),
+            checks: Checks::default(),
+            faults: Faults::default(),
+            steps: 0,
+            base: Instant::now(),
+            owners: Vec::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            offset: 0,
+            config: Rc::new(config()),
+            moving: Vec::new(),
+        }
+    }
+
+    pub(crate) fn add_worker(&mut self, id: &str, name: &str, rack: &str) {
+        let worker = SimWorker::new(id, &service(name), rack, resources(16_000, 64_000), self.now);
+        self.workers.push(worker);
+        let last = self.workers.len() - 1;
+        self.report(last);
+    }
+
+    fn clocks(&self) -> Now {
+        Now {
+            mono: self.base + Duration::from_millis(self.now),
+            wall: UnixMillis(EPOCH_MS + self.now),
+        }
+    }
+
+    fn schedule(&mut self, delay: u64, effect: Effect) {
+        self.order += 1;
+        let timed = Timed { at: self.now + delay, order: self.order, effect };
+        self.queue.push(Reverse(timed));
+    }
+
+    fn tell(&mut self, event: &Event) {
+        for owner in 0..self.owners.len() {
+            if self.owners[owner].active && self.owners[owner].connected {
+                self.schedule(2, Effect::Reply { owner, event: event.clone() });
+            }
+        }
+    }
+
+    fn write(&mut self, record: Record) {
+        self.offset += 1;
+        self.book.apply(self.offset, record, true);
+    }
+
+    /// A new node owns the fleet. The earlier owner goes on until it learns of it, if it isn't killed.
+    pub(crate) fn take_over(&mut self, kill: bool) {
+        if kill && let Some(last) = self.owners.last_mut() {
+            last.active = false;
+        }
+        let epoch = self.book.epoch() + 1;
+        let node = NodeId::try_from("node").unwrap();
+        self.write(Record::Owner(OwnerBeat { epoch, node, released: false, load: Vec::new() }));
+        let now = self.clocks();
+        let horizon = now.mono + TENURE + TENURE / 20 + Duration::from_millis(250);
+        let config = self.config.clone();
+        let mut scheduler =
+            Scheduler::new(epoch, Limits::default(), config, &self.book, horizon, now);
+        scheduler.set_tenure(now.mono + TENURE);
+        let confirmed = self.now;
+        self.owners.push(Owner { scheduler, epoch, active: true, connected: true, confirmed });
+        let owner = self.owners.len() - 1;
+        for index in 0..self.workers.len() {
+            if self.workers[index].alive {
+                let event = Event::Reported(report_of(&self.workers[index]));
+                self.schedule(3, Effect::Reply { owner, event });
+            }
+        }
+        let vms = Event::Vms(self.clocks().mono, self.vm_rows());
+        self.schedule(5, Effect::Reply { owner, event: vms });
+        self.schedule(6, Effect::Poll { owner });
+    }
+
+    /// The owner can't reach the store any more.
+    pub(crate) fn cut_owner(&mut self) {
+        if let Some(last) = self.owners.last_mut() {
+            last.connected = false;
+        }
+    }
+
+    fn report(&mut self, index: usize) {
+        let event = Event::Reported(report_of(&self.workers[index]));
+        self.tell(&event);
+    }
+
+    fn vm_rows(&self) -> Vec<VmRow> {
+        let up = |worker: &SimWorker| VmRow {
+            vm: worker.vm.clone(),
+            pool: worker.service.clone(),
+            state: if worker.alive { VmState::Up } else { VmState::Down },
+            labels: vec!["a".into(), worker.rack.as_str().into()],
+            capacity: worker.capacity,
+            worker: worker.alive.then(|| worker.id.clone()),
+        };
+        let moving = |vm: &VmId| self.moving.iter().any(|(other, ..)| other == vm);
+        let rows = self.workers.iter().filter(|worker| !moving(&worker.vm)).map(up);
+        let moves = self.moving.iter().map(|(vm, pool, _)| VmRow {
+            vm: vm.clone(),
+            pool: pool.clone(),
+            state: VmState::Moving,
+            labels: Vec::new(),
+            capacity: resources(16_000, 64_000),
+            worker: None,
+        });
+        rows.chain(moves).collect()
+    }
+
+    pub(crate) fn submit(&mut self, key: u64, name: &str, steps: Vec<StepSpec>) {
+        let job = JobKey(key);
+        let submission = Submission {
+            queue: name.into(),
+            service: service(name),
+            priority: 0,
+            attempts: 3,
+            objective: Duration::from_secs(4),
+            at: self.clocks().wall,
+            spec: JobSpec { text: String::new(), steps, schedule: None },
+        };
+        self.write(Record::Submission(job, Box::new(submission.clone())));
+        let epoch = self.book.job(job).unwrap().epoch;
+        let submission = Rc::new(submission);
+        for owner in 0..self.owners.len() {
+            let state = &self.owners[owner];
+            // An owner reads the record of a later owner before the submissions that follow it.
+            let current = state.epoch == self.book.epoch();
+            if state.active && state.connected && current {
+                let fresh = epoch == state.epoch;
+                let event = Event::Submitted { job, submission: submission.clone(), fresh };
+                self.schedule(4, Effect::Reply { owner, event });
+            }
+        }
+    }
+
+    pub(crate) fn cancel(&mut self, key: u64) {
+        self.write(Record::Cancel(JobKey(key), self.clocks().wall));
+        self.tell(&Event::Cancelled(JobKey(key)));
+    }
+
+    pub(crate) fn crash(&mut self, index: usize) {
+        self.workers[index].crash();
+        let id = self.workers[index].id.clone();
+        self.tell(&Event::Unlisted(id));
+    }
+
+    pub(crate) fn restart(&mut self, index: usize) {
+        let now = self.now;
+        self.workers[index].restart(now);
+        self.report(index);
+    }
+
+    pub(crate) fn drain(&mut self, index: usize) {
+        self.workers[index].draining = true;
+        self.report(index);
+    }
+
+    /// Runs for some time.
+    pub(crate) fn run(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.queue.peek().is_some_and(|next| next.0.at <= end) {
+            let Reverse(timed) = self.queue.pop().unwrap();
+            self.now = timed.at;
+            self.steps += 1;
+            self.advance_workers();
+            self.carry_out(timed.effect);
+        }
+        self.now = end;
+        self.advance_workers();
+    }
+
+    fn advance_workers(&mut self) {
+        let now = self.now;
+        for index in 0..self.workers.len() {
+            for task in self.workers[index].advance(now) {
+                self.checks.note_done(task, &self.workers[index]);
+            }
+        }
+        let arrived: Vec<_> = self.moving.iter().filter(|(.., at)| *at <= now).cloned().collect();
+        self.moving.retain(|(.., at)| *at > now);
+        for (vm, pool, _) in arrived {
+            let index = self.workers.iter().position(|worker| worker.vm == vm).unwrap();
+            self.order += 1;
+            let id = format!("{pool}-{}", self.order);
+            let rack = self.workers[index].rack.clone();
+            let capacity = self.workers[index].capacity;
+            let fresh = SimWorker::new(&id, &pool, &rack, capacity, now);
+            self.workers[index] = fresh.on_vm(vm);
+            self.report(index);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Poll { owner } => self.poll(owner),
+            Effect::Reply { owner, event } => {
+                let now = self.clocks();
+                if self.owners[owner].active {
+                    self.owners[owner].scheduler.handle(event, now);
+                    self.act(owner);
+                }
+            }
+            Effect::Arrive { owner, action, sent, answered } => {
+                let event = self.arrive(owner, action, sent);
+                if let Some(event) = event.filter(|_| answered) {
+                    self.schedule(2, Effect::Reply { owner, event });
+                }
+            }
+            Effect::Store { owner, number, records } => self.store(owner, number, records),
+        }
+    }
+
+    fn poll(&mut self, owner: usize) {
+        if !self.owners[owner].active {
+            return;
+        }
+        if self.owners[owner].connected && self.owners[owner].epoch == self.book.epoch() {
+            self.owners[owner].confirmed = self.now;
+        } else if self.owners[owner].connected {
+            self.owners[owner].active = false;
+            return;
+        }
+        if self.rng.random_bool(0.05) && self.owners[owner].connected {
+            let vms = Event::Vms(self.clocks().mono, self.vm_rows());
+            self.schedule(5, Effect::Reply { owner, event: vms });
+        }
+        self.act(owner);
+        self.schedule(25, Effect::Poll { owner });
+    }
+
+    fn act(&mut self, owner: usize) {
+        let now = self.clocks();
+        let confirmed = self.base + Duration::from_millis(self.owners[owner].confirmed);
+        self.owners[owner].scheduler.set_tenure(confirmed + TENURE);
+        for action in self.owners[owner].scheduler.poll(now) {
+            match action {
+                Action::StepDown => {
+                    self.owners[owner].active = false;
+                    return;
+                }
+                Action::Write(number, records) => {
+                    self.schedule(6, Effect::Store { owner, number, records });
+                }
+                other => self.send(owner, other),
+            }
+        }
+    }
+
+    fn store(&mut self, owner: usize, number: u64, records: Vec<Record>) {
+        let state = &self.owners[owner];
+        if !state.active {
+            return;
+        }
+        if !state.connected {
+            return self.schedule(200, Effect::Store { owner, number, records });
+        }
+        if state.epoch < self.book.epoch() {
+            self.owners[owner].active = false;
+            return;
+        }
+        for record in records {
+            self.write(record);
+        }
+        self.schedule(3, Effect::Reply { owner, event: Event::Written(number, true) });
+    }
+
+    fn send(&mut self, owner: usize, action: Action) {
+        let Some(unanswered) = unanswered(&action, self.clocks().mono) else { return };
+        let (sent, delay) = (self.now, self.rng.random_range(1..6));
+        let roll: f64 = self.rng.random();
+        let Faults { lost, unanswered: silent, late, .. } = self.faults;
+        let give_up = Effect::Reply { owner, event: unanswered };
+        if roll < lost {
+            self.schedule(CALL_LIMIT, give_up);
+        } else if roll < lost + silent {
+            self.schedule(CALL_LIMIT, give_up);
+            self.schedule(delay, Effect::Arrive { owner, action, sent, answered: false });
+        } else if roll < lost + silent + late {
+            self.schedule(CALL_LIMIT, give_up);
+            let delay = self.rng.random_range(1_000..9_000);
+            self.schedule(delay, Effect::Arrive { owner, action, sent, answered: false });
+        } else if target(&action).is_some_and(|target| !self.reaches(target)) {
+            self.schedule(CALL_LIMIT, give_up);
+        } else {
+            self.schedule(delay, Effect::Arrive { owner, action, sent, answered: true });
+        }
+    }
+
+    fn reaches(&self, target: &Target) -> bool {
+        let worker = self.workers.iter().find(|worker| worker.id == target.worker);
+        worker.is_some_and(|worker| worker.alive && worker.cut_until <= self.now)
+    }
+
+    fn arrive(&mut self, owner: usize, action: Action, sent: u64) -> Option<Event> {
+        let (now, token) = (self.now, self.owners[owner].epoch);
+        let late = now - sent > CALL_LIMIT;
+        let sent = self.base + Duration::from_millis(sent);
+        match action {
+            Action::Start(target, order) => {
+                let index = self.find(&target.worker)?;
+                let worker = self.workers[index].clone();
+                let lasting = order.submission.spec.steps[order.task.step as usize].lasting;
+                let estimate = order.submission.spec.steps[order.task.step as usize].estimate;
+                let spread = self.rng.random_range(0.5..1.6);
+                let run_ms = (!lasting).then(|| (estimate.as_millis() as f64 * spread) as u64 + 1);
+                let fails = self.rng.random_bool(self.faults.failing);
+                let result = self.workers[index].start(&order, token, now, run_ms, fails);
+                if result == Ok(true) {
+                    self.checks.start(&order, &worker, &self.others(index), now, late);
+                }
+                let answer = answer(result.map(drop));
+                Some(Event::Started(target.worker, order.task, order.run, answer))
+            }
+            Action::Stop(target, task, run) => {
+                let index = self.find(&target.worker)?;
+                let result = self.workers[index].stop(task, run, token);
+                Some(Event::Stopped(target.worker, task, run, answer(result)))
+            }
+            Action::List { target, deadline, seen, .. } => {
+                let index = self.find(&target.worker)?;
+                let listed = match self.workers[index].list(token, seen, deadline, now) {
+                    Ok((listing, told)) => {
+                        self.checks.acknowledge(&self.workers[index], &told);
+                        ListAnswer::Listed(listing)
+                    }
+                    Err(refusal) => ListAnswer::Refused(refusal),
+                };
+                Some(Event::Listed(target.worker, sent, listed))
+            }
+            Action::MoveVm(vm, pool) => {
+                let index = self.workers.iter().position(|worker| worker.vm == vm)?;
+                if !self.workers[index].alive {
+                    return Some(Event::Moved(vm, VmAnswer::Busy));
+                }
+                self.crash(index);
+                self.moving.push((vm.clone(), pool, now + 1_500));
+                Some(Event::Moved(vm, VmAnswer::Done))
+            }
+            _ => None,
+        }
+    }
+
+    fn others(&self, index: usize) -> Vec<SimWorker> {
+        let others = self.workers.iter().enumerate().filter(|(other, _)| *other != index);
+        others.map(|(_, worker)| worker.clone()).collect()
+    }
+
+    fn find(&self, id: &WorkerId) -> Option<usize> {
+        let reachable = |worker: &SimWorker| worker.alive && worker.cut_until <= self.now;
+        self.workers.iter().position(|worker| worker.id == *id && reachable(worker))
+    }
+}
+
+fn report_of(worker: &SimWorker) -> WorkerReport {
+    WorkerReport {
+        id: worker.id.clone(),
+        born: Some(worker.born),
+        service: worker.service.clone(),
+        address: "127.0.0.1:1".into(),
+        capacity: worker.capacity,
+        labels: vec!["a".into(), worker.rack.as_str().into()],
+        draining: worker.draining,
+        remaining: worker.draining.then_some(Duration::from_secs(3)),
+    }
+}
+
+fn answer(result: Result<(), Refusal>) -> OrderAnswer {
+    result.map_or_else(OrderAnswer::Refused, |()| OrderAnswer::Done)
+}
+
+fn target(action: &Action) -> Option<&Target> {
+    match action {
+        Action::Start(target, _) | Action::Stop(target, ..) | Action::Pace(target, ..) => {
+            Some(target)
+        }
+        Action::List { target, .. } => Some(target),
+        _ => None,
+    }
+}
+
+/// What the scheduler hears when a call isn't answered.
+fn unanswered(action: &Action, sent: Instant) -> Option<Event> {
+    let none = OrderAnswer::Unanswered;
+    match action {
+        Action::Start(target, order) => {
+            Some(Event::Started(target.worker.clone(), order.task, order.run, none))
+        }
+        Action::Stop(target, task, run) => {
+            Some(Event::Stopped(target.worker.clone(), *task, *run, none))
+        }
+        Action::List { target, .. } => {
+            Some(Event::Listed(target.worker.clone(), sent, ListAnswer::Unanswered))
+        }
+        Action::MoveVm(vm, _) => Some(Event::Moved(vm.clone(), VmAnswer::Unanswered)),
+        _ => None,
+    }
+}
