--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -39,6 +39,8 @@
     pub node: NodeId,
     /// Bounds of the platform.
     pub limits: Limits,
+    /// Processor time of the node in cores; nodes with more take over first.
+    pub cores: f64,
     /// How long a job that is final can be asked for.
     pub retention: Duration,
 }
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -39,8 +39,15 @@
 /// Time between two looks at the owner.
 const WATCH_GAP: Duration = Duration::from_millis(60);
 
-/// Nodes claim at random times within this span, so that few of them claim at once.
-const CLAIM_SPREAD: Duration = Duration::from_millis(250);
+/// A node with one core waits this long before it claims; one with less waits longer in proportion. The owner needs more
+/// processor time than the other nodes, and its own share bounds what the fleet can start.
+const CLAIM_DELAY: Duration = Duration::from_millis(50);
+
+/// Least share of a core that the delay of a claim is worked out with.
+const LEAST_CORES: f64 = 0.1;
+
+/// The delay of a claim is random up to this multiple, so that few nodes claim at once.
+const CLAIM_SPREAD: f64 = 1.8;
 
 /// How long a claim of another node may take until its heartbeat is read.
 const CLAIM_LIMIT: Duration = Duration::from_millis(1_200);
@@ -112,8 +119,8 @@
         let known =
             node.jobs.is_loaded() && node.jobs.is_answered() && node.config.borrow().is_some();
         if known && is_vacant(node, now, *loaded_at.get_or_insert(now)) {
-            let wait = rand::rng().random_range(0..=CLAIM_SPREAD.as_millis() as u64);
-            tokio::time::sleep(Duration::from_millis(wait)).await;
+            let least = CLAIM_DELAY.div_f64(node.settings.cores.max(LEAST_CORES));
+            tokio::time::sleep(least.mul_f64(rand::rng().random_range(1.0..CLAIM_SPREAD))).await;
             if is_vacant(node, node.clock.now(), now) {
                 return;
             }
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use cj_types::{ServiceId, UnixMillis, VmId};
@@ -25,6 +25,9 @@
     },
 };
 
+/// Time between two looks at all runs.
+const WATCH_GAP: Duration = Duration::from_millis(40);
+
 /// Both clocks at one moment.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
@@ -60,6 +63,7 @@
     pub(super) actions: Vec<Action>,
     pub(super) place_due: bool,
     pub(super) placed_at: Instant,
+    watched_at: Instant,
     pub(super) now: Now,
 }
 
@@ -94,6 +98,7 @@
             actions: Vec::new(),
             place_due: true,
             placed_at: now.mono,
+            watched_at: now.mono,
             now,
         };
         for (key, entry) in book.open_jobs() {
@@ -140,16 +145,24 @@
     /// What is to be done now.
     pub fn poll(&mut self, now: Now) -> Vec<Action> {
         self.now = now;
+        if now.mono >= self.watched_at + WATCH_GAP {
+            self.watched_at = now.mono;
+            self.watch();
+        }
+        self.place_tasks();
+        self.list_workers();
+        self.write_progress();
+        std::mem::take(&mut self.actions)
+    }
+
+    /// What depends on the passing of time; it goes over all runs.
+    fn watch(&mut self) {
         self.expire_leases();
         self.retry_stops();
         self.check_hangs();
         self.run_waves();
         self.plan_pools();
-        self.place_tasks();
         self.pace_tasks();
-        self.list_workers();
-        self.write_progress();
-        std::mem::take(&mut self.actions)
     }
 
     /// True while orders may be given.
