--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -184,9 +184,9 @@
         match self.platform.operator_change(&record.key, &record.value) {
             Ok(OperatorChange::Config(config)) => self.configure(config, record.offset),
             Ok(OperatorChange::Wave(order)) => {
-                let done = self.book.borrow().wave(order.number).to_vec();
+                let progress = self.book.borrow().wave(order.number);
                 self.waves.borrow_mut().insert(order.number, order.clone());
-                self.send(Event::Wave(order, done));
+                self.send(Event::Wave(order, progress));
             }
             Ok(OperatorChange::Other) => {}
             Err(error) => {
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -299,8 +299,8 @@
         let mut scheduler = Scheduler::new(term.epoch, limits, config, &book, horizon, now);
         scheduler.set_tenure(term.since + TENURE);
         for order in node.waves.borrow().values() {
-            let done = book.wave(order.number).to_vec();
-            scheduler.handle(Event::Wave(order.clone(), done), now);
+            let progress = book.wave(order.number);
+            scheduler.handle(Event::Wave(order.clone(), progress), now);
         }
         drop(book);
         node.metrics.owner.set(1);
--- a/crates/cj-sched/src/book.rs
+++ b/crates/cj-sched/src/book.rs
@@ -6,12 +6,12 @@
     time::Duration,
 };
 
-use cj_types::{UnixMillis, VmId};
+use cj_types::UnixMillis;
 use derive_more::Display;
 
 use crate::{
     job::JobKey,
-    record::{Outcome, OwnerBeat, Progress, Record, RecordKey, Submission},
+    record::{Outcome, OwnerBeat, Progress, Record, RecordKey, Submission, WaveProgress},
 };
 
 /// State of a job as its caller sees it.
@@ -135,7 +135,7 @@
 pub struct Book {
     jobs: HashMap<JobKey, JobEntry>,
     open: BTreeSet<JobKey>,
-    waves: HashMap<u64, Vec<VmId>>,
+    waves: HashMap<u64, WaveProgress>,
     owner: Option<Owner>,
 }
 
@@ -147,8 +147,8 @@
             Record::Submission(job, submission) => self.submit(job, *submission, in_order),
             Record::Progress(job, number, progress) => self.advance(job, number, offset, progress),
             Record::Cancel(job, at) => self.cancel(job, at),
-            Record::Wave(number, vms) => {
-                self.waves.insert(number, vms);
+            Record::Wave(number, progress) => {
+                self.waves.insert(number, progress);
                 Change::Nothing
             }
             Record::Owner(beat) => self.hear_owner(offset, beat),
@@ -236,9 +236,9 @@
         self.open.iter().filter_map(|&job| Some((job, self.job(job)?)))
     }
 
-    /// VMs whose upkeep for a wave has begun.
-    pub fn wave(&self, number: u64) -> &[VmId] {
-        self.waves.get(&number).map_or(&[], Vec::as_slice)
+    /// How far a maintenance wave is.
+    pub fn wave(&self, number: u64) -> WaveProgress {
+        self.waves.get(&number).cloned().unwrap_or_default()
     }
 
     /// Number of accepted jobs of a queue of which no task has begun.
--- a/crates/cj-sched/src/codec.rs
+++ b/crates/cj-sched/src/codec.rs
@@ -14,7 +14,7 @@
         Record::Submission(_, body) => body_of(body),
         Record::Progress(_, _, body) => body_of(body),
         Record::Cancel(_, at) => body_of(at),
-        Record::Wave(_, vms) => body_of(vms),
+        Record::Wave(_, progress) => body_of(progress),
         Record::Owner(body) => body_of(body),
         Record::Drop(_) => Vec::new(),
     }
--- a/crates/cj-sched/src/record.rs
+++ b/crates/cj-sched/src/record.rs
@@ -18,7 +18,7 @@
     Progress(JobKey, u32),
     /// The caller's cancellation of a job.
     Cancel(JobKey),
-    /// VMs that a maintenance wave is done with.
+    /// How far a maintenance wave is.
     Wave(u64),
     /// The heartbeat of the owner.
     Owner,
@@ -137,6 +137,16 @@
     pub steps: Vec<StepProgress>,
 }
 
+/// How far a maintenance wave is. A call is noted before it is made: it may be carried out at any time after that, also
+/// under a later owner.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveProgress {
+    /// VMs whose upkeep was or will be called for.
+    pub called: Vec<VmId>,
+    /// VMs whose upkeep has begun.
+    pub begun: Vec<VmId>,
+}
+
 /// Load of one service, published by the owner.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServiceLoad {
@@ -168,8 +178,8 @@
     Progress(JobKey, u32, Progress),
     /// The caller cancelled a job.
     Cancel(JobKey, UnixMillis),
-    /// VMs whose upkeep for a wave has begun.
-    Wave(u64, Vec<VmId>),
+    /// How far a maintenance wave is.
+    Wave(u64, WaveProgress),
     /// The owner is alive.
     Owner(OwnerBeat),
     /// The key is dropped.
--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -8,7 +8,7 @@
 use crate::{
     config::FleetConfig,
     job::{JobKey, TaskId},
-    record::{Record, Submission},
+    record::{Record, Submission, WaveProgress},
 };
 
 /// Id of one life of a worker, as it registers itself.
@@ -246,8 +246,8 @@
     Unlisted(WorkerId),
     /// The platform's list of VMs, with the time at which it was asked for.
     Vms(Instant, Vec<VmRow>),
-    /// An operator ordered a wave; the upkeep of the VMs named second has begun under an earlier owner.
-    Wave(WaveOrder, Vec<VmId>),
+    /// An operator ordered a wave, and how far it is.
+    Wave(WaveOrder, WaveProgress),
     /// Answer to [`Action::Start`].
     Started(WorkerId, TaskId, u64, OrderAnswer),
     /// Answer to [`Action::Stop`].
--- a/crates/cj-sched/src/sched/persist.rs
+++ b/crates/cj-sched/src/sched/persist.rs
@@ -35,6 +35,8 @@
     hurried: bool,
     flight: Option<Batch>,
     number: u64,
+    /// Number of the last batch that is durable.
+    durable: u64,
 }
 
 impl WriteState {
@@ -45,10 +47,16 @@
         self.due = Some(self.due.map_or(at, |due| due.min(at)));
     }
 
-    /// Writes another record with the next batch.
-    pub(super) fn add(&mut self, record: Record, now: Instant) {
+    /// Writes another record with the next batch. Returns the batch's number.
+    pub(super) fn add(&mut self, record: Record, now: Instant) -> u64 {
         self.extra.push(record);
         self.due = Some(now);
+        self.number + 1
+    }
+
+    /// True when the batch is durable.
+    pub(super) fn is_durable(&self, number: u64) -> bool {
+        self.durable >= number
     }
 
     /// A caller waits for the next write.
@@ -121,6 +129,7 @@
             }
             return;
         }
+        self.write.durable = number;
         for (key, born, ended) in batch.ends {
             let Some(worker) = self.workers.get_mut(key).filter(|worker| worker.born == born)
             else {
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -19,6 +19,7 @@
         event::{Action, VmAnswer, VmRow, VmState},
         scheduler::Scheduler,
         settings::TENURE_RESERVE,
+        wave::Life,
         work::{Job, JobSlot, Phase},
         worker::WorkerKey,
     },
@@ -57,6 +58,8 @@
     from: ServiceId,
     to: ServiceId,
     sent: Instant,
+    /// The life that it ends.
+    life: Option<Life>,
     /// When it took effect.
     done: Option<Instant>,
 }
@@ -275,11 +278,14 @@
         let now = self.now.mono;
         let Some(row) = self.vms.get(&vm) else { return };
         let from = row.pool.clone();
+        let life = self.life_on(&vm);
         if let Some(&key) = row.worker.as_ref().and_then(|id| self.worker_index.get(id)) {
             self.workers[key].evacuating = true;
         }
         info!(target: "decision", "vm={vm} choice=move from={from} to={to} epoch={}", self.epoch);
-        self.pools.moves.insert(vm.clone(), Move { from, to: to.clone(), sent: now, done: None });
+        self.pools
+            .moves
+            .insert(vm.clone(), Move { from, to: to.clone(), sent: now, life, done: None });
         self.actions.push(Action::MoveVm(vm, to.clone()));
     }
 
@@ -288,7 +294,10 @@
         info!(target: "decision", "vm={vm} choice=move answer={answer:?}");
         match answer {
             VmAnswer::Done => {
-                self.end_vm_life(vm, "the VM moved to another pool");
+                let life = self.pools.moves.get(vm).and_then(|moving| moving.life.clone());
+                if let Some(life) = life {
+                    self.end_life_of(&life, "the VM moved to another pool");
+                }
                 let Some(moving) = self.pools.moves.get_mut(vm) else { return };
                 moving.done = Some(now);
                 if let Some(row) = self.vms.get_mut(vm) {
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -28,6 +28,17 @@
 /// Time between two looks at all runs.
 const WATCH_GAP: Duration = Duration::from_millis(40);
 
+/// An order that wasn't answered is carried out within this time or never.
+const ORDER_LIFE: Duration = Duration::from_secs(15);
+
+/// A lost run whose order to start went unanswered.
+struct Ghost {
+    worker: WorkerId,
+    task: TaskId,
+    run: u64,
+    lost: Instant,
+}
+
 /// Both clocks at one moment.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
@@ -61,6 +72,8 @@
     pub(super) horizon: Instant,
     /// Orders and leases end by then.
     pub(super) tenure: Instant,
+    /// Lost runs whose order to start may still arrive at a later life of the worker.
+    ghosts: Vec<Ghost>,
     /// Run time in multiples of the estimate, by queue.
     pub(super) speeds: HashMap<compact_str::CompactString, f32>,
     pub(super) write: super::persist::WriteState,
@@ -99,6 +112,7 @@
             swept: HashMap::new(),
             horizon,
             tenure: now.mono,
+            ghosts: Vec::new(),
             speeds: HashMap::new(),
             write: Default::default(),
             actions: Vec::new(),
@@ -253,6 +267,7 @@
             let key = self.workers.insert(Worker::new(report, now));
             self.worker_index.insert(id, key);
             self.match_vm(key);
+            self.refuse_ghosts(key);
             return;
         };
         let reborn = report
@@ -260,6 +275,7 @@
             .is_some_and(|born| self.workers[key].born.is_some_and(|known| born > known));
         if reborn {
             self.end_life(key, report.born, "registered again");
+            self.refuse_ghosts(key);
         }
         let was_draining = self.workers[key].draining;
         self.workers[key].update(report, now);
@@ -360,11 +376,39 @@
     pub(super) fn lose(&mut self, at: TaskRef) {
         let id = self.jobs[at.job].task_id(at);
         info!(target: "decision", "task={id} run={} choice=lose", self.task(at).run);
+        self.remember_ghost(at);
         self.release(at);
         self.break_gang(at);
         self.retire(at.job);
     }
 
+    fn remember_ghost(&mut self, at: TaskRef) {
+        let now = self.now.mono;
+        self.ghosts.retain(|ghost| now < ghost.lost + ORDER_LIFE);
+        if !self.may_arrive(at) {
+            return;
+        }
+        let task = self.jobs[at.job].task_id(at);
+        let Some(placed) = self.task(at).placed() else { return };
+        let Some(worker) = self.workers.get(placed.worker) else { return };
+        let worker = worker.id.clone();
+        self.ghosts.push(Ghost { worker, task, run: placed.run, lost: now });
+    }
+
+    /// A new life of a worker refuses runs that it was told to stop, also when their orders arrive later.
+    fn refuse_ghosts(&mut self, key: WorkerKey) {
+        let id = self.workers[key].id.clone();
+        let stops: Vec<_> = self
+            .ghosts
+            .iter()
+            .filter(|ghost| ghost.worker == id)
+            .map(|ghost| (ghost.task, ghost.run))
+            .collect();
+        for (task, run) in stops {
+            self.stop_stray(key, task, run);
+        }
+    }
+
     /// Runs on workers whose leases have surely ended are gone; workers that left are forgotten.
     fn expire_leases(&mut self) {
         let now = self.now.mono;
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -12,7 +12,7 @@
 use log::info;
 
 use crate::{
-    record::Record,
+    record::{Record, WaveProgress},
     sched::{
         event::{Action, VmAnswer, VmRow, VmState, WaveOrder, WorkerId},
         scheduler::Scheduler,
@@ -48,28 +48,38 @@
 const POOL_SHARE: usize = 4;
 
 /// What is being done to a VM.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum Stand {
     /// It gets no new tasks and loses those it has.
     Emptying(Instant),
-    /// The call for its upkeep is on its way or unanswered.
-    Calling(Instant),
+    /// The note of the call for its upkeep is being written with this batch.
+    Noting(u64),
+    /// The call for its upkeep is on its way or unanswered; it ends this life.
+    Calling(Instant, Option<Life>),
     /// Its upkeep began.
     Off(Instant),
 }
 
+/// One life of a worker. An unanswered call may have been carried out long before it is answered, and the VM may run
+/// another life by then.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Life {
+    worker: WorkerId,
+    born: Option<u64>,
+}
+
 /// A wave that isn't completed.
 #[derive(Clone, Debug)]
 pub(super) struct Wave {
     order: WaveOrder,
-    begun: Vec<VmId>,
+    progress: WaveProgress,
     stands: BTreeMap<VmId, Stand>,
     reported: bool,
 }
 
 impl Wave {
     fn is_begun(&self, vm: &VmId) -> bool {
-        self.begun.contains(vm)
+        self.progress.begun.contains(vm)
     }
 
     /// True while the VM is emptied or off for the wave.
@@ -77,26 +87,32 @@
         self.stands.contains_key(vm)
     }
 
-    /// VMs of the wave that are off, or may be.
-    fn off(&self, rows: &BTreeMap<VmId, VmRow>) -> usize {
-        let ordered =
-            |vm: &VmId| matches!(self.stands.get(vm), Some(Stand::Calling(_) | Stand::Off(_)));
+    /// VMs of the wave, `except` one, that are off or may be.
+    fn off(&self, rows: &BTreeMap<VmId, VmRow>, except: &VmId) -> usize {
+        let ordered = |vm: &VmId| {
+            matches!(
+                self.stands.get(vm),
+                Some(Stand::Noting(_) | Stand::Calling(..) | Stand::Off(_))
+            )
+        };
+        let called = |vm: &VmId| self.progress.called.contains(vm) && !self.is_begun(vm);
         let off = |vm: &VmId| rows.get(vm).is_some_and(|row| row.state == VmState::Upkeep);
-        self.order.vms.iter().filter(|vm| ordered(vm) || off(vm)).count()
+        let counts = |vm: &&VmId| *vm != except && (ordered(vm) || called(vm) || off(vm));
+        self.order.vms.iter().filter(counts).count()
     }
 }
 
 impl Scheduler {
-    pub(super) fn order_wave(&mut self, order: WaveOrder, begun: Vec<VmId>) {
+    pub(super) fn order_wave(&mut self, order: WaveOrder, progress: WaveProgress) {
         if self.waves.iter().any(|wave| wave.order.number == order.number) {
             return;
         }
         info!(
             target: "decision",
             "wave={} choice=begin vms={} done={} cap={}",
-            order.number, order.vms.len(), begun.len(), order.cap
+            order.number, order.vms.len(), progress.begun.len(), order.cap
         );
-        self.waves.push(Wave { order, begun, stands: BTreeMap::new(), reported: false });
+        self.waves.push(Wave { order, progress, stands: BTreeMap::new(), reported: false });
     }
 
     /// True while the list of VMs has to be kept up to date: a wave runs, or tasks are on a worker that is silent.
@@ -211,37 +227,59 @@
         let now = self.now.mono;
         // Calls of an earlier owner may have taken effect just before this ownership began.
         let settled = self.vms_sent > self.begun + TAKEOVER_CALLS && self.is_confirmed();
-        let mut vms: Vec<_> = wave.stands.iter().map(|(vm, stand)| (vm.clone(), *stand)).collect();
+        let mut vms: Vec<_> =
+            wave.stands.iter().map(|(vm, stand)| (vm.clone(), stand.clone())).collect();
         vms.sort_by(|a, b| a.0.cmp(&b.0));
         for (vm, stand) in vms {
-            let room = settled && wave.off(&self.vms) < wave.order.cap as usize;
+            let room = settled && wave.off(&self.vms, &vm) < wave.order.cap as usize;
             match stand {
                 Stand::Emptying(since) => {
                     if self.empty_vm(&vm, since) && room {
-                        info!(target: "decision", "wave={} vm={vm} choice=maintain", wave.order.number);
-                        self.actions.push(Action::MaintainVm(vm.clone(), wave.order.number));
-                        wave.stands.insert(vm, Stand::Calling(now));
+                        let batch = self.note_call(wave, &vm);
+                        wave.stands.insert(vm, Stand::Noting(batch));
                     }
                 }
-                Stand::Calling(sent) if now.saturating_duration_since(sent) > CALL_RETRY => {
+                Stand::Noting(batch) if self.write.is_durable(batch) => {
+                    info!(target: "decision", "wave={} vm={vm} choice=maintain", wave.order.number);
+                    self.actions.push(Action::MaintainVm(vm.clone(), wave.order.number));
+                    let life = self.life_on(&vm);
+                    wave.stands.insert(vm, Stand::Calling(now, life));
+                }
+                Stand::Calling(sent, life)
+                    if now.saturating_duration_since(sent) > CALL_RETRY
+                        && self.empty_vm(&vm, sent) =>
+                {
                     self.actions.push(Action::MaintainVm(vm.clone(), wave.order.number));
-                    wave.stands.insert(vm, Stand::Calling(now));
+                    wave.stands.insert(vm, Stand::Calling(now, life));
                 }
-                Stand::Calling(_) | Stand::Off(_) => {}
+                Stand::Noting(_) | Stand::Calling(..) | Stand::Off(_) => {}
             }
         }
     }
 
+    /// Notes that the upkeep of a VM will be called for. Returns the batch of the note.
+    fn note_call(&mut self, wave: &mut Wave, vm: &VmId) -> u64 {
+        if !wave.progress.called.contains(vm) {
+            wave.progress.called.push(vm.clone());
+        }
+        let record = Record::Wave(wave.order.number, wave.progress.clone());
+        self.write.add(record, self.now.mono)
+    }
+
     /// Empties the worker of a VM. Returns true when nothing runs there.
     fn empty_vm(&mut self, vm: &VmId, since: Instant) -> bool {
-        let Some(id) = self.vms.get(vm).and_then(|row| row.worker.as_ref()) else { return true };
+        let Some(row) = self.vms.get(vm) else { return true };
+        if row.state != VmState::Up {
+            return false;
+        }
+        let Some(id) = row.worker.as_ref() else { return true };
         let Some(&key) = self.worker_index.get(id) else {
             // Tasks of an earlier owner may run on a worker that isn't known yet.
             return self.now.mono > self.horizon;
         };
         self.workers[key].evacuating = true;
         if self.workers[key].runs.is_empty() {
-            return self.workers[key].swept || self.now.mono > self.horizon;
+            return self.is_found_empty(key, since);
         }
         let waited = self.now.mono.saturating_duration_since(since);
         for at in self.workers[key].runs.clone() {
@@ -256,6 +294,17 @@
         waited > EVACUATION_LIMIT && !self.workers[key].runs.iter().any(lasting)
     }
 
+    /// True when a worker without runs has answered since then, so that no other life runs on its VM.
+    fn is_found_empty(&mut self, key: WorkerKey, since: Instant) -> bool {
+        let now = self.now.mono;
+        let worker = &mut self.workers[key];
+        let heard = worker.swept && worker.answered.is_some_and(|at| at > since);
+        if !heard && worker.misses == 0 {
+            worker.list_by(now);
+        }
+        heard || (!worker.swept && now > self.horizon)
+    }
+
     /// True when no orders of an earlier owner can still take tasks of this service out of work, and this owner's last
     /// heartbeat is recent enough that no other owner gives such orders.
     fn is_settled(&mut self, at: TaskRef) -> bool {
@@ -298,18 +347,20 @@
         info!(target: "decision", "wave={number} vm={vm} answer={answer:?}");
         match answer {
             VmAnswer::Done => {
-                wave.stands.insert(vm.clone(), Stand::Off(now));
+                let stand = wave.stands.insert(vm.clone(), Stand::Off(now));
                 if !wave.is_begun(vm) {
-                    wave.begun.push(vm.clone());
+                    wave.progress.begun.push(vm.clone());
                 }
-                let record = Record::Wave(number, wave.begun.clone());
+                let record = Record::Wave(number, wave.progress.clone());
                 self.write.add(record, now);
-                self.end_vm_life(vm, "the VM went off for its upkeep");
+                if let Some(Stand::Calling(_, Some(life))) = stand {
+                    self.end_life_of(&life, "the VM went off for its upkeep");
+                }
             }
             VmAnswer::Fenced => self.step_down_now(),
             VmAnswer::Invalid => {
                 wave.stands.remove(vm);
-                wave.begun.push(vm.clone());
+                wave.progress.begun.push(vm.clone());
             }
             VmAnswer::Busy => {
                 wave.stands.insert(vm.clone(), Stand::Emptying(now));
@@ -318,11 +369,20 @@
         }
     }
 
-    /// Everything that ran on the VM has ended.
-    pub(super) fn end_vm_life(&mut self, vm: &VmId, cause: &str) {
-        let worker = self.vms.get(vm).and_then(|row| row.worker.clone());
-        let Some(&key) = worker.and_then(|id| self.worker_index.get(&id)).as_ref() else { return };
-        let key = *key;
+    /// The life of the worker on a VM.
+    pub(super) fn life_on(&self, vm: &VmId) -> Option<Life> {
+        let worker = self.vms.get(vm)?.worker.clone()?;
+        let key = self.worker_index.get(&worker);
+        let born = key.and_then(|key| self.workers[*key].born);
+        Some(Life { worker, born })
+    }
+
+    /// Everything that ran in a life has ended.
+    pub(super) fn end_life_of(&mut self, life: &Life, cause: &str) {
+        let Some(&key) = self.worker_index.get(&life.worker) else { return };
+        if self.workers[key].born != life.born {
+            return;
+        }
         self.end_life(key, None, cause);
         let worker = &mut self.workers[key];
         worker.listed = false;
--- a/crates/cj-sched/tests/sim/cases.rs
+++ b/crates/cj-sched/tests/sim/cases.rs
@@ -55,7 +55,7 @@
     let busy = world.workers.iter().position(|worker| !worker.runs.is_empty()).unwrap();
     world.workers[busy].cut_until = u64::MAX;
     world.run(9_000);
-    let seen = |worker: &&crate::worker::SimWorker| worker.cut_until == 0;
+    let seen = |worker: &&cj_standin::task_worker::TaskWorker| worker.cut_until == 0;
     let reachable: usize = world.workers.iter().filter(seen).map(|worker| worker.runs.len()).sum();
     assert_eq!(reachable, 3);
 }
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -1,9 +1,7 @@
 //! Tests of the scheduler against simulated workers, in virtual time.
 
 mod cases;
-mod check;
 mod random;
-mod worker;
 mod world;
 
 /// Prints the scheduler's decisions when SIM_LOG is set.
--- a/crates/cj-sched/tests/sim/random.rs
+++ b/crates/cj-sched/tests/sim/random.rs
@@ -47,6 +47,7 @@
             world.run(2_500);
             world.take_over(false);
         }
+        7 if world.workers[index].alive => world.drain(index),
         6 => world.workers[index].broken = world.rng.random_bool(0.3),
         _ => {}
     }
@@ -54,6 +55,7 @@
 
 fn play(seed: u64) -> World {
     let mut world = World::new(seed);
+    log::info!(target: "sim", "seed={seed} begins");
     world.faults = Faults { lost: 0.01, unanswered: 0.02, late: 0.02, failing: 0.02 };
     for n in 0..5 {
         world.add_worker(&format!("r{n}"), "red", &format!("rack-{}", n % 3));
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -22,7 +22,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::{check::Checks, worker::SimWorker};
+use cj_standin::{task_checks::TaskChecks, task_worker::TaskWorker};
 
 /// Wall-clock time at the start.
 const EPOCH_MS: u64 = 1_700_000_000_000;
@@ -95,9 +95,9 @@
 pub(crate) struct World {
     pub(crate) now: u64,
     pub(crate) rng: Pcg64Mcg,
-    pub(crate) workers: Vec<SimWorker>,
+    pub(crate) workers: Vec<TaskWorker>,
     pub(crate) book: Book,
-    pub(crate) checks: Checks,
+    pub(crate) checks: TaskChecks,
     pub(crate) faults: Faults,
     pub(crate) steps: u64,
     base: Instant,
@@ -161,7 +161,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             workers: Vec::new(),
             book: Book::default(),
-            checks: Checks::default(),
+            checks: TaskChecks::default(),
             faults: Faults::default(),
             steps: 0,
             base: Instant::now(),
@@ -178,7 +178,7 @@
     }
 
     pub(crate) fn add_worker(&mut self, id: &str, name: &str, rack: &str) {
-        let worker = SimWorker::new(id, &service(name), rack, resources(16_000, 64_000), self.now);
+        let worker = TaskWorker::new(id, &service(name), rack, resources(16_000, 64_000), self.now);
         self.workers.push(worker);
         let last = self.workers.len() - 1;
         self.report(last);
@@ -236,8 +236,8 @@
         let vms = Event::Vms(self.clocks().mono, self.vm_rows());
         self.schedule(5, Effect::Reply { owner, event: vms });
         if let Some(order) = self.wave.clone() {
-            let done = self.book.wave(order.number).to_vec();
-            self.schedule(4, Effect::Reply { owner, event: Event::Wave(order, done) });
+            let progress = self.book.wave(order.number);
+            self.schedule(4, Effect::Reply { owner, event: Event::Wave(order, progress) });
         }
         self.schedule(6, Effect::Poll { owner });
     }
@@ -255,7 +255,7 @@
     }
 
     fn vm_rows(&self) -> Vec<VmRow> {
-        let up = |worker: &SimWorker| VmRow {
+        let up = |worker: &TaskWorker| VmRow {
             vm: worker.vm.clone(),
             pool: worker.service.clone(),
             state: if worker.alive { VmState::Up } else { VmState::Down },
@@ -314,9 +314,12 @@
     }
 
     pub(crate) fn restart(&mut self, index: usize) {
-        let now = self.now;
-        self.workers[index].restart(now);
-        self.report(index);
+        let vm = &self.workers[index].vm;
+        // The VM's next worker begins when the VM is back.
+        if !self.off.iter().any(|off| off.vm == *vm) {
+            self.workers[index].restart(self.now);
+            self.report(index);
+        }
     }
 
     pub(crate) fn drain(&mut self, index: usize) {
@@ -353,7 +356,7 @@
             let id = format!("{pool}-{}", self.order);
             let rack = self.workers[index].rack.clone();
             let capacity = self.workers[index].capacity;
-            let fresh = SimWorker::new(&id, &pool, &rack, capacity, now);
+            let fresh = TaskWorker::new(&id, &pool, &rack, capacity, now);
             self.workers[index] = fresh.on_vm(vm);
             self.report(index);
         }
@@ -509,7 +512,7 @@
                 self.off.push(Off { vm: vm.clone(), pool, until, state });
                 Some(Event::Moved(vm, VmAnswer::Done))
             }
-            Action::MaintainVm(vm, wave) => Some(self.maintain(vm, wave)),
+            Action::MaintainVm(vm, wave) => Some(self.maintain(vm, wave, late)),
             Action::ReportWave { completed, .. } => {
                 self.completed |= completed;
                 None
@@ -518,7 +521,7 @@
         }
     }
 
-    fn maintain(&mut self, vm: VmId, wave: u64) -> Event {
+    fn maintain(&mut self, vm: VmId, wave: u64, late: bool) -> Event {
         let index = self.workers.iter().position(|worker| worker.vm == vm).unwrap();
         if !self.workers[index].alive {
             return Event::Maintained(vm, wave, VmAnswer::Busy);
@@ -530,7 +533,10 @@
         let cap = self.wave.as_ref().map_or(0, |order| order.cap);
         let off = self.off.iter().filter(|off| off.state == VmState::Upkeep).count() as u32;
         assert!(off < cap, "{vm} goes off at {} beside {off} others", self.now);
-        self.checks.interrupt(&self.workers[index], &self.workers, &self.book);
+        // A call that was held up and carried out late is no fault of its sender.
+        if !late {
+            self.checks.interrupt(&self.workers[index], &self.workers, &self.book);
+        }
         let (pool, until) = (self.workers[index].service.clone(), self.now + 2_000);
         self.crash(index);
         self.off.push(Off { vm: vm.clone(), pool, until, state: VmState::Upkeep });
@@ -542,21 +548,21 @@
         let vms = self.workers.iter().map(|worker| worker.vm.clone()).collect();
         let order = WaveOrder { number: 1, vms, duration: Duration::from_secs(30), cap };
         self.wave = Some(order.clone());
-        self.tell(&Event::Wave(order, Vec::new()));
+        self.tell(&Event::Wave(order, Default::default()));
     }
 
-    fn others(&self, index: usize) -> Vec<SimWorker> {
+    fn others(&self, index: usize) -> Vec<TaskWorker> {
         let others = self.workers.iter().enumerate().filter(|(other, _)| *other != index);
         others.map(|(_, worker)| worker.clone()).collect()
     }
 
     fn find(&self, id: &WorkerId) -> Option<usize> {
-        let reachable = |worker: &SimWorker| worker.alive && worker.cut_until <= self.now;
+        let reachable = |worker: &TaskWorker| worker.alive && worker.cut_until <= self.now;
         self.workers.iter().position(|worker| worker.id == *id && reachable(worker))
     }
 }
 
-fn report_of(worker: &SimWorker) -> WorkerReport {
+fn report_of(worker: &TaskWorker) -> WorkerReport {
     WorkerReport {
         id: worker.id.clone(),
         born: Some(worker.born),
--- a/crates/cj-standin/src/lib.rs
+++ b/crates/cj-standin/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod observed;
 pub mod options;
 pub mod platform;
+pub mod task_checks;
+pub mod task_worker;
 pub mod worker;
 
 pub use faults::{Fault, Faults};
--- a/crates/cj-sched/tests/sim/check.rs
+++ b/crates/cj-standin/src/task_checks.rs
@@ -1,4 +1,4 @@
-//! Promises that are checked at each event of the simulation.
+//! Promises of the scheduler, checked at each event that workers see. A broken one panics.
 
 use std::collections::{HashMap, HashSet};
 
@@ -7,35 +7,37 @@
     sched::{EndKind, EndRow, StartOrder, WorkerId},
 };
 
-use crate::worker::SimWorker;
+use crate::task_worker::TaskWorker;
 
 /// What the checks remember.
 #[derive(Debug, Default)]
-pub(crate) struct Checks {
+pub struct TaskChecks {
     /// Tasks that ended done, with the worker, the start of its life and the number of the end.
     done: HashMap<TaskId, Vec<(WorkerId, u64, u64)>>,
     /// Ends after which their task was started again; they must never be acknowledged.
     again: HashSet<(WorkerId, u64, u64)>,
     /// Acknowledged failed runs.
     failed: HashMap<TaskId, HashSet<u64>>,
-    pub(crate) starts: u64,
+    /// Runs that began.
+    pub starts: u64,
 }
 
-impl Checks {
+impl TaskChecks {
     /// A run of a task is done on a worker.
-    pub(crate) fn note_done(&mut self, task: TaskId, worker: &SimWorker) {
+    pub fn note_done(&mut self, task: TaskId, worker: &TaskWorker) {
         let number =
             worker.ended.iter().rev().find(|row| row.task == task).map_or(0, |row| row.number);
         log::info!(target: "sim", "task={task} worker={} done number={number}", worker.id);
         self.done.entry(task).or_default().push((worker.id.clone(), worker.born, number));
     }
 
-    pub(crate) fn is_done(&self, task: &TaskId) -> bool {
+    /// True when a run of the task was done.
+    pub fn is_done(&self, task: &TaskId) -> bool {
         self.done.contains_key(task)
     }
 
     /// Ends were acknowledged: their meaning counts from now on.
-    pub(crate) fn acknowledge(&mut self, worker: &SimWorker, told: &[EndRow]) {
+    pub fn acknowledge(&mut self, worker: &TaskWorker, told: &[EndRow]) {
         for row in told {
             let lapsed = row.number <= worker.lapsed_to;
             match row.how {
@@ -52,11 +54,11 @@
     }
 
     /// A worker is about to begin a run.
-    pub(crate) fn start(
+    pub fn start(
         &mut self,
         order: &StartOrder,
-        worker: &SimWorker,
-        all: &[SimWorker],
+        worker: &TaskWorker,
+        all: &[TaskWorker],
         now: u64,
         late: bool,
     ) {
@@ -96,12 +98,13 @@
     }
 
     /// An order of the system ends everything on a worker: of each lasting step, fewer than the allowed number may be away.
-    pub(crate) fn interrupt(&self, worker: &SimWorker, all: &[SimWorker], book: &Book) {
+    pub fn interrupt(&self, worker: &TaskWorker, all: &[TaskWorker], book: &Book) {
         for task in worker.runs.keys() {
             let Some(entry) = book.job(task.job).filter(|entry| entry.cancelled.is_none()) else {
                 continue;
             };
-            let spec = &entry.submission().unwrap().spec.steps[task.step as usize];
+            let spec =
+                &entry.submission().expect("listed jobs have one").spec.steps[task.step as usize];
             let Some(allowed) = spec.disruptable.filter(|_| spec.lasting) else { continue };
             let runs = |index: &u32| {
                 let other = TaskId { index: *index, ..*task };
@@ -113,7 +116,7 @@
     }
 
     /// Failed ends of a job that were acknowledged.
-    pub(crate) fn failures(&self, job: JobKey) -> u32 {
+    pub fn failures(&self, job: JobKey) -> u32 {
         let of_job = self.failed.iter().filter(|(task, _)| task.job == job);
         of_job.map(|(_, runs)| runs.len() as u32).max().unwrap_or_default()
     }
--- a/crates/cj-sched/tests/sim/worker.rs
+++ b/crates/cj-standin/src/task_worker.rs
@@ -1,4 +1,5 @@
-//! A simulated worker: runs tasks under a lease, and keeps their ends until they are acknowledged.
+//! A worker for tests of the scheduler: runs tasks under a lease, and keeps their ends until they are acknowledged. It
+//! does no I/O, and time is passed in.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -10,55 +11,65 @@
 
 /// A run of a task.
 #[derive(Clone, Debug)]
-pub(crate) struct Run {
-    pub(crate) run: u64,
-    pub(crate) begun: u64,
+pub struct Run {
+    /// Number of the run.
+    pub run: u64,
+    /// When it began.
+    pub begun: u64,
     /// When it ends by itself; `None` for lasting tasks.
-    pub(crate) ends: Option<u64>,
-    pub(crate) fails: bool,
-    pub(crate) demand: Resources,
+    pub ends: Option<u64>,
+    /// It ends as failed.
+    pub fails: bool,
+    /// Resources that it takes.
+    pub demand: Resources,
 }
 
 /// A worker; all times in ms of the simulation.
 #[derive(Clone, Debug)]
-pub(crate) struct SimWorker {
-    pub(crate) id: WorkerId,
-    pub(crate) vm: VmId,
-    pub(crate) service: ServiceId,
-    pub(crate) capacity: Resources,
-    pub(crate) rack: String,
-    pub(crate) born: u64,
-    pub(crate) alive: bool,
+pub struct TaskWorker {
+    /// Its id.
+    pub id: WorkerId,
+    /// The VM on which it runs.
+    pub vm: VmId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Its capacity.
+    pub capacity: Resources,
+    /// Its rack.
+    pub rack: String,
+    /// When this life began.
+    pub born: u64,
+    /// It runs.
+    pub alive: bool,
     /// No message arrives before this time.
-    pub(crate) cut_until: u64,
-    pub(crate) draining: bool,
+    pub cut_until: u64,
+    /// It leaves soon.
+    pub draining: bool,
     /// All tasks fail.
-    pub(crate) broken: bool,
+    pub broken: bool,
     /// Speed of its clock.
-    pub(crate) rate: f64,
-    pub(crate) token: u64,
-    pub(crate) runs: BTreeMap<TaskId, Run>,
-    pub(crate) ended: Vec<EndRow>,
+    pub rate: f64,
+    /// Highest fencing token that it has seen.
+    pub token: u64,
+    /// What runs.
+    pub runs: BTreeMap<TaskId, Run>,
+    /// Ends that aren't acknowledged.
+    pub ended: Vec<EndRow>,
     last_end: u64,
     /// Highest run that ended or was stopped, by task.
     settled: HashMap<TaskId, u64>,
     /// End of the lease on its clock.
     lease: Option<u64>,
     /// Numbers of ends before the last time that the lease lapsed.
-    pub(crate) lapsed_to: u64,
+    pub lapsed_to: u64,
 }
 
-impl SimWorker {
-    pub(crate) fn new(
-        id: &str,
-        service: &ServiceId,
-        rack: &str,
-        capacity: Resources,
-        now: u64,
-    ) -> Self {
-        SimWorker {
+impl TaskWorker {
+    /// A worker that begins now.
+    pub fn new(id: &str, service: &ServiceId, rack: &str, capacity: Resources, now: u64) -> Self {
+        TaskWorker {
             id: WorkerId(id.into()),
-            vm: VmId::try_from(format!("vm-{id}").as_str()).unwrap(),
+            vm: VmId::try_from(format!("vm-{id}").as_str()).expect("ids of tests are names"),
             service: service.clone(),
             capacity,
             rack: rack.to_owned(),
@@ -79,11 +90,12 @@
     }
 
     /// The same worker on another VM.
-    pub(crate) fn on_vm(self, vm: VmId) -> Self {
-        SimWorker { vm, ..self }
+    pub fn on_vm(self, vm: VmId) -> Self {
+        TaskWorker { vm, ..self }
     }
 
-    pub(crate) fn clock(&self, now: u64) -> u64 {
+    /// Reading of its clock.
+    pub fn clock(&self, now: u64) -> u64 {
         ((now - self.born) as f64 * self.rate) as u64 + 1_000
     }
 
@@ -101,7 +113,7 @@
     }
 
     /// Lets time pass: tasks end, and the lease may lapse. Returns the tasks that are done.
-    pub(crate) fn advance(&mut self, now: u64) -> Vec<TaskId> {
+    pub fn advance(&mut self, now: u64) -> Vec<TaskId> {
         if !self.alive {
             return Vec::new();
         }
@@ -145,12 +157,17 @@
         Ok(())
     }
 
-    pub(crate) fn used(&self) -> Resources {
+    /// Resources that its runs take.
+    pub fn used(&self) -> Resources {
         self.runs.values().fold(Resources::default(), |sum, run| sum.plus(run.demand))
     }
 
-    /// Starts a run. `run_ms` is `None` for a lasting task.
-    pub(crate) fn start(
+    /// Starts a run. `run_ms` is `None` for a lasting task. Returns whether the run is new.
+    ///
+    /// # Errors
+    ///
+    /// Why the worker refuses.
+    pub fn start(
         &mut self,
         order: &StartOrder,
         token: u64,
@@ -182,7 +199,12 @@
         Ok(true)
     }
 
-    pub(crate) fn stop(&mut self, task: TaskId, run: u64, token: u64) -> Result<(), Refusal> {
+    /// Stops a run, also one that arrives later.
+    ///
+    /// # Errors
+    ///
+    /// The token is outdated.
+    pub fn stop(&mut self, task: TaskId, run: u64, token: u64) -> Result<(), Refusal> {
         self.fence(token)?;
         let settled = self.settled.entry(task).or_default();
         *settled = run.max(*settled);
@@ -193,7 +215,11 @@
     }
 
     /// Lists the worker. Returns the acknowledged ends too.
-    pub(crate) fn list(
+    ///
+    /// # Errors
+    ///
+    /// The token is outdated.
+    pub fn list(
         &mut self,
         token: u64,
         seen: u64,
@@ -225,13 +251,14 @@
     }
 
     /// Ends this life; another begins when it starts again under the same id.
-    pub(crate) fn crash(&mut self) {
+    pub fn crash(&mut self) {
         self.alive = false;
         self.runs.clear();
     }
 
-    pub(crate) fn restart(&mut self, now: u64) {
-        let fresh = SimWorker::new(&self.id.0, &self.service, &self.rack, self.capacity, now);
-        *self = SimWorker { rate: self.rate, vm: self.vm.clone(), ..fresh };
+    /// Starts again under the same id; nothing of before is known.
+    pub fn restart(&mut self, now: u64) {
+        let fresh = TaskWorker::new(&self.id.0, &self.service, &self.rack, self.capacity, now);
+        *self = TaskWorker { rate: self.rate, vm: self.vm.clone(), ..fresh };
     }
 }
