--- a/crates/cj-entry/src/front.rs
+++ b/crates/cj-entry/src/front.rs
@@ -14,14 +14,18 @@
     admission::{Verdict, admit},
     metrics::AnswerLabels,
     node::EntryNode,
-    platform::{Guard, Platform, StoreError, Topic},
+    outbox::Appended,
+    platform::Platform,
 };
 
 /// Time after which a caller may return when the node can't reach the store.
 const STORE_RETRY: Duration = Duration::from_secs(1);
 
-/// Pause before an append is repeated.
-const APPEND_RETRY: Duration = Duration::from_millis(100);
+/// A caller whose record the store doesn't answer for is told so after this time: another node may reach the store.
+const APPEND_PATIENCE: Duration = Duration::from_millis(1_800);
+
+/// Time between two looks whether a record was read although its append wasn't answered.
+const KNOWN_CHECK: Duration = Duration::from_millis(200);
 
 /// Time that an answer takes to reach its caller.
 const ANSWER_RESERVE: Duration = Duration::from_millis(150);
@@ -70,13 +74,6 @@
     Unknown,
 }
 
-/// How an append ended.
-enum Appended {
-    Durable,
-    Refused,
-    Unknown,
-}
-
 impl<P, C> EntryNode<P, C>
 where
     P: Platform,
@@ -131,7 +128,7 @@
         if let Err(error) = spec.check() {
             return Submitted::Invalid(CompactString::from(error.to_string()));
         }
-        if !self.jobs.is_fresh(self.clock.now()) || !self.jobs.is_answered() {
+        if !self.reaches_store() {
             return Submitted::Refused("store_unreachable", STORE_RETRY);
         }
         let objective = spec.chain().mul_f32(queue.stretch.max(1.0)) + queue.target;
@@ -199,6 +196,7 @@
         let known = self.book.borrow().job(job).map(|entry| entry.state());
         match known {
             Some(state) if state.is_final() => return Cancelled::Done,
+            Some(_) if !self.reaches_store() => return Cancelled::Refused(STORE_RETRY),
             Some(_) => {}
             None if self.jobs.is_fresh(self.clock.now()) => return Cancelled::Gone,
             None => return Cancelled::Refused(STORE_RETRY),
@@ -212,6 +210,12 @@
         }
     }
 
+    /// True while appends have a chance to be answered.
+    fn reaches_store(&self) -> bool {
+        let now = self.clock.now();
+        self.jobs.is_fresh(now) && self.jobs.is_answered() && !self.outbox.is_stalled(now)
+    }
+
     /// Number of jobs of a queue of which no task has begun; `None` while the node doesn't know.
     pub fn waiting(&self, queue: &Queue) -> Option<usize> {
         let fresh = self.jobs.is_fresh(self.clock.now());
@@ -223,32 +227,24 @@
         self.metrics.answers.get_or_create(&AnswerLabels { request, outcome }).inc();
     }
 
-    /// Appends a record whose repetition changes nothing, until the store tells what became of it, the record is read, or
-    /// the deadline comes near.
+    /// Appends a record whose repetition changes nothing. Returns when the store has told what became of it, when the record
+    /// is read, or when the caller is better served by asking again elsewhere.
     async fn append<F>(&self, record: &Record, deadline: Instant, known: F) -> Appended
     where
         F: Fn() -> bool,
     {
-        let encoded = [(record.key_text(), codec::encode(record))];
-        let mut unanswered = false;
+        let mut done = self.outbox.push((record.key_text(), codec::encode(record)));
+        let end = deadline.min(self.clock.now() + APPEND_PATIENCE + ANSWER_RESERVE);
         loop {
-            let now = self.clock.now();
-            let left = deadline.saturating_duration_since(now + ANSWER_RESERVE);
+            let left = end.saturating_duration_since(self.clock.now() + ANSWER_RESERVE);
             if left.is_zero() {
                 return Appended::Unknown;
             }
-            let call = self.platform.append(Topic::Jobs, &encoded, Guard::None);
-            match tokio::time::timeout(left, call).await {
-                Ok(Ok(_)) => return Appended::Durable,
-                Ok(Err(StoreError::Unanswered(_))) | Err(_) => unanswered = true,
-                // An earlier call may still be carried out, so this refusal doesn't say that the record is not stored.
-                Ok(Err(_)) if unanswered => {}
-                Ok(Err(_)) => return Appended::Refused,
-            }
-            if known() {
-                return Appended::Durable;
+            match tokio::time::timeout(left.min(KNOWN_CHECK), &mut done).await {
+                Ok(outcome) => return outcome.unwrap_or(Appended::Unknown),
+                Err(_) if known() => return Appended::Durable,
+                Err(_) => {}
             }
-            tokio::time::sleep(APPEND_RETRY).await;
         }
     }
 }
--- a/crates/cj-entry/src/lib.rs
+++ b/crates/cj-entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logging;
 pub mod metrics;
 mod node;
+mod outbox;
 pub mod owner;
 mod platform;
 mod writer;
--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -20,6 +20,7 @@
 use crate::{
     follow::{Link, Update, follow},
     metrics::Metrics,
+    outbox::Outbox,
     platform::{OperatorChange, Platform, Topic},
 };
 
@@ -63,6 +64,8 @@
     pub jobs: Link,
     /// State of the operator's topic.
     pub operator: Link,
+    /// Records of callers that wait for the store.
+    pub outbox: Outbox,
     /// Counters.
     pub metrics: Metrics,
     /// The book changed.
@@ -95,6 +98,7 @@
             waves: RefCell::default(),
             jobs: Link::default(),
             operator: Link::default(),
+            outbox: Outbox::default(),
             metrics: Metrics::default(),
             changed: Notify::new(),
             heard: Cell::default(),
@@ -131,7 +135,7 @@
         }
     }
 
-    /// Follows the jobs and the operator until the task is dropped.
+    /// Follows the jobs and the operator, and appends the records of callers, until the task is dropped.
     pub async fn follow(self: Rc<Self>) {
         let pause = || if self.events.borrow().is_some() { OWNER_PAUSE } else { STANDBY_PAUSE };
         let jobs = follow(&self.platform, &self.clock, Topic::Jobs, &self.jobs, pause, |update| {
@@ -145,7 +149,8 @@
             || OPERATOR_PAUSE,
             |update| self.read_operator(update),
         );
-        futures::join!(jobs, operator);
+        let outbox = self.outbox.run(&self.platform, &self.clock);
+        futures::join!(jobs, operator, outbox);
     }
 
     fn read_job(&self, update: Update<'_>) {
--- /dev/null
+++ b/crates/cj-entry/src/outbox.rs
@@ -0,0 +1,131 @@
+//! Groups the appends of a node's callers.
+//!
+//! The store takes the appends of a topic one after the other. When it is slow, appends of single records queue up there
+//! until they time out; one append at a time with all that waits keeps the queue as short as there are nodes.
+
+use std::{
+    cell::{Cell, RefCell},
+    time::{Duration, Instant},
+};
+
+use cj_types::Clock;
+use compact_str::CompactString;
+use log::warn;
+use tokio::sync::{Notify, oneshot};
+
+use crate::platform::{Guard, Platform, StoreError, Topic};
+
+/// Most records in one append.
+const BATCH_RECORDS: usize = 200;
+
+/// Pause before an append without an answer is repeated.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// An append that isn't answered within this time shows that the store is out of reach: further callers are refused.
+const STALLED: Duration = Duration::from_millis(1_300);
+
+/// How an append ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Appended {
+    /// The record is durable.
+    Durable,
+    /// Nothing was stored.
+    Refused,
+    /// An answer is missing; the record may become durable later.
+    Unknown,
+}
+
+struct Waiting {
+    record: (CompactString, Vec<u8>),
+    done: oneshot::Sender<Appended>,
+}
+
+/// Records that wait for their append. A repeated append of any of them changes nothing.
+#[derive(Default)]
+pub struct Outbox {
+    waiting: RefCell<Vec<Waiting>>,
+    pushed: Notify,
+    /// When the append on its way was first sent.
+    sent: Cell<Option<Instant>>,
+    /// How long the last answered append took.
+    latency: Cell<Duration>,
+}
+
+impl Outbox {
+    /// True when an append has waited for its answer for long.
+    pub(crate) fn is_stalled(&self, now: Instant) -> bool {
+        self.sent.get().is_some_and(|sent| now.saturating_duration_since(sent) > STALLED)
+    }
+
+    /// How long the last answered append took.
+    pub(crate) fn latency(&self) -> Duration {
+        self.latency.get()
+    }
+
+    /// Queues a record. The receiver hears what became of it, when the store has told.
+    pub(crate) fn push(&self, record: (CompactString, Vec<u8>)) -> oneshot::Receiver<Appended> {
+        let (done, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().push(Waiting { record, done });
+        self.pushed.notify_one();
+        receiver
+    }
+
+    /// Appends what waits, until the task is dropped.
+    pub(crate) async fn run<P, C>(&self, platform: &P, clock: &C)
+    where
+        P: Platform,
+        C: Clock,
+    {
+        loop {
+            if self.waiting.borrow().is_empty() {
+                self.pushed.notified().await;
+                continue;
+            }
+            let batch: Vec<Waiting> = {
+                let mut waiting = self.waiting.borrow_mut();
+                let most = waiting.len().min(BATCH_RECORDS);
+                waiting.drain(..most).collect()
+            };
+            self.append(platform, clock, batch).await;
+        }
+    }
+
+    /// Appends a batch, repeatedly while someone waits and the store doesn't tell what became of it.
+    async fn append<P, C>(&self, platform: &P, clock: &C, batch: Vec<Waiting>)
+    where
+        P: Platform,
+        C: Clock,
+    {
+        let records: Vec<_> = batch.iter().map(|waiting| waiting.record.clone()).collect();
+        self.sent.set(Some(clock.now()));
+        let mut unanswered = false;
+        let outcome = loop {
+            let sent = clock.now();
+            match platform.append(Topic::Jobs, &records, Guard::None).await {
+                Ok(_) => {
+                    self.latency.set(clock.now().saturating_duration_since(sent));
+                    break Appended::Durable;
+                }
+                Err(StoreError::Unanswered(cause)) => {
+                    unanswered = true;
+                    warn!(target: "link", "choice=append_again records={} cause=\"{cause}\"", records.len());
+                }
+                // An earlier append may still be carried out, so this refusal doesn't say that nothing is stored.
+                Err(_) if unanswered => {}
+                Err(cause) => {
+                    warn!(target: "link", "choice=refuse records={} cause=\"{cause}\"", records.len());
+                    break Appended::Refused;
+                }
+            }
+            if batch.iter().all(|waiting| waiting.done.is_closed()) {
+                break Appended::Unknown;
+            }
+            tokio::time::sleep(RETRY).await;
+        };
+        self.sent.set(None);
+        for waiting in batch {
+            // A caller whose time has passed doesn't listen any more.
+            let _ = waiting.done.send(outcome);
+        }
+    }
+}
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -34,7 +34,14 @@
 };
 
 /// An owner that wasn't heard of for this long has lost its ownership to whoever claims it.
-const OWNER_SILENCE: Duration = Duration::from_millis(2_300);
+const OWNER_SILENCE: Duration = Duration::from_millis(1_800);
+
+/// The silence that is allowed grows by this multiple of the time that the store takes for an append, since heartbeats are
+/// late when the store is slow.
+const SLOW_STORE_FACTOR: u32 = 3;
+
+/// Longest silence that is allowed.
+const MOST_SILENCE: Duration = Duration::from_millis(4_500);
 
 /// Time between two looks at the owner.
 const WATCH_GAP: Duration = Duration::from_millis(60);
@@ -141,7 +148,8 @@
         return true;
     }
     let heard = node.heard.get().unwrap_or(loaded_at);
-    now.saturating_duration_since(heard) > OWNER_SILENCE
+    let allowed = OWNER_SILENCE + node.outbox.latency() * SLOW_STORE_FACTOR;
+    now.saturating_duration_since(heard) > allowed.min(MOST_SILENCE)
 }
 
 /// Claims ownership. Returns `None` when another node was faster or the store didn't answer.
--- a/crates/cj-entry/src/writer.rs
+++ b/crates/cj-entry/src/writer.rs
@@ -22,7 +22,7 @@
 };
 
 /// Time between two heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(550);
+const HEARTBEAT: Duration = Duration::from_millis(400);
 
 /// Pause before an append is repeated.
 const RETRY: Duration = Duration::from_millis(120);
