Provide for all waiting tasks when pools are sized

Cause: with 0.8 of the waiting demand a burst was worked off late. Ruled out: fewer VMs; the price of VMs in pools is less than what late jobs lose.

--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -38,7 +38,7 @@
 const LEAST_VMS: usize = 2;
 
 /// Share of the waiting tasks' demand that is provided for: some of them start as running ones end.
-const PROVIDED: f32 = 0.8;
+const PROVIDED: f32 = 1.0;
 
 /// Share of a VM's processors that tasks fill in practice.
 const FILLED: f32 = 0.9;
