--- /dev/null
+++ b/crates/cj-entry/tests/entry/front.rs
@@ -0,0 +1,109 @@
+//! Answers to callers while the store answers, refuses, or is silent.
+
+use std::{rc::Rc, time::Duration};
+
+use cj_entry::{
+    EntryNode, EntrySettings, Newest, Page, StoreError,
+    front::{Cancelled, Looked, Submitted},
+};
+use cj_sched::{FleetConfig, JobKey, JobSpec, Queue, StepSpec, sched::Limits};
+use cj_types::{Clock, ManualClock, NodeId, ServiceId, Version};
+
+use crate::platform::{FakePlatform, after};
+
+type Node = Rc<EntryNode<FakePlatform, ManualClock>>;
+
+fn queue() -> Queue {
+    Queue {
+        name: "q".into(),
+        host: "host".into(),
+        prefix: "/q/".into(),
+        service: ServiceId::try_from("s").unwrap(),
+        priority: 0,
+        attempts: 2,
+        stretch: 1.5,
+        target: Duration::from_millis(600),
+        advice: None,
+    }
+}
+
+fn job() -> JobSpec {
+    let step = StepSpec { count: 1, estimate: Duration::from_millis(500), ..StepSpec::default() };
+    JobSpec { text: String::new(), steps: vec![step], schedule: None }
+}
+
+/// A node that has read an empty store and is up to date.
+async fn node(appends: Vec<crate::platform::Scripted<u64>>) -> Node {
+    let platform = FakePlatform::new();
+    let clock = platform.clock.clone();
+    platform.newest.borrow_mut().push_back(after(1, Ok(Newest::default())));
+    platform.reads.borrow_mut().push_back(after(1, Ok(Page::default())));
+    platform.appends.borrow_mut().extend(appends);
+    let settings = EntrySettings {
+        node: NodeId::try_from("n1").unwrap(),
+        limits: Limits::default(),
+        cores: 1.0,
+        retention: Duration::from_secs(150),
+    };
+    let node = EntryNode::new(platform, clock, settings);
+    let config = FleetConfig { version: Version(1), queues: vec![queue()], ..Default::default() };
+    *node.config.borrow_mut() = Some(Rc::new(config));
+    actix_rt::spawn(node.clone().follow());
+    while !node.jobs.is_fresh(node.clock.now()) {
+        tokio::task::yield_now().await;
+    }
+    node
+}
+
+async fn submit(node: &Node) -> Submitted {
+    let deadline = node.clock.now() + Duration::from_secs(3);
+    node.submit(&queue(), JobKey(1), job(), deadline).await
+}
+
+#[actix_rt::test]
+async fn accepts_a_job_that_is_durable() {
+    let node = node(vec![after(4, Ok(0))]).await;
+    assert_eq!(submit(&node).await, Submitted::Accepted);
+}
+
+/// Guards against a job that is called not accepted although its append may have taken effect.
+#[actix_rt::test]
+async fn says_refused_only_when_nothing_was_stored() {
+    let refused = StoreError::Refused("503".into());
+    let node_1 = node(vec![after(4, Err(refused.clone()))]).await;
+    assert!(matches!(submit(&node_1).await, Submitted::Refused("store_refused", _)));
+
+    let silent = StoreError::Unanswered("reset".into());
+    let node_2 = node(vec![after(4, Err(silent)), after(2_000, Err(refused))]).await;
+    assert_eq!(submit(&node_2).await, Submitted::Unknown);
+}
+
+/// Guards against callers that wait for a store which is known to be out of reach.
+#[actix_rt::test]
+async fn refuses_at_once_when_the_store_is_out_of_reach() {
+    let node = node(Vec::new()).await;
+    node.clock.advance(Duration::from_secs(4));
+    assert!(matches!(submit(&node).await, Submitted::Refused("store_unreachable", _)));
+    assert_eq!(node.platform.appended.get(), 0);
+}
+
+/// Guards against a 410 for a job that the node may not have heard of.
+#[actix_rt::test]
+async fn knows_no_job_only_while_it_is_up_to_date() {
+    let node = node(Vec::new()).await;
+    assert_eq!(node.look(JobKey(9)), Looked::Gone);
+    node.clock.advance(Duration::from_secs(4));
+    assert!(matches!(node.look(JobKey(9)), Looked::Unavailable(_)));
+    let deadline = node.clock.now() + Duration::from_secs(3);
+    assert!(matches!(node.cancel(JobKey(9), deadline).await, Cancelled::Refused(_)));
+}
+
+#[actix_rt::test]
+async fn refuses_a_job_that_waits_for_itself() {
+    let node = node(Vec::new()).await;
+    let mut spec = job();
+    spec.steps[0].after = vec![0];
+    let deadline = node.clock.now() + Duration::from_secs(3);
+    let answer = node.submit(&queue(), JobKey(1), spec, deadline).await;
+    assert!(matches!(answer, Submitted::Invalid(_)));
+}
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -41,7 +41,7 @@
 const PROVIDED: f32 = 1.0;
 
 /// Share of a VM's processors that tasks fill in practice.
-const FILLED: f32 = 0.9;
+const FILLED: f32 = 0.8;
 
 /// A lasting task that waits this long shows that its pool is too small.
 const STUCK_AFTER: Duration = Duration::from_millis(500);
