--- a/crates/cj-entry/src/front.rs
+++ b/crates/cj-entry/src/front.rs
@@ -11,7 +11,7 @@
 use log::info;
 
 use crate::{
-    admission::{Verdict, admit},
+    admission::{Verdict, admit, backlog_time},
     metrics::AnswerLabels,
     node::EntryNode,
     outbox::Appended,
@@ -137,6 +137,7 @@
             admit(book.owner().map(|owner| &owner.beat), &queue.service, &spec, objective)
         };
         if let Verdict::Refuse(after) = verdict {
+            self.log_overload(job, queue, objective);
             return Submitted::Refused("overload", after);
         }
         let submission = Submission {
@@ -157,6 +158,21 @@
         }
     }
 
+    /// Tells which load decided a refusal, and how old it is.
+    fn log_overload(&self, job: JobKey, queue: &Queue, objective: Duration) {
+        let book = self.book.borrow();
+        let Some(owner) = book.owner() else { return };
+        let load = owner.beat.load.iter().find(|(service, _)| *service == queue.service);
+        let wait = load.map(|(_, load)| backlog_time(load)).unwrap_or_default();
+        let age = self.heard.get().map(|at| self.clock.now().saturating_duration_since(at));
+        info!(
+            target: "decision",
+            "job={job} reason=overload service={} wait_ms={} objective_ms={} epoch={} load_offset={} load_age_ms={}",
+            queue.service, wait.as_millis(), objective.as_millis(), owner.beat.epoch, owner.offset,
+            age.unwrap_or_default().as_millis()
+        );
+    }
+
     /// State of a job.
     pub fn look(&self, job: JobKey) -> Looked {
         let state = self.book.borrow().job(job).map(|entry| entry.state());
@@ -171,6 +187,13 @@
             Looked::NoQueue => "no_queue",
             Looked::Unavailable(_) => "unavailable",
         };
+        if !matches!(answer, Looked::State(_)) {
+            let (offset, answered) = (self.jobs.next(), self.jobs.is_answered());
+            info!(
+                target: "decision",
+                "job={job} request=status choice={outcome} offset={offset} store_answers={answered}"
+            );
+        }
         self.count("status", outcome);
         answer
     }
--- a/crates/cj-entry/tests/entry/follow.rs
+++ b/crates/cj-entry/tests/entry/follow.rs
@@ -76,12 +76,12 @@
     let link = Link::default();
     platform.newest.borrow_mut().push_back(after(10, Ok(newest(5))));
     platform.newest.borrow_mut().push_back(after(10, Ok(newest(40))));
-    let mut reads = platform.reads.borrow_mut();
-    reads.push_back(after(10, Ok(page(5, 2, 7))));
-    reads.push_back(after(10, Err(StoreError::Unanswered("reset".into()))));
-    reads.push_back(after(10, Err(StoreError::Gap(30))));
-    reads.push_back(after(10, Ok(page(40, 1, 41))));
-    drop(reads);
+    platform.reads.borrow_mut().extend([
+        after(10, Ok(page(5, 2, 7))),
+        after(10, Err(StoreError::Unanswered("reset".into()))),
+        after(10, Err(StoreError::Gap(30))),
+        after(10, Ok(page(40, 1, 41))),
+    ]);
     let (offsets, loads) = run(&platform, &link).await;
     assert_eq!(offsets, [5, 6, 40]);
     assert_eq!(loads, 2);
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -73,7 +73,7 @@
         self.place_due = false;
         self.placed_at = now;
         let mut candidates = self.candidates();
-        candidates.sort_by(|a, b| a.rank.cmp(&b.rank));
+        candidates.sort_by_key(|candidate| candidate.rank);
         let mut blocked = HashMap::<ServiceId, usize>::new();
         for candidate in candidates {
             let full = blocked.entry(candidate.service.clone()).or_default();
@@ -344,7 +344,7 @@
                 runs.push((!spec.checkpoints, Reverse(placed.since), at));
             }
         }
-        runs.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+        runs.sort_by_key(|run| (run.0, run.1));
         let mut freed = Resources::default();
         for (_, _, at) in runs {
             if missing.fits(freed) {
--- a/crates/cj-sched/tests/sim/random.rs
+++ b/crates/cj-sched/tests/sim/random.rs
@@ -34,10 +34,8 @@
     let index = world.rng.random_range(0..world.workers.len());
     match world.rng.random_range(0..10) {
         0 if world.workers[index].alive => world.crash(index),
-        1 => {
-            if !world.workers[index].alive && world.workers[index].service.as_str() != "spare" {
-                world.restart(index);
-            }
+        1 if !world.workers[index].alive && world.workers[index].service.as_str() != "spare" => {
+            world.restart(index);
         }
         2 => world.workers[index].cut_until = world.now + world.rng.random_range(500..9_000),
         3 => world.take_over(true),
@@ -68,7 +66,7 @@
     world.add_worker("s1", "spare", "rack-4");
     world.take_over(false);
     for key in 0..60 {
-        if key == 10 && seed % 2 == 0 {
+        if key == 10 && seed.is_multiple_of(2) {
             world.order_wave(2);
         }
         submit(&mut world, key);
