--- /dev/null
+++ b/crates/cj-sched/tests/records.rs
@@ -0,0 +1,48 @@
+//! Records keep their content in the store, and nothing that is stored makes a reader fail.
+
+use cj_sched::{
+    JobKey, Progress, Record, RecordKey, StepProgress, codec,
+    record::{Failures, Outcome, OwnerBeat, ServiceLoad, WaveProgress},
+};
+use cj_types::{NodeId, ServiceId, UnixMillis, VmId};
+use quickcheck::quickcheck;
+
+fn round_trip(record: &Record) {
+    let value = codec::encode(record);
+    assert_eq!(&codec::decode(&record.key_text(), &value).unwrap(), record);
+}
+
+#[test]
+fn records_round_trip() {
+    let mut step = StepProgress::default();
+    step.set_done(9);
+    step.failures.push(Failures { index: 3, runs: vec![7, 8] });
+    assert!(step.is_done(9) && !step.is_done(8));
+    let progress =
+        Progress { started: true, outcome: Outcome::Failed, at: UnixMillis(5), steps: vec![step] };
+    round_trip(&Record::Progress(JobKey(17), 2, progress));
+    round_trip(&Record::Cancel(JobKey(17), UnixMillis(6)));
+    let vms = vec![VmId::try_from("m-1").unwrap()];
+    round_trip(&Record::Wave(3, WaveProgress { called: vms.clone(), begun: vms }));
+    let load = vec![(ServiceId::try_from("s").unwrap(), ServiceLoad { capacity: 1, backlog: 2 })];
+    let node = NodeId::try_from("n").unwrap();
+    round_trip(&Record::Owner(OwnerBeat { epoch: 4, node, released: true, load }));
+    round_trip(&Record::Drop(RecordKey::Cancel(JobKey(1))));
+}
+
+quickcheck! {
+    /// Guards against records of other writers that end a node.
+    fn any_bytes_are_read_or_refused(key: String, value: Vec<u8>) -> bool {
+        let _ = codec::decode(&key, &value);
+        ["owner", "j00000000000000aa", "p00000000000000aa.0", "c00000000000000aa", "w1"]
+            .iter()
+            .all(|key| codec::decode(key, &value).is_ok() || !value.is_empty())
+    }
+
+    /// Guards against keys of jobs and tasks that change on their way through the store or a worker.
+    fn keys_round_trip(job: u64, occurrence: u32, step: u32, index: u32) -> bool {
+        let key = RecordKey::Progress(JobKey(job), occurrence);
+        let task = cj_sched::TaskId { job: JobKey(job), occurrence, step, index };
+        key.to_string().parse() == Ok(key) && task.to_string().parse() == Ok(task)
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/tests/sim/direct.rs
@@ -0,0 +1,275 @@
+//! Single decisions: events in, orders out, without a world around.
+
+use std::{
+    collections::HashSet,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use cj_sched::{
+    Action, Advice, Book, Event, FleetConfig, JobKey, JobSpec, Pool, Queue, Schedule, Scheduler,
+    StepSpec, Submission,
+    sched::{
+        AdviceAnswer, Limits, ListAnswer, Listing, Now, OrderAnswer, RunRow, StartOrder, Target,
+        Ticket, VmRow, VmState, WorkerId, WorkerReport,
+    },
+};
+use cj_types::{UnixMillis, Version, VmId};
+
+use crate::world::{resources, service, step};
+
+const WALL: u64 = 1_700_000_000_000;
+
+/// A scheduler of one service whose workers are listed.
+struct Bench {
+    scheduler: Scheduler,
+    base: Instant,
+    ms: u64,
+    workers: Vec<WorkerId>,
+}
+
+fn config(advice: Option<Advice>) -> Rc<FleetConfig> {
+    let queue = Queue {
+        name: "red".into(),
+        host: "host".into(),
+        prefix: "/red/".into(),
+        service: service("red"),
+        priority: 0,
+        attempts: 2,
+        stretch: 1.5,
+        target: Duration::from_millis(600),
+        advice,
+    };
+    let pool = (service("red"), Pool { guarded: true, spare: false });
+    Rc::new(FleetConfig { version: Version(1), queues: vec![queue], pools: [pool].into() })
+}
+
+impl Bench {
+    /// `racks` has the rack of each worker; each has 8 cores.
+    fn new(racks: &[&str], advice: Option<Advice>) -> Self {
+        let base = Instant::now();
+        let now = Now { mono: base, wall: UnixMillis(WALL) };
+        let book = Book::default();
+        let scheduler = Scheduler::new(1, Limits::default(), config(advice), &book, base, now);
+        let mut bench = Bench { scheduler, base, ms: 0, workers: Vec::new() };
+        let rows = racks.iter().enumerate().map(|(n, rack)| VmRow {
+            vm: VmId::try_from(format!("vm-{n}").as_str()).unwrap(),
+            pool: service("red"),
+            state: VmState::Up,
+            labels: vec!["a".into(), (*rack).into()],
+            capacity: resources(8_000, 64_000),
+            worker: Some(WorkerId(format!("w{n}").into())),
+        });
+        for (n, rack) in racks.iter().enumerate() {
+            let id = WorkerId(format!("w{n}").into());
+            bench.workers.push(id.clone());
+            bench.tell(Event::Reported(WorkerReport {
+                id,
+                born: Some(1),
+                service: service("red"),
+                address: "127.0.0.1:1".into(),
+                capacity: resources(8_000, 64_000),
+                labels: vec!["a".into(), (*rack).into()],
+                draining: false,
+                remaining: None,
+            }));
+        }
+        let rows = Event::Vms(base, rows.collect());
+        bench.tell(rows);
+        for n in 0..racks.len() {
+            bench.list(n, Vec::new());
+        }
+        bench
+    }
+
+    fn now(&self) -> Now {
+        let passed = Duration::from_millis(self.ms);
+        Now { mono: self.base + passed, wall: UnixMillis(WALL) + passed }
+    }
+
+    fn tell(&mut self, event: Event) {
+        let now = self.now();
+        self.scheduler.handle(event, now);
+    }
+
+    fn list(&mut self, worker: usize, running: Vec<RunRow>) {
+        let listing = Listing { born: Some(1), clock: 1_000 + self.ms, running, ended: Vec::new() };
+        let sent = self.now().mono;
+        self.tell(Event::Listed(self.workers[worker].clone(), sent, ListAnswer::Listed(listing)));
+    }
+
+    fn submit(&mut self, key: u64, steps: Vec<StepSpec>, schedule: Option<Schedule>) {
+        let submission = Submission {
+            queue: "red".into(),
+            service: service("red"),
+            priority: 0,
+            attempts: 2,
+            objective: Duration::from_secs(3),
+            at: self.now().wall,
+            spec: JobSpec { text: String::new(), steps, schedule },
+        };
+        let submission = Rc::new(submission);
+        self.tell(Event::Submitted { job: JobKey(key), submission, fresh: true });
+    }
+
+    /// Lets time pass, and returns what is to be done then.
+    fn after(&mut self, ms: u64) -> Vec<Action> {
+        self.ms += ms;
+        let now = self.now();
+        self.scheduler.set_tenure(now.mono + Duration::from_secs(8));
+        self.scheduler.poll(now)
+    }
+}
+
+fn starts(actions: &[Action]) -> Vec<(&Target, &StartOrder)> {
+    let mut found = Vec::new();
+    for action in actions {
+        if let Action::Start(target, order) = action {
+            found.push((target, order));
+        }
+    }
+    found
+}
+
+/// Guards against a gang of which some members wait in vain: all start with one run number, or none.
+#[test]
+fn gangs_start_whole() {
+    let gang = |count| StepSpec { gang: true, colocated: true, ..step(count, 4_000, 500) };
+    let mut bench = Bench::new(&["r1", "r1", "r2"], None);
+    bench.submit(1, vec![gang(7)], None);
+    let actions = bench.after(200);
+    assert!(starts(&actions).is_empty(), "there is room for six");
+    bench.submit(2, vec![gang(4)], None);
+    let actions = bench.after(200);
+    let started = starts(&actions);
+    assert_eq!(started.len(), 4);
+    assert!(started.iter().all(|(_, order)| order.run == started[0].1.run));
+    assert!(started.iter().all(|(target, _)| target.worker.0 != "w2"), "one rack has room for all");
+}
+
+/// Guards against starts on workers that the policy doesn't allow.
+#[test]
+fn steps_wait_for_advice() {
+    let advice =
+        Advice { base: Duration::ZERO, each: Duration::ZERO, valid: Duration::from_secs(3) };
+    let mut bench = Bench::new(&["r1", "r1", "r2"], Some(advice));
+    bench.submit(1, vec![step(2, 1_000, 500)], None);
+    let actions = bench.after(200);
+    assert!(starts(&actions).is_empty());
+    let asked = actions.iter().find_map(|action| match action {
+        Action::Advise(key, workers) => Some((*key, workers.len())),
+        _ => None,
+    });
+    let (key, named) = asked.expect("the policy service is asked");
+    assert_eq!(named, 3);
+    let good = vec![Ticket { worker: bench.workers[1].clone(), ticket: "t".into() }];
+    bench.tell(Event::Advised(key, AdviceAnswer::Good(good, Duration::from_secs(3))));
+    let actions = bench.after(200);
+    let started = starts(&actions);
+    assert_eq!(started.len(), 2);
+    let allowed = |(target, order): &(&Target, &StartOrder)| {
+        target.worker.0 == "w1" && order.ticket.as_deref() == Some("t")
+    };
+    assert!(started.iter().all(allowed));
+}
+
+/// Guards against occurrences that start before they are due.
+#[test]
+fn occurrences_wait_for_their_time() {
+    let mut bench = Bench::new(&["r1"], None);
+    let schedule =
+        Schedule { count: 2, start: UnixMillis(WALL + 1_000), interval: Duration::from_secs(2) };
+    bench.submit(1, vec![step(1, 1_000, 500)], Some(schedule));
+    assert!(starts(&bench.after(900)).is_empty());
+    let actions = bench.after(200);
+    assert_eq!(starts(&actions).len(), 1);
+    assert!(starts(&bench.after(1_800)).is_empty());
+    let actions = bench.after(200);
+    assert_eq!(starts(&actions)[0].1.task.occurrence, 1);
+}
+
+/// Guards against tasks far from their data, without the label they need, and more of them on one worker than allowed.
+#[test]
+fn placement_keeps_to_labels_racks_and_spread() {
+    let mut bench = Bench::new(&["r1", "r2", "r2"], None);
+    bench.submit(1, vec![StepSpec { affinity: Some("r2".into()), ..step(2, 1_000, 500) }], None);
+    let actions = bench.after(200);
+    assert!(starts(&actions).iter().all(|(target, _)| target.worker.0 != "w0"));
+    bench.submit(2, vec![StepSpec { requires: Some("gpu".into()), ..step(1, 1_000, 500) }], None);
+    assert!(starts(&bench.after(200)).is_empty());
+    bench.submit(3, vec![StepSpec { spread: Some(1), ..step(4, 1_000, 500) }], None);
+    let actions = bench.after(200);
+    let mut used: Vec<_> =
+        starts(&actions).iter().map(|(target, _)| target.worker.clone()).collect();
+    used.sort();
+    used.dedup();
+    assert_eq!((starts(&actions).len(), used.len()), (3, 3));
+}
+
+/// Plays neighbours whose disturbance grows and ends. Guards against serving tasks that stay above their target because of
+/// tasks that fill, and against tasks that stay paced afterwards.
+#[test]
+fn tasks_that_fill_are_paced_and_released() {
+    let mut bench = Bench::new(&["r1"], None);
+    let serving =
+        StepSpec { lasting: true, target: Some(Duration::from_millis(100)), ..step(1, 2_000, 0) };
+    let filling = StepSpec { lasting: true, fills: true, ..step(1, 8_000, 0) };
+    bench.submit(1, vec![serving], None);
+    bench.submit(2, vec![filling], None);
+    let actions = bench.after(200);
+    let orders: Vec<(WorkerId, StartOrder)> =
+        starts(&actions).iter().map(|(t, o)| (t.worker.clone(), (*o).clone())).collect();
+    assert_eq!(orders.len(), 2);
+    for (worker, order) in &orders {
+        bench.tell(Event::Started(worker.clone(), order.task, order.run, OrderAnswer::Done));
+    }
+    let rows = |tail: u32| -> Vec<RunRow> {
+        let row = |order: &StartOrder| RunRow {
+            task: order.task,
+            run: order.run,
+            saved: Default::default(),
+            percent: 100,
+            sample: if order.task.job == JobKey(1) { tail } else { 4_000 },
+        };
+        orders.iter().map(|(_, order)| row(order)).collect()
+    };
+    let paces = |actions: &[Action]| -> Vec<u8> {
+        let pace = |action: &Action| match action {
+            Action::Pace(_, task, _, percent) => {
+                assert_eq!(task.job, JobKey(2), "only tasks that fill are paced");
+                Some(*percent)
+            }
+            _ => None,
+        };
+        actions.iter().filter_map(pace).collect()
+    };
+    bench.list(0, rows(180));
+    assert_eq!(paces(&bench.after(100)), [50]);
+    bench.list(0, rows(180));
+    assert_eq!(paces(&bench.after(1_000)), [25]);
+    let mut last = 25;
+    for _ in 0..8 {
+        bench.list(0, rows(20));
+        let paced = paces(&bench.after(1_700));
+        last = paced.last().copied().unwrap_or(last);
+    }
+    assert_eq!(last, 100);
+}
+
+/// Plays a worker that is full of finite tasks. Guards against lasting tasks that wait for room that never comes.
+#[test]
+fn lasting_tasks_make_room() {
+    let mut bench = Bench::new(&["r1"], None);
+    bench.submit(1, vec![step(4, 2_000, 60_000)], None);
+    assert_eq!(starts(&bench.after(200)).len(), 4);
+    bench.submit(2, vec![StepSpec { lasting: true, ..step(1, 2_000, 0) }], None);
+    let mut stopped = HashSet::new();
+    for _ in 0..20 {
+        for action in bench.after(100) {
+            if let Action::Stop(_, task, _) = action {
+                stopped.insert(task);
+            }
+        }
+    }
+    assert_eq!(stopped.len(), 1, "one task gives way");
+}
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler against simulated workers, in virtual time.
 
 mod cases;
+mod direct;
 mod random;
 mod world;
 
