--- a/crates/cj-entry/src/front.rs
+++ b/crates/cj-entry/src/front.rs
@@ -38,8 +38,6 @@
 pub enum Submitted {
     /// The job is durable.
     Accepted,
-    /// There is no such queue.
-    NoQueue,
     /// The job can't be read; nothing was stored.
     Invalid(CompactString),
     /// Not accepted; it never runs. The caller may return after this time.
@@ -55,8 +53,6 @@
     State(JobState),
     /// There is no such job.
     Gone,
-    /// There is no such queue.
-    NoQueue,
     /// The node doesn't know; the caller may return after this time.
     Unavailable(Duration),
 }
@@ -106,7 +102,6 @@
         );
         let outcome = match &answer {
             Submitted::Accepted => "accepted",
-            Submitted::NoQueue => "no_queue",
             Submitted::Invalid(_) => "invalid",
             Submitted::Refused(reason, _) => reason,
             Submitted::Unknown => "unknown",
@@ -184,7 +179,6 @@
         let outcome = match &answer {
             Looked::State(_) => "state",
             Looked::Gone => "gone",
-            Looked::NoQueue => "no_queue",
             Looked::Unavailable(_) => "unavailable",
         };
         if !matches!(answer, Looked::State(_)) {
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -382,7 +382,7 @@
         let (writer, deposed, node) = (self.writer.clone(), self.deposed.clone(), node.clone());
         actix_rt::spawn(async move {
             let report = |event| match event {
-                WriterEvent::Written(number) => node.send(Event::Written(number, true)),
+                WriterEvent::Written(number) => node.send(Event::Written(number)),
                 WriterEvent::Deposed => deposed.set(true),
             };
             writer.run(report).await;
--- a/crates/cj-entry/src/writer.rs
+++ b/crates/cj-entry/src/writer.rs
@@ -36,7 +36,7 @@
 
 /// What became of a write.
 pub(crate) enum WriterEvent {
-    /// The records of the job are durable.
+    /// The records of the job with this number are durable.
     Written(u64),
     /// Another owner has written.
     Deposed,
--- a/crates/cj-http/src/body.rs
+++ b/crates/cj-http/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use actix_http::{HttpMessage, Request};
+use actix_http::{HttpMessage, Request, StatusCode};
 use bytes::{Bytes, BytesMut};
 use compact_str::{CompactString, ToCompactString};
 use derive_more::Display;
@@ -25,6 +25,17 @@
     Late,
 }
 
+impl BodyError {
+    /// Status with which the request is answered.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            BodyError::Incomplete(_) => StatusCode::BAD_REQUEST,
+            BodyError::Late => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+}
+
 /// Reads the body of a request, at most `limit` bytes.
 ///
 /// # Errors
--- a/crates/cj-node/src/http/request.rs
+++ b/crates/cj-node/src/http/request.rs
@@ -4,7 +4,6 @@
 
 use actix_http::{HttpMessage, Method, Request, StatusCode, header::HeaderMap};
 use bytes::Bytes;
-use cj_http::BodyError;
 
 use cj_types::{CallerId, ClassId, IdempotencyKey, JobId, ServiceId, TeamId};
 
@@ -117,12 +116,6 @@
 
 /// Reads the whole body, within [`MAX_BODY_BYTES`] and the time limit.
 pub async fn read_body(request: &mut Request) -> Result<Bytes, Answer> {
-    cj_http::read_body(request, MAX_BODY_BYTES).await.map_err(|e| {
-        let status = match e {
-            BodyError::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
-            BodyError::Incomplete(_) => StatusCode::BAD_REQUEST,
-            BodyError::Late => StatusCode::REQUEST_TIMEOUT,
-        };
-        Answer::bad_input(status, &e.to_string())
-    })
+    let read = cj_http::read_body(request, MAX_BODY_BYTES).await;
+    read.map_err(|e| Answer::bad_input(e.status(), &e.to_string()))
 }
--- /dev/null
+++ b/crates/cj-route/src/router/report.rs
@@ -0,0 +1,81 @@
+//! What the router tells of its state, and its invariants.
+
+use super::*;
+
+impl Router {
+    /// Next time at which [`Router::poll`] has something to do if nothing else happens before; `None` when no request
+    /// waits and no upstream is ejected.
+    pub fn next_poll(&self) -> Option<Instant> {
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        let busy = self.waiting > 0 || self.pools.iter().any(|p| p.upstreams.any_ejected());
+        let review = busy.then(|| self.reviewed.map(|at| at + REVIEW_INTERVAL)).flatten();
+        [timer, review].into_iter().flatten().min()
+    }
+
+    /// Requests of this node that an upstream is working on.
+    pub fn in_flight(&self, upstream: &VmId) -> usize {
+        self.pools.iter().filter_map(|p| p.upstreams.find(upstream)).map(|u| u.in_flight).sum()
+    }
+
+    /// Requests that wait in a queue or for a retry.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Tickets that have not ended.
+    pub fn open(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Counters since the start.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Slots that this node may count on in a pool.
+    pub fn capacity(&self, pool: &PoolId) -> usize {
+        self.pool_index.get(pool).map_or(0, |&p| self.pools[p].upstreams.capacity())
+    }
+
+    /// Slots of this node that a class of a pool uses now.
+    pub fn in_use(&self, pool: &PoolId, class: &ClassId) -> usize {
+        let pool = self.pool_index.get(pool).map(|&p| &self.pools[p]);
+        let class = pool.and_then(|p| p.class_index.get(class).map(|&c| &p.classes[c]));
+        class.map_or(0, |c| c.in_use)
+    }
+
+    /// Recounts everything that is kept incrementally, in time linear in the number of tickets.
+    ///
+    /// # Panics
+    ///
+    /// When an account is wrong.
+    pub fn check_invariants(&self) {
+        let mut waiting = 0;
+        let mut running: HashMap<(usize, UpstreamKey), usize> = HashMap::new();
+        for entry in self.tickets.values() {
+            match entry.stage {
+                Stage::Waiting | Stage::Backoff => waiting += 1,
+                Stage::Running { upstream, .. } => {
+                    *running.entry((entry.pool, upstream)).or_default() += 1;
+                }
+            }
+        }
+        assert_eq!(waiting, self.waiting, "waiting tickets");
+        assert!(self.timers.len() <= 2 * self.waiting + STALE_TIMERS + 1, "timers are bounded");
+        for (index, pool) in self.pools.iter().enumerate() {
+            pool.upstreams.check();
+            for class in &pool.classes {
+                class.check(|t| self.waits(t));
+            }
+            let in_use: usize = pool.classes.iter().map(|c| c.in_use).sum();
+            let of_pool = running.iter().filter(|((p, _), _)| *p == index);
+            let mut sum = 0;
+            for ((_, key), count) in of_pool {
+                let upstream = pool.upstreams.get(*key).expect("upstreams in use are kept");
+                assert_eq!(upstream.in_flight, *count, "in flight on {}", upstream.vm);
+                sum += count;
+            }
+            assert_eq!(in_use, sum, "slots in use of {}", pool.id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cj-route/src/router/timers.rs
@@ -0,0 +1,104 @@
+//! Expiry of requests, delayed retries, and the review of queues whose delay is too long.
+
+use super::*;
+
+impl Router {
+    /// Sets the timer at which a waiting ticket can no longer finish in time.
+    pub(super) fn arm_expiry(&mut self, ticket: Ticket) {
+        let entry = &self.tickets[ticket];
+        let p50 = self.services[entry.service].times(entry.class).p50;
+        let at = entry.request.deadline.checked_sub(p50).unwrap_or(entry.queued);
+        self.arm(ticket, at);
+    }
+
+    pub(super) fn arm(&mut self, ticket: Ticket, at: Instant) {
+        self.tickets[ticket].timer = Some(at);
+        self.timers.push(Reverse((at, ticket)));
+        self.compact_timers();
+    }
+
+    /// Drops outdated timers once they outnumber the waiting tickets.
+    pub(super) fn compact_timers(&mut self) {
+        if self.timers.len() > 2 * self.waiting + STALE_TIMERS {
+            let tickets = &self.tickets;
+            let counts = |at, t| tickets.get(t).is_some_and(|e: &Entry| e.timer == Some(at));
+            self.timers.retain(|Reverse((at, ticket))| counts(*at, *ticket));
+        }
+    }
+
+    pub(super) fn fire_timers(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        while let Some(&Reverse((at, ticket))) = self.timers.peek()
+            && at <= now
+        {
+            self.timers.pop();
+            let current = self.tickets.get(ticket).filter(|e| e.timer == Some(at));
+            match current.map(|e| e.stage) {
+                Some(Stage::Waiting) => {
+                    actions.extend(self.give_up(ticket, Refusal::Deadline, MIN_RETRY_AFTER));
+                }
+                Some(Stage::Backoff) => self.requeue(ticket, now, actions),
+                Some(Stage::Running { .. }) | None => {}
+            }
+        }
+    }
+
+    /// Puts a ticket that has been sent before in front of its team's queue.
+    pub(super) fn requeue(&mut self, ticket: Ticket, now: Instant, actions: &mut Vec<Action>) {
+        let entry = &mut self.tickets[ticket];
+        let (pool, class, team, cost) = (entry.pool, entry.class, entry.team, entry.cost);
+        entry.stage = Stage::Waiting;
+        entry.queued = now;
+        self.pools[pool].classes[class].push(team, ticket, cost, true);
+        if self.pools[pool].classes[class].accepted && self.pools[pool].upstreams.any() {
+            self.arm_expiry(ticket);
+        } else {
+            actions.extend(self.give_up(ticket, Refusal::NoUpstream, FLEET_RETRY_AFTER));
+        }
+    }
+
+    /// Gives up what can't finish in time since its class has fewer slots than at its admission.
+    pub(super) fn review(&mut self, pool: usize, now: Instant, actions: &mut Vec<Action>) {
+        for class in 0..self.pools[pool].classes.len() {
+            let slots = self.expected_slots(pool, class);
+            let queue = &mut self.pools[pool].classes[class];
+            let lost = slots < queue.reviewed * (1.0 - REVIEW_LOSS);
+            if lost || slots > queue.reviewed || queue.waiting == 0 {
+                queue.reviewed = slots;
+            }
+            if !lost || queue.waiting == 0 {
+                continue;
+            }
+            for (ticket, wait) in self.hopeless(pool, class, slots, now) {
+                let retry_after = self.jitter(wait.max(MIN_RETRY_AFTER));
+                actions.extend(self.give_up(ticket, Refusal::Deadline, retry_after));
+            }
+        }
+    }
+
+    /// Waiting tickets of a class whose expected wait and median service time exceed their deadline, with the wait.
+    pub(super) fn hopeless(
+        &self,
+        pool: usize,
+        class: usize,
+        slots: f64,
+        now: Instant,
+    ) -> Vec<(Ticket, Duration)> {
+        let queue = &self.pools[pool].classes[class];
+        let mut found = Vec::new();
+        for &team in queue.active() {
+            let mut own = 0.0;
+            for ticket in queue.teams[team].tickets().filter(|&t| self.waits(t)) {
+                let entry = &self.tickets[ticket];
+                let wait = Duration::from_secs_f64(queue.scale(team, own) / slots);
+                let times = self.services[entry.service].times.get(class);
+                let p50 = times.map(|t| t.p50).unwrap_or_default();
+                if now + wait + p50 > entry.request.deadline {
+                    found.push((ticket, wait));
+                } else {
+                    own += entry.cost;
+                }
+            }
+        }
+        found
+    }
+}
--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -258,8 +258,8 @@
     Listed(WorkerId, Instant, ListAnswer),
     /// Answer to [`Action::Advise`].
     Advised(StepKey, AdviceAnswer),
-    /// The records of a batch are durable, or (false) were refused and have to be written again.
-    Written(u64, bool),
+    /// The records of the batch with this number are durable.
+    Written(u64),
     /// Answer to [`Action::MoveVm`].
     Moved(VmId, VmAnswer),
     /// Answer to [`Action::MaintainVm`].
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -29,7 +29,7 @@
         if !self.may_order() {
             return;
         }
-        let (now, tenure) = (self.now.mono, self.tenure);
+        let (now, tenure, longest) = (self.now.mono, self.tenure, self.limits.lease_max);
         let due: Vec<_> = self
             .workers
             .iter()
@@ -43,7 +43,7 @@
             worker.list_at = None;
             // A renewal that isn't answered may be carried out later, so a silent worker gets none: its leases have to end.
             let holds = worker.swept && worker.misses == 0 && !worker.runs.is_empty();
-            let deadline = if holds { worker.grant(now, tenure) } else { None };
+            let deadline = if holds { worker.grant(now, tenure, longest) } else { None };
             worker.ended_told = worker.ended_durable;
             let wait = if finite { LISTING_WAIT } else { Default::default() };
             let seen = worker.ended_durable;
@@ -275,7 +275,7 @@
         for index in members {
             self.mark_done(TaskRef { index, ..at });
         }
-        self.mark_written(at, true);
+        self.mark_changed(at);
         let occurrence = &mut self.jobs[at.job].occurrences[at.occurrence as usize];
         if occurrence.outcome == Outcome::Open && occurrence.steps.iter().all(|s| s.is_done()) {
             occurrence.outcome = Outcome::Completed;
@@ -309,7 +309,7 @@
         }
         task.failed.push(run);
         let failures = task.failed.len() as u32;
-        self.mark_written(at, true);
+        self.mark_changed(at);
         let occurrence = &mut self.jobs[at.job].occurrences[at.occurrence as usize];
         if failures >= attempts && occurrence.outcome == Outcome::Open {
             occurrence.outcome = Outcome::Failed;
@@ -321,10 +321,11 @@
         }
     }
 
-    fn mark_written(&mut self, at: TaskRef, urgent: bool) {
+    /// The occurrence changed, and an acknowledgement waits until that is written.
+    fn mark_changed(&mut self, at: TaskRef) {
         let occurrence = &mut self.jobs[at.job].occurrences[at.occurrence as usize];
         occurrence.dirty = true;
-        self.write.wants(at.job, at.occurrence, self.now.mono, urgent);
+        self.write.wants(at.job, at.occurrence, self.now.mono, true);
     }
 
     /// Runs that the worker neither lists nor ended are gone, if the listing was asked for after the last answer about them.
--- a/crates/cj-sched/src/sched/orders.rs
+++ b/crates/cj-sched/src/sched/orders.rs
@@ -40,7 +40,7 @@
     }
 
     fn order_start(&mut self, at: TaskRef) {
-        let (now, tenure) = (self.now.mono, self.tenure);
+        let (now, tenure, longest) = (self.now.mono, self.tenure, self.limits.lease_max);
         let job = &mut self.jobs[at.job];
         let task = job.task_id(at);
         let submission = job.submission.clone();
@@ -53,7 +53,7 @@
         placed.touched = now;
         let (key, run) = (placed.worker, placed.run);
         let worker = &mut self.workers[key];
-        let Some(deadline) = worker.grant(now, tenure) else { return };
+        let Some(deadline) = worker.grant(now, tenure, longest) else { return };
         let target = worker.target();
         let ticket = self.ticket_for(at, &target.worker);
         let order = StartOrder { task, run, submission, deadline, checkpoint, ticket };
--- a/crates/cj-sched/src/sched/persist.rs
+++ b/crates/cj-sched/src/sched/persist.rs
@@ -117,18 +117,9 @@
         self.actions.push(Action::Write(number, records));
     }
 
-    pub(super) fn written(&mut self, number: u64, durable: bool) {
+    pub(super) fn written(&mut self, number: u64) {
         let now = self.now.mono;
         let Some(batch) = self.write.flight.take_if(|batch| batch.number == number) else { return };
-        if !durable {
-            for (slot, occurrence) in batch.occurrences {
-                if let Some(job) = self.jobs.get_mut(slot) {
-                    job.occurrences[occurrence as usize].dirty = true;
-                    self.write.wants(slot, occurrence, now, false);
-                }
-            }
-            return;
-        }
         self.write.durable = number;
         for (key, born, ended) in batch.ends {
             let Some(worker) = self.workers.get_mut(key).filter(|worker| worker.born == born)
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -135,11 +135,6 @@
         self.tenure = until;
     }
 
-    /// Fencing token of this ownership.
-    pub fn epoch(&self) -> u64 {
-        self.epoch
-    }
-
     /// Takes note of an event.
     pub fn handle(&mut self, event: Event, now: Now) {
         self.now = now;
@@ -156,7 +151,7 @@
             Event::Paced(worker, task, run, answer) => self.paced(&worker, &task, run, answer),
             Event::Listed(worker, sent, answer) => self.listed(&worker, sent, answer),
             Event::Advised(step, answer) => self.advised(step, answer),
-            Event::Written(batch, durable) => self.written(batch, durable),
+            Event::Written(batch) => self.written(batch),
             Event::Moved(vm, answer) => self.moved(&vm, answer),
             Event::Maintained(vm, wave, answer) => self.maintained(&vm, wave, answer),
         }
--- a/crates/cj-sched/src/sched/settings.rs
+++ b/crates/cj-sched/src/sched/settings.rs
@@ -9,20 +9,10 @@
     pub lease_max: Duration,
     /// Longest time that a task takes to stop.
     pub stop: Duration,
-    /// How long the first tasks of a gang wait for the others.
-    pub gang_wait: Duration,
-    /// Run time factor of a task away from its data or its gang.
-    pub far_factor: f32,
-    /// A lasting task that was out of work for this long counts as unavailable.
-    pub notice: Duration,
     /// Time that a VM is off while it moves to another pool.
     pub move_time: Duration,
     /// Time that a VM is off for its upkeep.
     pub upkeep_time: Duration,
-    /// Time until a change of pace takes effect.
-    pub pace: Duration,
-    /// A serving task must not exceed its target for this long because of its neighbours.
-    pub harm: Duration,
 }
 
 impl Default for Limits {
@@ -30,13 +20,8 @@
         Limits {
             lease_max: Duration::from_secs(10),
             stop: Duration::from_millis(400),
-            gang_wait: Duration::from_secs(3),
-            far_factor: 1.5,
-            notice: Duration::from_millis(4500),
             move_time: Duration::from_millis(1500),
             upkeep_time: Duration::from_secs(2),
-            pace: Duration::from_millis(100),
-            harm: Duration::from_secs(4),
         }
     }
 }
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -160,10 +160,11 @@
         Target { worker: self.id.clone(), address: self.address.clone() }
     }
 
-    /// Lease end on the worker's clock for an order sent now that must not hold after `limit`, and notes it.
-    pub(super) fn grant(&mut self, now: Instant, limit: Instant) -> Option<u64> {
+    /// Lease end on the worker's clock for an order sent now, which must not hold after `limit` nor for longer than `most`.
+    /// The worker's leases are taken to last until then.
+    pub(super) fn grant(&mut self, now: Instant, limit: Instant, most: Duration) -> Option<u64> {
         let clock = self.clock?;
-        let lease = LEASE.min(limit.saturating_duration_since(now));
+        let lease = LEASE.min(most).min(limit.saturating_duration_since(now));
         let elapsed = now.saturating_duration_since(clock.at);
         let deadline = clock.value + (elapsed + lease).as_millis() as u64;
         let span = Duration::from_millis(deadline - clock.value).div_f64(CLOCK_RATE);
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -433,7 +433,7 @@
         for record in records {
             self.write(record);
         }
-        self.schedule(3, Effect::Reply { owner, event: Event::Written(number, true) });
+        self.schedule(3, Effect::Reply { owner, event: Event::Written(number) });
     }
 
     fn send(&mut self, owner: usize, action: Action) {
