--- a/crates/cj-entry/src/outbox.rs
+++ b/crates/cj-entry/src/outbox.rs
@@ -24,6 +24,32 @@
 /// An append that isn't answered within this time shows that the store is out of reach: further callers are refused.
 const STALLED: Duration = Duration::from_millis(1_300);
 
+/// Least and most time for the answer to an append.
+const PATIENCE: (Duration, Duration) = (Duration::from_millis(600), Duration::from_millis(2_200));
+
+/// An append is given up after this multiple of the time that the last one took.
+const PATIENCE_FACTOR: u32 = 4;
+
+/// Makes an append that may safely be repeated, and gives it up when its answer seems lost: waiting longer only delays the
+/// repetition. `tries` counts the ones before that weren't answered; each doubles the time, in case the store is slow.
+pub(crate) async fn append_once<P>(
+    platform: &P,
+    records: &[(CompactString, Vec<u8>)],
+    guard: Guard,
+    latency: Duration,
+    tries: u32,
+) -> Result<u64, StoreError>
+where
+    P: Platform,
+{
+    let (least, most) = PATIENCE;
+    let usual = (latency * PATIENCE_FACTOR).clamp(least, most);
+    let limit = (usual * 2_u32.pow(tries.min(3))).min(most);
+    let call = platform.append(Topic::Jobs, records, guard);
+    let late = || StoreError::Unanswered(CompactString::const_new("given up"));
+    tokio::time::timeout(limit, call).await.unwrap_or_else(|_| Err(late()))
+}
+
 /// How an append ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Appended {
@@ -98,20 +124,21 @@
     {
         let records: Vec<_> = batch.iter().map(|waiting| waiting.record.clone()).collect();
         self.sent.set(Some(clock.now()));
-        let mut unanswered = false;
+        let mut unanswered = 0;
         let outcome = loop {
             let sent = clock.now();
-            match platform.append(Topic::Jobs, &records, Guard::None).await {
+            let latency = self.latency.get();
+            match append_once(platform, &records, Guard::None, latency, unanswered).await {
                 Ok(_) => {
                     self.latency.set(clock.now().saturating_duration_since(sent));
                     break Appended::Durable;
                 }
                 Err(StoreError::Unanswered(cause)) => {
-                    unanswered = true;
+                    unanswered += 1;
                     warn!(target: "link", "choice=append_again records={} cause=\"{cause}\"", records.len());
                 }
                 // An earlier append may still be carried out, so this refusal doesn't say that nothing is stored.
-                Err(_) if unanswered => {}
+                Err(_) if unanswered > 0 => {}
                 Err(cause) => {
                     warn!(target: "link", "choice=refuse records={} cause=\"{cause}\"", records.len());
                     break Appended::Refused;
--- a/crates/cj-entry/src/writer.rs
+++ b/crates/cj-entry/src/writer.rs
@@ -18,7 +18,8 @@
 
 use crate::{
     node::EntryNode,
-    platform::{Guard, Platform, StoreError, Topic},
+    outbox::append_once,
+    platform::{Guard, Platform, StoreError},
 };
 
 /// Time between two heartbeats.
@@ -55,6 +56,8 @@
     /// Heartbeats sent before this confirm nothing.
     not_before: Cell<Option<Instant>>,
     beat_due: Cell<Option<Instant>>,
+    /// How long the last answered append took.
+    latency: Cell<Duration>,
     /// The next append is the last one, and says that ownership is free.
     closing: Cell<bool>,
 }
@@ -76,6 +79,7 @@
             confirmed: Cell::new(Some(now)),
             not_before: Cell::new(None),
             beat_due: Cell::new(Some(now)),
+            latency: Cell::default(),
             closing: Cell::new(false),
         })
     }
@@ -151,17 +155,19 @@
             records.iter().map(|record| (record.key_text(), codec::encode(record))).collect();
         let sequence = self.sequence.get();
         let guard = Guard::Owner { epoch: self.epoch, sequence };
-        let mut unanswered = false;
+        let mut unanswered = 0;
         loop {
             let sent = self.node.clock.now();
-            match self.node.platform.append(Topic::Jobs, &encoded, guard).await {
+            let (platform, latency) = (&self.node.platform, self.latency.get());
+            match append_once(platform, &encoded, guard, latency, unanswered).await {
                 Ok(_) => {
+                    self.latency.set(self.node.clock.now().saturating_duration_since(sent));
                     self.sequence.set(sequence + 1);
                     self.confirm(sent);
                     return true;
                 }
                 // An unanswered append took effect, and its answer is no longer kept.
-                Err(StoreError::Sequence(next)) if unanswered && next == sequence + 1 => {
+                Err(StoreError::Sequence(next)) if unanswered > 0 && next == sequence + 1 => {
                     self.sequence.set(sequence + 1);
                     self.confirm(sent);
                     return true;
@@ -170,7 +176,7 @@
                     warn!(target: "link", "choice=write_again sequence={sequence} cause=\"{cause}\"");
                 }
                 Err(StoreError::Unanswered(cause)) => {
-                    unanswered = true;
+                    unanswered += 1;
                     warn!(target: "link", "choice=write_again sequence={sequence} cause=\"{cause}\"");
                 }
                 Err(error) => {
--- a/crates/cj-entry/tests/entry/front.rs
+++ b/crates/cj-entry/tests/entry/front.rs
@@ -9,7 +9,7 @@
 use cj_sched::{FleetConfig, JobKey, JobSpec, Queue, StepSpec, sched::Limits};
 use cj_types::{Clock, ManualClock, NodeId, ServiceId, Version};
 
-use crate::platform::{FakePlatform, after};
+use crate::platform::{FakePlatform, after, lost};
 
 type Node = Rc<EntryNode<FakePlatform, ManualClock>>;
 
@@ -78,6 +78,14 @@
     assert_eq!(submit(&node_2).await, Submitted::Unknown);
 }
 
+/// Guards against an append whose answer was lost and which nobody repeats until its caller has given up.
+#[actix_rt::test]
+async fn repeats_an_append_whose_answer_is_lost() {
+    let node = node(vec![lost(), after(4, Ok(0))]).await;
+    assert_eq!(submit(&node).await, Submitted::Accepted);
+    assert_eq!(node.platform.appended.get(), 2);
+}
+
 /// Guards against callers that wait for a store which is known to be out of reach.
 #[actix_rt::test]
 async fn refuses_at_once_when_the_store_is_out_of_reach() {
--- a/crates/cj-entry/tests/entry/platform.rs
+++ b/crates/cj-entry/tests/entry/platform.rs
@@ -25,6 +25,13 @@
     pub(crate) answer: Result<T, StoreError>,
 }
 
+/// The answer is lost.
+const NEVER: Duration = Duration::MAX;
+
+pub(crate) fn lost<T>() -> Scripted<T> {
+    Scripted { took: NEVER, answer: Err(StoreError::Unanswered("lost".into())) }
+}
+
 pub(crate) fn after<T>(ms: u64, answer: Result<T, StoreError>) -> Scripted<T> {
     Scripted { took: Duration::from_millis(ms), answer }
 }
@@ -52,6 +59,7 @@
     async fn next<T>(&self, script: &RefCell<VecDeque<Scripted<T>>>) -> Result<T, StoreError> {
         let next = script.borrow_mut().pop_front();
         match next {
+            Some(Scripted { took: NEVER, .. }) => std::future::pending().await,
             Some(Scripted { took, answer }) => {
                 self.clock.advance(took);
                 answer
