--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -34,7 +34,7 @@
 };
 
 /// An owner that wasn't heard of for this long has lost its ownership to whoever claims it.
-const OWNER_SILENCE: Duration = Duration::from_millis(1_800);
+const OWNER_SILENCE: Duration = Duration::from_millis(1_300);
 
 /// The silence that is allowed grows by this multiple of the time that the store takes for an append, since heartbeats are
 /// late when the store is slow.
--- a/crates/cj-entry/src/writer.rs
+++ b/crates/cj-entry/src/writer.rs
@@ -23,7 +23,7 @@
 };
 
 /// Time between two heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(400);
+const HEARTBEAT: Duration = Duration::from_millis(300);
 
 /// Pause before an append is repeated.
 const RETRY: Duration = Duration::from_millis(120);
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -42,7 +42,7 @@
 
 /// Lasting tasks are taken out of work only by an owner whose last acknowledged heartbeat is at most this old; another
 /// owner takes over no earlier than that.
-const RECENT_HEARTBEAT: Duration = Duration::from_millis(1_200);
+const RECENT_HEARTBEAT: Duration = Duration::from_millis(900);
 
 /// At most one in this many VMs of a pool is emptied or off at once.
 const POOL_SHARE: usize = 4;
