--- a/crates/cj-entry/src/platform.rs
+++ b/crates/cj-entry/src/platform.rs
@@ -212,7 +212,7 @@
     /// Lists all VMs.
     fn vms(&self) -> impl Future<Output = Result<Vec<VmRow>, StoreError>>;
 
-    /// Takes a VM off for the upkeep of a wave.
+    /// Takes a VM off for the maintenance of a wave.
     fn maintain_vm(&self, vm: &VmId, wave: u64, token: u64) -> impl Future<Output = VmAnswer>;
 
     /// Moves a VM to a pool.
--- a/crates/cj-sched/src/record.rs
+++ b/crates/cj-sched/src/record.rs
@@ -141,9 +141,9 @@
 /// under a later owner.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaveProgress {
-    /// VMs whose upkeep was or will be called for.
+    /// VMs whose maintenance was or will be called for.
     pub called: Vec<VmId>,
-    /// VMs whose upkeep has begun.
+    /// VMs whose maintenance has begun.
     pub begun: Vec<VmId>,
 }
 
--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -49,8 +49,8 @@
     Up,
     /// It moves to another pool.
     Moving,
-    /// It is off for its upkeep.
-    Upkeep,
+    /// It is off for its maintenance.
+    Maintenance,
     /// It is down.
     Down,
 }
@@ -335,7 +335,7 @@
     Write(u64, Vec<Record>),
     /// Move a VM to a pool.
     MoveVm(VmId, ServiceId),
-    /// Take a VM off for the upkeep of a wave.
+    /// Take a VM off for the maintenance of a wave.
     MaintainVm(VmId, u64),
     /// Publish the state of a wave.
     ReportWave {
--- a/crates/cj-sched/src/sched/settings.rs
+++ b/crates/cj-sched/src/sched/settings.rs
@@ -11,8 +11,8 @@
     pub stop: Duration,
     /// Time that a VM is off while it moves to another pool.
     pub move_time: Duration,
-    /// Time that a VM is off for its upkeep.
-    pub upkeep_time: Duration,
+    /// Time that a VM is off for its maintenance.
+    pub maintenance_time: Duration,
 }
 
 impl Default for Limits {
@@ -21,7 +21,7 @@
             lease_max: Duration::from_secs(10),
             stop: Duration::from_millis(400),
             move_time: Duration::from_millis(1500),
-            upkeep_time: Duration::from_secs(2),
+            maintenance_time: Duration::from_secs(2),
         }
     }
 }
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -1,4 +1,4 @@
-//! Maintenance waves: empties VMs in turn and takes them off for their upkeep.
+//! Maintenance waves: empties VMs in turn and takes them off for their maintenance.
 //!
 //! Unplanned failures come first: a lasting task is stopped only while enough others of its step are at work, and at most
 //! `cap` VMs of a wave are off at once.
@@ -52,11 +52,11 @@
 enum Stand {
     /// It gets no new tasks and loses those it has.
     Emptying(Instant),
-    /// The note of the call for its upkeep is being written with this batch.
+    /// The note of the call for its maintenance is being written with this batch.
     Noting(u64),
-    /// The call for its upkeep is on its way or unanswered; it ends this life.
+    /// The call for its maintenance is on its way or unanswered; it ends this life.
     Calling(Instant, Option<Life>),
-    /// Its upkeep began.
+    /// Its maintenance began.
     Off(Instant),
 }
 
@@ -96,7 +96,7 @@
             )
         };
         let called = |vm: &VmId| self.progress.called.contains(vm) && !self.is_begun(vm);
-        let off = |vm: &VmId| rows.get(vm).is_some_and(|row| row.state == VmState::Upkeep);
+        let off = |vm: &VmId| rows.get(vm).is_some_and(|row| row.state == VmState::Maintenance);
         let counts = |vm: &&VmId| *vm != except && (ordered(vm) || called(vm) || off(vm));
         self.order.vms.iter().filter(counts).count()
     }
@@ -180,7 +180,7 @@
         let back = |vm: &VmId, since: Instant| {
             let row = self.vms.get(vm);
             let up = row.is_none_or(|row| row.state == VmState::Up);
-            up && now.saturating_duration_since(since) > self.limits.upkeep_time + CALL_RETRY
+            up && now.saturating_duration_since(since) > self.limits.maintenance_time + CALL_RETRY
         };
         wave.stands.retain(|vm, stand| !matches!(stand, Stand::Off(since) if back(vm, *since)));
     }
@@ -257,7 +257,7 @@
         }
     }
 
-    /// Notes that the upkeep of a VM will be called for. Returns the batch of the note.
+    /// Notes that the maintenance of a VM will be called for. Returns the batch of the note.
     fn note_call(&mut self, wave: &mut Wave, vm: &VmId) -> u64 {
         if !wave.progress.called.contains(vm) {
             wave.progress.called.push(vm.clone());
@@ -354,7 +354,7 @@
                 let record = Record::Wave(number, wave.progress.clone());
                 self.write.add(record, now);
                 if let Some(Stand::Calling(_, Some(life))) = stand {
-                    self.end_life_of(&life, "the VM went off for its upkeep");
+                    self.end_life_of(&life, "the VM went off for its maintenance");
                 }
             }
             VmAnswer::Fenced => self.step_down_now(),
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -109,7 +109,7 @@
     /// VMs that are off, with the time at which their new worker begins.
     off: Vec<Off>,
     wave: Option<WaveOrder>,
-    /// VMs whose upkeep for the wave has begun.
+    /// VMs whose maintenance for the wave has begun.
     maintained: HashSet<VmId>,
     /// The wave was reported as completed.
     pub(crate) completed: bool,
@@ -531,7 +531,7 @@
         }
         self.maintained.insert(vm.clone());
         let cap = self.wave.as_ref().map_or(0, |order| order.cap);
-        let off = self.off.iter().filter(|off| off.state == VmState::Upkeep).count() as u32;
+        let off = self.off.iter().filter(|off| off.state == VmState::Maintenance).count() as u32;
         assert!(off < cap, "{vm} goes off at {} beside {off} others", self.now);
         // A call that was held up and carried out late is no fault of its sender.
         if !late {
@@ -539,11 +539,11 @@
         }
         let (pool, until) = (self.workers[index].service.clone(), self.now + 2_000);
         self.crash(index);
-        self.off.push(Off { vm: vm.clone(), pool, until, state: VmState::Upkeep });
+        self.off.push(Off { vm: vm.clone(), pool, until, state: VmState::Maintenance });
         Event::Maintained(vm, wave, VmAnswer::Done)
     }
 
-    /// An operator orders the upkeep of all VMs.
+    /// An operator orders the maintenance of all VMs.
     pub(crate) fn order_wave(&mut self, cap: u32) {
         let vms = self.workers.iter().map(|worker| worker.vm.clone()).collect();
         let order = WaveOrder { number: 1, vms, duration: Duration::from_secs(30), cap };
