--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -13,7 +13,7 @@
     codec,
     sched::{Limits, Now, WaveOrder},
 };
-use cj_types::{Clock, NodeId};
+use cj_types::{Clock, Millicores, NodeId};
 use log::{info, warn};
 use tokio::sync::{Notify, mpsc};
 
@@ -41,7 +41,7 @@
     /// Bounds of the platform.
     pub limits: Limits,
     /// Processor time of the node in cores; nodes with more take over first.
-    pub cores: f64,
+    pub cores: Millicores,
     /// How long a job that is final can be asked for.
     pub retention: Duration,
 }
--- a/crates/cj-entry/src/outbox.rs
+++ b/crates/cj-entry/src/outbox.rs
@@ -24,32 +24,42 @@
 /// An append that isn't answered within this time shows that the store is out of reach: further callers are refused.
 const STALLED: Duration = Duration::from_millis(1_300);
 
-/// Least and most time for the answer to an append.
-const PATIENCE: (Duration, Duration) = (Duration::from_millis(600), Duration::from_millis(2_200));
+/// Least time for the answer to an append of callers. All nodes append to one topic: when the store is slow, repetitions of
+/// all of them only make its queue longer.
+const CALLER_PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// Least time for the answer to an append of the owner, of which there is one. Its heartbeats must not be late.
+pub(crate) const OWNER_PATIENCE: Duration = Duration::from_millis(600);
+
+/// Most time for the answer to an append.
+const MOST_PATIENCE: Duration = Duration::from_millis(2_200);
 
 /// An append is given up after this multiple of the time that the last one took.
 const PATIENCE_FACTOR: u32 = 4;
 
 /// Makes an append that may safely be repeated, and gives it up when its answer seems lost: waiting longer only delays the
-/// repetition. `tries` counts the ones before that weren't answered; each doubles the time, in case the store is slow.
+/// repetition. It waits for `patience` at first. `tries` counts the ones before that weren't answered; each doubles the time, in case the store is slow.
 pub(crate) async fn append_once<P>(
     platform: &P,
     records: &[(CompactString, Vec<u8>)],
     guard: Guard,
-    latency: Duration,
+    patience: Duration,
     tries: u32,
 ) -> Result<u64, StoreError>
 where
     P: Platform,
 {
-    let (least, most) = PATIENCE;
-    let usual = (latency * PATIENCE_FACTOR).clamp(least, most);
-    let limit = (usual * 2_u32.pow(tries.min(3))).min(most);
+    let limit = (patience * 2_u32.pow(tries.min(3))).min(MOST_PATIENCE);
     let call = platform.append(Topic::Jobs, records, guard);
     let late = || StoreError::Unanswered(CompactString::const_new("given up"));
     tokio::time::timeout(limit, call).await.unwrap_or_else(|_| Err(late()))
 }
 
+/// Time for the answer to an append, at least `least`, where the last one took `latency`.
+pub(crate) fn patience(least: Duration, latency: Duration) -> Duration {
+    (latency * PATIENCE_FACTOR).clamp(least, MOST_PATIENCE)
+}
+
 /// How an append ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Appended {
@@ -127,8 +137,8 @@
         let mut unanswered = 0;
         let outcome = loop {
             let sent = clock.now();
-            let latency = self.latency.get();
-            match append_once(platform, &records, Guard::None, latency, unanswered).await {
+            let patience = patience(CALLER_PATIENCE, self.latency.get());
+            match append_once(platform, &records, Guard::None, patience, unanswered).await {
                 Ok(_) => {
                     self.latency.set(clock.now().saturating_duration_since(sent));
                     break Appended::Durable;
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -53,6 +53,13 @@
 /// Least share of a core that the delay of a claim is worked out with.
 const LEAST_CORES: f64 = 0.1;
 
+/// A node with less than half the processor time of the last owner waits this much longer: nodes like that owner exist, and
+/// may need several tries while the store is slow.
+const WEAK_DELAY: Duration = Duration::from_millis(2_000);
+
+/// A claim that took longer than this shows that the store is slow, so that heartbeats may be late.
+const SLOW_CLAIM: Duration = Duration::from_millis(100);
+
 /// The delay of a claim is random up to this multiple, so that few nodes claim at once.
 const CLAIM_SPREAD: f64 = 1.8;
 
@@ -126,8 +133,7 @@
         let known =
             node.jobs.is_loaded() && node.jobs.is_answered() && node.config.borrow().is_some();
         if known && is_vacant(node, now, *loaded_at.get_or_insert(now)) {
-            let least = CLAIM_DELAY.div_f64(node.settings.cores.max(LEAST_CORES));
-            tokio::time::sleep(least.mul_f64(rand::rng().random_range(1.0..CLAIM_SPREAD))).await;
+            tokio::time::sleep(claim_delay(node)).await;
             if is_vacant(node, node.clock.now(), now) {
                 return;
             }
@@ -136,6 +142,21 @@
     }
 }
 
+/// How long the node lets others claim first.
+fn claim_delay<P, C>(node: &EntryNode<P, C>) -> Duration
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    let own = node.settings.cores;
+    let share = f64::from(own.0) / 1_000.0;
+    let least = CLAIM_DELAY.div_f64(share.max(LEAST_CORES));
+    let usual = least.mul_f64(rand::rng().random_range(1.0..CLAIM_SPREAD));
+    let book = node.book.borrow();
+    let weak = book.owner().is_some_and(|owner| own.0 * 2 < owner.beat.cores.0);
+    if weak { usual + WEAK_DELAY } else { usual }
+}
+
 fn is_vacant<P, C>(node: &EntryNode<P, C>, now: Instant, loaded_at: Instant) -> bool
 where
     P: Platform,
@@ -162,8 +183,17 @@
     let claim = [(CompactString::const_new("claim"), name.into_bytes())];
     let mut end = node.book.borrow().epoch();
     let epoch = loop {
+        let sent = node.clock.now();
         match node.platform.append(Topic::Claims, &claim, Guard::End(end)).await {
-            Ok(offset) => break offset + 1,
+            Ok(offset) => {
+                let took = node.clock.now().saturating_duration_since(sent);
+                if took > SLOW_CLAIM && heard_within(node, OWNER_SILENCE + took * SLOW_STORE_FACTOR)
+                {
+                    info!(target: "decision", "choice=no_claim cause=\"slow store\" took_ms={}", took.as_millis());
+                    return None;
+                }
+                break offset + 1;
+            }
             Err(StoreError::Moved(actual)) => {
                 if heard_of(node, actual).await {
                     return None;
@@ -200,6 +230,21 @@
     }
 }
 
+/// True when an owner that hasn't released its ownership was heard of within `span`.
+fn heard_within<P, C>(node: &EntryNode<P, C>, span: Duration) -> bool
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    let held = node
+        .book
+        .borrow()
+        .owner()
+        .is_some_and(|owner| !owner.beat.released && owner.beat.node != node.settings.node);
+    let heard = node.heard.get().map(|at| node.clock.now().saturating_duration_since(at));
+    held && heard.is_some_and(|silence| silence < span.min(MOST_SILENCE))
+}
+
 /// Waits a moment for the heartbeat of the owner that made the last claim.
 async fn heard_of<P, C>(node: &EntryNode<P, C>, epoch: u64) -> bool
 where
@@ -220,7 +265,13 @@
     released: bool,
     load: Vec<(cj_types::ServiceId, cj_sched::record::ServiceLoad)>,
 ) -> OwnerBeat {
-    OwnerBeat { epoch, node: node.settings.node.clone(), released, load }
+    OwnerBeat {
+        epoch,
+        node: node.settings.node.clone(),
+        cores: node.settings.cores,
+        released,
+        load,
+    }
 }
 
 /// Owns the fleet until the node stops or another owner takes over.
--- a/crates/cj-entry/src/writer.rs
+++ b/crates/cj-entry/src/writer.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     node::EntryNode,
-    outbox::append_once,
+    outbox::{OWNER_PATIENCE, append_once, patience},
     platform::{Guard, Platform, StoreError},
 };
 
@@ -109,7 +109,8 @@
     fn beat(&self, released: bool) -> Record {
         let load = self.load.borrow().clone();
         let node = self.node.settings.node.clone();
-        Record::Owner(OwnerBeat { epoch: self.epoch, node, released, load })
+        let cores = self.node.settings.cores;
+        Record::Owner(OwnerBeat { epoch: self.epoch, node, cores, released, load })
     }
 
     /// Writes until it is closed, another owner takes over, or the task is dropped.
@@ -158,8 +159,8 @@
         let mut unanswered = 0;
         loop {
             let sent = self.node.clock.now();
-            let (platform, latency) = (&self.node.platform, self.latency.get());
-            match append_once(platform, &encoded, guard, latency, unanswered).await {
+            let patience = patience(OWNER_PATIENCE, self.latency.get());
+            match append_once(&self.node.platform, &encoded, guard, patience, unanswered).await {
                 Ok(_) => {
                     self.latency.set(self.node.clock.now().saturating_duration_since(sent));
                     self.sequence.set(sequence + 1);
--- a/crates/cj-entry/tests/entry/admission.rs
+++ b/crates/cj-entry/tests/entry/admission.rs
@@ -7,7 +7,7 @@
     JobSpec, StepSpec,
     record::{OwnerBeat, ServiceLoad},
 };
-use cj_types::{NodeId, ServiceId};
+use cj_types::{Millicores, NodeId, ServiceId};
 
 const OBJECTIVE: Duration = Duration::from_secs(2);
 
@@ -15,7 +15,13 @@
     let load = ServiceLoad { capacity: 32_000, backlog: 32_000 * backlog_s * 1_000 };
     let service = ServiceId::try_from("s").unwrap();
     let node = NodeId::try_from("n").unwrap();
-    OwnerBeat { epoch: 1, node, released: false, load: vec![(service, load)] }
+    OwnerBeat {
+        epoch: 1,
+        node,
+        cores: Millicores(250),
+        released: false,
+        load: vec![(service, load)],
+    }
 }
 
 fn verdict(backlog_s: u64, lasting: bool) -> Verdict {
--- a/crates/cj-entry/tests/entry/front.rs
+++ b/crates/cj-entry/tests/entry/front.rs
@@ -7,7 +7,7 @@
     front::{Cancelled, Looked, Submitted},
 };
 use cj_sched::{FleetConfig, JobKey, JobSpec, Queue, StepSpec, sched::Limits};
-use cj_types::{Clock, ManualClock, NodeId, ServiceId, Version};
+use cj_types::{Clock, ManualClock, Millicores, NodeId, ServiceId, Version};
 
 use crate::platform::{FakePlatform, after, lost};
 
@@ -42,7 +42,7 @@
     let settings = EntrySettings {
         node: NodeId::try_from("n1").unwrap(),
         limits: Limits::default(),
-        cores: 1.0,
+        cores: Millicores(1_000),
         retention: Duration::from_secs(150),
     };
     let node = EntryNode::new(platform, clock, settings);
--- a/crates/cj-sched/src/record.rs
+++ b/crates/cj-sched/src/record.rs
@@ -3,7 +3,7 @@
 
 use std::{fmt, str::FromStr, time::Duration};
 
-use cj_types::{Error, NodeId, Result, ServiceId, UnixMillis, VmId};
+use cj_types::{Error, Millicores, NodeId, Result, ServiceId, UnixMillis, VmId};
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
@@ -163,6 +163,8 @@
     pub epoch: u64,
     /// The node that owns the fleet.
     pub node: NodeId,
+    /// Its processor time.
+    pub cores: Millicores,
     /// The node gives up ownership; another may take over at once.
     pub released: bool,
     /// Load by service.
--- a/crates/cj-sched/tests/records.rs
+++ b/crates/cj-sched/tests/records.rs
@@ -4,7 +4,7 @@
     JobKey, Progress, Record, RecordKey, StepProgress, codec,
     record::{Failures, Outcome, OwnerBeat, ServiceLoad, WaveProgress},
 };
-use cj_types::{NodeId, ServiceId, UnixMillis, VmId};
+use cj_types::{Millicores, NodeId, ServiceId, UnixMillis, VmId};
 use quickcheck::quickcheck;
 
 fn round_trip(record: &Record) {
@@ -26,7 +26,13 @@
     round_trip(&Record::Wave(3, WaveProgress { called: vms.clone(), begun: vms }));
     let load = vec![(ServiceId::try_from("s").unwrap(), ServiceLoad { capacity: 1, backlog: 2 })];
     let node = NodeId::try_from("n").unwrap();
-    round_trip(&Record::Owner(OwnerBeat { epoch: 4, node, released: true, load }));
+    round_trip(&Record::Owner(OwnerBeat {
+        epoch: 4,
+        node,
+        cores: Millicores(250),
+        released: true,
+        load,
+    }));
     round_trip(&Record::Drop(RecordKey::Cancel(JobKey(1))));
 }
 
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -217,7 +217,13 @@
         }
         let epoch = self.book.epoch() + 1;
         let node = NodeId::try_from("node").unwrap();
-        self.write(Record::Owner(OwnerBeat { epoch, node, released: false, load: Vec::new() }));
+        self.write(Record::Owner(OwnerBeat {
+            epoch,
+            node,
+            cores: Millicores(250),
+            released: false,
+            load: Vec::new(),
+        }));
         let now = self.clocks();
         let horizon = now.mono + TENURE + TENURE / 20 + Duration::from_millis(250);
         let config = self.config.clone();
