--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -379,9 +379,16 @@
                 }
             }
             Effect::Arrive { owner, action, sent, answered } => {
+                let give_up = unanswered(&action, self.base + Duration::from_millis(sent));
                 let event = self.arrive(owner, action, sent);
-                if let Some(event) = event.filter(|_| answered) {
-                    self.schedule(2, Effect::Reply { owner, event });
+                match (event, give_up) {
+                    _ if !answered => {}
+                    (Some(event), _) => self.schedule(2, Effect::Reply { owner, event }),
+                    // The worker ended while the call was on its way.
+                    (None, Some(event)) => {
+                        self.schedule(CALL_LIMIT, Effect::Reply { owner, event })
+                    }
+                    (None, None) => {}
                 }
             }
             Effect::Store { owner, number, records } => self.store(owner, number, records),
