--- a/crates/cj-entry/src/outbox.rs
+++ b/crates/cj-entry/src/outbox.rs
@@ -38,7 +38,8 @@
 const PATIENCE_FACTOR: u32 = 4;
 
 /// Makes an append that may safely be repeated, and gives it up when its answer seems lost: waiting longer only delays the
-/// repetition. It waits for `patience` at first. `tries` counts the ones before that weren't answered; each doubles the time, in case the store is slow.
+/// repetition. It waits for `patience` at first. `tries` counts the ones before that weren't answered; each doubles the
+/// time, in case the store is slow.
 pub(crate) async fn append_once<P>(
     platform: &P,
     records: &[(CompactString, Vec<u8>)],
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -261,7 +261,6 @@
             let id = report.id.clone();
             let key = self.workers.insert(Worker::new(report, now));
             self.worker_index.insert(id, key);
-            self.match_vm(key);
             self.refuse_ghosts(key);
             return;
         };
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -127,9 +127,6 @@
         self.vms_known = true;
         self.vms_sent = sent;
         self.end_replaced_lives(sent);
-        for key in self.workers.keys().collect::<Vec<_>>() {
-            self.match_vm(key);
-        }
         self.place_due = true;
     }
 
@@ -153,13 +150,6 @@
         }
     }
 
-    /// Finds the VM on which a worker runs.
-    pub(super) fn match_vm(&mut self, key: WorkerKey) {
-        let worker = &mut self.workers[key];
-        let row = self.vms.values().find(|row| row.worker.as_ref() == Some(&worker.id));
-        worker.vm = row.map(|row| row.vm.clone());
-    }
-
     pub(super) fn run_waves(&mut self) {
         if !self.vms_known || !self.may_order() {
             return;
@@ -227,9 +217,8 @@
         let now = self.now.mono;
         // Calls of an earlier owner may have taken effect just before this ownership began.
         let settled = self.vms_sent > self.begun + TAKEOVER_CALLS && self.is_confirmed();
-        let mut vms: Vec<_> =
+        let vms: Vec<_> =
             wave.stands.iter().map(|(vm, stand)| (vm.clone(), stand.clone())).collect();
-        vms.sort_by(|a, b| a.0.cmp(&b.0));
         for (vm, stand) in vms {
             let room = settled && wave.off(&self.vms, &vm) < wave.order.cap as usize;
             match stand {
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use cj_types::{Resources, ServiceId, VmId};
+use cj_types::{Resources, ServiceId};
 use compact_str::CompactString;
 use slotmap::new_key_type;
 
@@ -42,7 +42,6 @@
     /// It is registered.
     pub(super) listed: bool,
     pub(super) born: Option<u64>,
-    pub(super) vm: Option<VmId>,
     pub(super) clock: Option<ClockReading>,
     /// It answered under this owner's fencing token, so no order of an earlier owner is carried out there any more.
     pub(super) swept: bool,
@@ -100,7 +99,6 @@
             known: now,
             listed: true,
             born: None,
-            vm: None,
             clock: None,
             swept: false,
             used: Resources::default(),
