--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -293,7 +293,7 @@
     }
 
     /// True when a lasting task runs on the worker, so that it stays in its pool anyway.
-    fn hosts_lasting(&self, worker: &Worker) -> bool {
+    pub(super) fn hosts_lasting(&self, worker: &Worker) -> bool {
         worker.runs.iter().any(|at| self.jobs[at.job].step_spec(at.step).lasting)
     }
 
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -46,6 +46,9 @@
 /// A lasting task that waits this long shows that its pool is too small.
 const STUCK_AFTER: Duration = Duration::from_millis(500);
 
+/// Time between two log lines about the sizes of the pools.
+const REPORT_GAP: Duration = Duration::from_secs(1);
+
 /// Time after which an unanswered call to move a VM is repeated.
 const CALL_RETRY: Duration = Duration::from_millis(900);
 
@@ -70,6 +73,7 @@
     moves: BTreeMap<VmId, Move>,
     idle: HashMap<WorkerKey, Instant>,
     planned: Option<Instant>,
+    reported: Option<Instant>,
 }
 
 /// What a pool needs and has.
@@ -123,6 +127,7 @@
         let Some(spare) = self.config.spare_pool().cloned() else { return };
         let mut needs = self.needs(&spare);
         let mut parked = self.parked(&spare);
+        self.report_pools(&needs, parked.len());
         let mut wanting: Vec<ServiceId> = needs.keys().cloned().collect();
         wanting.sort_by_key(|service| std::cmp::Reverse(needs[service].deficit()));
         for service in wanting {
@@ -139,6 +144,24 @@
         }
     }
 
+    fn report_pools(&mut self, needs: &BTreeMap<ServiceId, Need>, parked: usize) {
+        let now = self.now.mono;
+        if self.pools.reported.is_some_and(|at| now < at + REPORT_GAP) {
+            return;
+        }
+        self.pools.reported = Some(now);
+        for (service, need) in needs {
+            let own = || self.workers.values().filter(|worker| worker.service == *service);
+            let used: u32 = own().map(|worker| worker.used.cores.0).sum();
+            let lasting = own().filter(|worker| self.hosts_lasting(worker)).count();
+            info!(
+                target: "decision",
+                "pool={service} vms={} target={} lasting={lasting} idle={} used_m={used} wanted_m={} vm_m={} parked={parked} epoch={}",
+                need.size, need.target(), need.idle.len(), need.cores as u32, need.unit.cores.0, self.epoch
+            );
+        }
+    }
+
     /// Moves that took effect long enough ago are over; unanswered ones are repeated.
     fn settle_moves(&mut self) {
         let now = self.now.mono;
