Take workers whose run times differ by less than a third for alike

Cause: tasks went to workers with a slowness below 1.0 first, whatever room others had, so single fast runs spread the load over workers that could have been parked. Ruled out: the order by free room, which is tried next.

--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -30,6 +30,10 @@
 /// How long a worker is kept free for a lasting task.
 const RESERVATION: Duration = Duration::from_millis(1_500);
 
+/// Workers whose slowness is in the same band, in multiples of the usual run time, are taken to be alike: single runs differ
+/// by a third, and tasks have to fill up few workers so that the others can be parked.
+const SLOW_BAND: f32 = 1.4;
+
 /// Run numbers of an owner begin at its epoch shifted by this, above those of all earlier owners.
 const RUN_BITS: u32 = 20;
 
@@ -286,7 +290,7 @@
             quarantined: worker.quarantined.is_some_and(|until| now < until),
             avoided: view.avoid == Some(key),
             far,
-            slow: (worker.slowness * 2.0) as u32,
+            slow: (worker.slowness / SLOW_BAND) as u32,
             neighbours,
             room,
         }
