Call for VMs when the arrivals at a queue begin to rise

Cause: a VM needs 1.5 s to change its pool, and was called for by tasks that already waited. Ruled out: more VMs for waiting tasks (PROVIDED) and earlier lending, tried before without gain.

A window of 0.8 s with four or more arrivals, and more than twice those of the window before, is continued in a straight line until a VM called for now has arrived.

--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -12,6 +12,7 @@
 mod rank;
 mod scheduler;
 mod settings;
+mod trend;
 mod wave;
 mod work;
 mod worker;
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -17,8 +17,10 @@
     record::Outcome,
     sched::{
         event::{Action, VmAnswer, VmRow, VmState},
+        load::open_work,
         scheduler::Scheduler,
         settings::TENURE_RESERVE,
+        trend::Trend,
         wave::Life,
         work::{Job, JobSlot, Phase},
         worker::WorkerKey,
@@ -74,6 +76,7 @@
     idle: HashMap<WorkerKey, Instant>,
     planned: Option<Instant>,
     reported: Option<Instant>,
+    trends: HashMap<ServiceId, Trend>,
 }
 
 /// What a pool needs and has.
@@ -85,6 +88,10 @@
     memory: f32,
     /// Capacity of one VM.
     unit: Resources,
+    /// Processors for finite tasks that are foreseen, in thousandths of a core.
+    foreseen: f32,
+    /// Processors for lasting tasks.
+    lasting: f32,
     /// A lasting task finds no worker although the pool has as many VMs as it seems to need.
     stuck: bool,
     /// VMs that the lasting tasks need because of their spread.
@@ -96,10 +103,20 @@
 }
 
 impl Need {
+    /// VMs for the tasks that run and wait.
+    fn present(&self) -> usize {
+        self.vms_for(self.cores)
+    }
+
+    /// VMs for these tasks and the ones that are foreseen.
     fn target(&self) -> usize {
+        self.vms_for(self.cores.max(self.lasting + self.foreseen))
+    }
+
+    fn vms_for(&self, cores: f32) -> usize {
         let share =
             |amount: f32, unit: u32| (amount / (unit as f32 * FILLED).max(1.0)).ceil() as usize;
-        let cores = share(self.cores, self.unit.cores.0);
+        let cores = share(cores, self.unit.cores.0);
         let memory = share(self.memory, self.unit.memory.0);
         let grown = if self.stuck { self.size + 1 } else { 0 };
         cores.max(memory).max(self.spread).max(LEAST_VMS).max(grown)
@@ -115,6 +132,16 @@
 }
 
 impl Scheduler {
+    /// Lets the plan learn from a job that arrived.
+    pub(super) fn note_arrival(&mut self, job: &Job) {
+        let work = open_work(job);
+        if work > 0 {
+            let service = self.service_of(&job.submission).clone();
+            let trend = self.pools.trends.entry(service).or_default();
+            trend.note(work, self.limits.move_time, self.now.mono);
+        }
+    }
+
     pub(super) fn plan_pools(&mut self) {
         let now = self.now.mono;
         let planned = self.pools.planned.is_some_and(|at| now < at + PLAN_GAP);
@@ -131,11 +158,12 @@
         let mut wanting: Vec<ServiceId> = needs.keys().cloned().collect();
         wanting.sort_by_key(|service| std::cmp::Reverse(needs[service].deficit()));
         for service in wanting {
-            for _ in 0..needs[&service].deficit() {
+            while needs[&service].deficit() > 0 {
                 let Some(vm) = self.lender(&mut needs, &service).or_else(|| parked.pop()) else {
                     break;
                 };
                 self.move_vm(vm, &service);
+                needs.entry(service.clone()).and_modify(|need| need.size += 1);
             }
         }
         let surplus: Vec<VmId> = needs.values().flat_map(parkable).collect();
@@ -156,8 +184,8 @@
             let lasting = own().filter(|worker| self.hosts_lasting(worker)).count();
             info!(
                 target: "decision",
-                "pool={service} vms={} target={} lasting={lasting} idle={} used_m={used} wanted_m={} vm_m={} parked={parked} epoch={}",
-                need.size, need.target(), need.idle.len(), need.cores as u32, need.unit.cores.0, self.epoch
+                "pool={service} vms={} target={} lasting={lasting} idle={} used_m={used} wanted_m={} foreseen_m={} vm_m={} parked={parked} epoch={}",
+                need.size, need.target(), need.idle.len(), need.cores as u32, need.foreseen as u32, need.unit.cores.0, self.epoch
             );
         }
     }
@@ -217,6 +245,10 @@
         for slot in self.jobs.keys() {
             self.add_demand(slot, &mut needs);
         }
+        for (service, need) in &mut needs {
+            let trend = self.pools.trends.get(service);
+            need.foreseen = trend.map_or(0.0, |trend| trend.expected(self.now.mono));
+        }
         // A VM on its way may be all that is missing.
         for moving in self.pools.moves.values() {
             if let Some(need) = needs.get_mut(&moving.to) {
@@ -261,7 +293,9 @@
                         Phase::Idle if ready => PROVIDED,
                         Phase::Idle | Phase::Done => 0.0,
                     };
-                    need.cores += demand.cores.0 as f32 * share;
+                    let cores = demand.cores.0 as f32 * share;
+                    need.cores += cores;
+                    need.lasting += if spec.lasting { cores } else { 0.0 };
                     need.memory += demand.memory.0 as f32 * share;
                     let waited = self.now.mono.saturating_duration_since(task.idle_since);
                     need.stuck |= spec.lasting && task.is_idle() && waited > STUCK_AFTER;
@@ -287,11 +321,16 @@
 
     /// Takes an idle VM from the pool with the largest surplus.
     fn lender(&self, needs: &mut BTreeMap<ServiceId, Need>, to: &ServiceId) -> Option<VmId> {
+        // Tasks that wait count more than tasks that are foreseen.
+        let waits = needs.get(to).is_some_and(|need| need.present() > need.size);
+        let surplus = |need: &Need| {
+            if waits { need.size.saturating_sub(need.present()) } else { need.surplus() }
+        };
         let lends = |need: &Need| {
-            need.surplus() > 0 && need.idle.iter().any(|(_, _, idle)| *idle >= LEND_AFTER)
+            surplus(need) > 0 && need.idle.iter().any(|(_, _, idle)| *idle >= LEND_AFTER)
         };
         let lenders = needs.iter_mut().filter(|(service, need)| *service != to && lends(need));
-        let (_, need) = lenders.max_by_key(|(_, need)| need.surplus())?;
+        let (_, need) = lenders.max_by_key(|(_, need)| surplus(need))?;
         let longest = need.idle.iter().enumerate().max_by_key(|(_, (_, _, idle))| *idle)?.0;
         need.size -= 1;
         Some(need.idle.swap_remove(longest).0)
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -207,7 +207,9 @@
             return;
         }
         let progress = |number: u32| recorded.get(number as usize);
-        self.insert_job(Job::new(key, submission, fresh, self.now.mono, progress));
+        let job = Job::new(key, submission, fresh, self.now.mono, progress);
+        self.note_arrival(&job);
+        self.insert_job(job);
         self.place_due = true;
     }
 
--- a/crates/cj-sched/tests/sim/cases.rs
+++ b/crates/cj-sched/tests/sim/cases.rs
@@ -141,3 +141,33 @@
     let red = world.workers.iter().filter(|worker| worker.service.as_str() == "red").count();
     assert_eq!(red, 2);
 }
+
+/// Workers of the pool "red" after jobs arrive at these times, in ms, that its two VMs can run at once.
+fn grown(arrivals: &[u64]) -> usize {
+    let mut world = small(2);
+    for n in 0..8 {
+        world.add_worker(&format!("s{n}"), "spare", "rack-9");
+    }
+    world.run(3_000);
+    let begun = world.now;
+    for (key, at) in arrivals.iter().enumerate() {
+        let wait = begun + at - world.now;
+        world.run(wait);
+        world.submit(key as u64 + 1, "red", vec![step(2, 2_000, 1_000)]);
+    }
+    world.run(300);
+    world.workers.iter().filter(|worker| worker.service.as_str() == "red" || !worker.alive).count()
+}
+
+/// Guards against VMs that are called for only by the tasks that already wait, when a queue begins to rise.
+#[test]
+fn a_rising_queue_gets_vms_before_its_tasks_wait() {
+    assert!(grown(&[0, 850, 1_000, 1_100, 1_200, 1_250]) > 2);
+}
+
+/// Guards against VMs that are moved for a steady queue, or for two jobs that come together by chance.
+#[test]
+fn a_steady_queue_keeps_its_vms() {
+    assert_eq!(grown(&[0, 300, 600, 900, 1_200, 1_500]), 2);
+    assert_eq!(grown(&[0, 2_000, 2_010]), 2);
+}
