Measure takeovers and recovery of entry nodes in virtual time

bench takeover takes the owner away by a shutdown, kill, freeze, cut, or a store that refuses it, 20 times each, with the nodes of cj-entry on a simulated store and workers; bench recover loses all nodes with 100, 1,000 and 10,000 open jobs. The random choices of a node have a seed now, so equal seeds give equal reports. Processor time is not part of virtual time.

Cause: with a quarter of a core a node waits 0.2 to 0.36 s before it claims, after up to 0.21 s until it reads the release. CLAIM_DELAY is 35 ms a core instead of 50 ms.

--- /dev/null
+++ b/crates/cj-bench/src/entry/fleet.rs
@@ -0,0 +1,304 @@
+//! Workers, the store, and the entry nodes of one simulated site.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use cj_entry::{EntryNode, EntrySettings, Guard, Topic, front::Submitted, owner};
+use cj_sched::{
+    FleetConfig, JobKey, JobSpec, JobState, Pool, Queue, StepSpec, TaskId,
+    sched::{
+        EndKind, Limits, Listing, Refusal, StartOrder, VmRow, VmState, WorkerId, WorkerReport,
+    },
+};
+use cj_standin::task_worker::TaskWorker;
+use cj_types::{Accelerators, Mebibytes, Millicores, NodeId, Resources, ServiceId, Version, VmId};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::{
+    platform::{Condition, Link, NodeClock, NodePlatform},
+    store::Store,
+};
+
+/// Cores of a worker, in thousandths.
+const WORKER_CORES: Millicores = Millicores(16_000);
+
+/// Estimated run time of a task.
+const TASK: Duration = Duration::from_millis(500);
+
+/// Time between two tries of a caller whose job isn't accepted.
+const CALLER_RETRY: Duration = Duration::from_millis(150);
+
+/// Time that a caller waits for an answer.
+const CALLER_LIMIT: Duration = Duration::from_secs(3);
+
+/// The store, the workers, and what is counted there.
+pub(super) struct Fleet {
+    pub(super) store: Rc<Store>,
+    pub(super) config: FleetConfig,
+    workers: Vec<TaskWorker>,
+    base: tokio::time::Instant,
+    rng: Pcg64Mcg,
+    /// Acknowledged ends of tasks that are done.
+    done: HashMap<TaskId, u32>,
+    /// Core milliseconds of runs whose lease lapsed.
+    lapsed: u64,
+    /// When the first order to start came, by fencing token.
+    pub(super) ordered: HashMap<u64, tokio::time::Instant>,
+}
+
+fn service() -> ServiceId {
+    ServiceId::try_from("red").expect("the name is valid")
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: "red".into(),
+        host: "host".into(),
+        prefix: "/red/".into(),
+        service: service(),
+        priority: 0,
+        attempts: 3,
+        // Jobs are accepted however long the queue is.
+        stretch: 1_000.0,
+        target: Duration::from_millis(600),
+        advice: None,
+    }
+}
+
+fn resources(cores: Millicores) -> Resources {
+    Resources { cores, memory: Mebibytes(64_000), accelerators: Accelerators(0) }
+}
+
+impl Fleet {
+    fn new(workers: u32, seed: u64) -> Self {
+        let base = tokio::time::Instant::now();
+        let new = |n| {
+            let rack = format!("rack-{}", n % 4);
+            TaskWorker::new(&format!("w{n}"), &service(), &rack, resources(WORKER_CORES), 0)
+        };
+        let workers: Vec<_> = (0..workers).map(new).collect();
+        let store = Rc::new(Store::default());
+        let keys: Vec<_> = workers.iter().map(|w| (w.id.0.clone(), vec![1])).collect();
+        let config = [("config".into(), vec![1])];
+        for (topic, records) in [(Topic::Registry, &keys[..]), (Topic::Operator, &config[..])] {
+            store.append(topic, records, Guard::None).expect("no condition");
+        }
+        let pools = [(service(), Pool { guarded: false, spare: false })].into();
+        let config = FleetConfig { version: Version(1), queues: vec![queue()], pools };
+        let rng = Pcg64Mcg::seed_from_u64(seed);
+        let (done, ordered) = (HashMap::new(), HashMap::new());
+        Fleet { store, config, workers, base, rng, done, lapsed: 0, ordered }
+    }
+
+    fn now(&self) -> u64 {
+        (tokio::time::Instant::now() - self.base).as_millis() as u64
+    }
+
+    /// The worker, after the time that passed.
+    pub(super) fn worker(&mut self, id: &WorkerId) -> Option<&mut TaskWorker> {
+        let now = self.now();
+        let worker = self.workers.iter_mut().find(|worker| worker.id == *id)?;
+        let held: u32 = worker.used().cores.0;
+        let before = worker.ended.len();
+        worker.advance(now);
+        let lapsed = worker.ended[before..].iter().any(|row| row.how == EndKind::Lapsed);
+        // A lapsed run did about half of its work.
+        self.lapsed += if lapsed { u64::from(held) * TASK.as_millis() as u64 / 2 } else { 0 };
+        Some(worker)
+    }
+
+    pub(super) fn start(
+        &mut self,
+        id: &WorkerId,
+        order: &StartOrder,
+        token: u64,
+    ) -> Option<Result<(), Refusal>> {
+        let now = self.now();
+        let run_ms = (TASK.as_millis() as f64 * self.rng.random_range(0.6..1.4)) as u64;
+        self.ordered.entry(token).or_insert_with(tokio::time::Instant::now);
+        let started = self.worker(id)?.start(order, token, now, Some(run_ms), false);
+        Some(started.map(drop))
+    }
+
+    pub(super) fn list(
+        &mut self,
+        id: &WorkerId,
+        token: u64,
+        seen: u64,
+        deadline: Option<u64>,
+    ) -> Option<Result<Listing, Refusal>> {
+        let now = self.now();
+        let listed = self.worker(id)?.list(token, seen, deadline, now);
+        Some(listed.map(|(listing, told)| {
+            for row in told.iter().filter(|row| row.how == EndKind::Done) {
+                *self.done.entry(row.task).or_default() += 1;
+            }
+            listing
+        }))
+    }
+
+    pub(super) fn report(&self, key: &str) -> Option<WorkerReport> {
+        let worker = self.workers.iter().find(|worker| worker.id.0 == key)?;
+        Some(WorkerReport {
+            id: worker.id.clone(),
+            born: Some(worker.born),
+            service: worker.service.clone(),
+            address: "127.0.0.1:1".into(),
+            capacity: worker.capacity,
+            labels: vec!["a".into(), worker.rack.as_str().into()],
+            draining: false,
+            remaining: None,
+        })
+    }
+
+    pub(super) fn vms(&self) -> Vec<VmRow> {
+        let row = |worker: &TaskWorker| VmRow {
+            vm: VmId::clone(&worker.vm),
+            pool: worker.service.clone(),
+            state: VmState::Up,
+            labels: vec!["a".into(), worker.rack.as_str().into()],
+            capacity: worker.capacity,
+            worker: Some(worker.id.clone()),
+        };
+        self.workers.iter().map(row).collect()
+    }
+
+    /// True when all workers were called under a fencing token of at least `token`.
+    pub(super) fn is_taken(&self, token: u64) -> bool {
+        self.workers.iter().all(|worker| worker.token >= token)
+    }
+
+    /// Tasks of which more than one run was acknowledged as done.
+    pub(super) fn doubled(&self) -> usize {
+        self.done.values().filter(|ends| **ends > 1).count()
+    }
+
+    /// Core seconds of lapsed runs.
+    pub(super) fn lapsed_seconds(&self) -> f64 {
+        self.lapsed as f64 / 1e6
+    }
+}
+
+/// A node and its network.
+pub(super) struct Seat {
+    pub(super) node: Rc<EntryNode<NodePlatform, NodeClock>>,
+    pub(super) link: Rc<Link>,
+}
+
+/// A simulated site.
+pub(super) struct Site {
+    pub(super) fleet: Rc<RefCell<Fleet>>,
+    pub(super) seats: Vec<Seat>,
+    /// Jobs that were accepted.
+    accepted: Rc<RefCell<HashSet<JobKey>>>,
+    submitted: Cell<u64>,
+    rng: RefCell<Pcg64Mcg>,
+    base: Instant,
+}
+
+impl Site {
+    /// A site of workers without a node.
+    pub(super) fn new(workers: u32, seed: u64) -> Self {
+        let fleet = Rc::new(RefCell::new(Fleet::new(workers, seed)));
+        Site {
+            fleet,
+            seats: Vec::new(),
+            accepted: Rc::default(),
+            submitted: Cell::new(0),
+            rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed ^ 1)),
+            base: tokio::time::Instant::now().into_std(),
+        }
+    }
+
+    /// Starts a node.
+    pub(super) fn add_node(&mut self, cores: Millicores) {
+        let link = Link::new();
+        let platform = NodePlatform { fleet: self.fleet.clone(), link: link.clone() };
+        let settings = EntrySettings {
+            node: NodeId::try_from(format!("n{}", self.seats.len()).as_str())
+                .expect("the name is valid"),
+            limits: Limits::default(),
+            cores,
+            retention: Duration::from_secs(150),
+            seed: self.rng.borrow_mut().random(),
+        };
+        let node = EntryNode::new(platform, NodeClock(link.clone(), self.base), settings);
+        tokio::task::spawn_local(node.clone().follow());
+        tokio::task::spawn_local(owner::run(node.clone()));
+        self.seats.push(Seat { node, link });
+    }
+
+    /// The node that owns the fleet.
+    pub(super) fn owner(&self) -> Option<usize> {
+        let owns = |seat: &Seat| seat.node.events.borrow().is_some();
+        self.seats.iter().position(owns)
+    }
+
+    /// Highest fencing token that a node has read.
+    pub(super) fn epoch(&self) -> u64 {
+        self.seats.iter().map(|seat| seat.node.book.borrow().epoch()).max().unwrap_or_default()
+    }
+
+    /// Submits a job of `tasks` tasks; its caller tries nodes at random until one accepts it.
+    pub(super) fn submit(&self, tasks: u32) {
+        self.submitted.set(self.submitted.get() + 1);
+        let job = JobKey(self.submitted.get());
+        let nodes: Vec<_> =
+            self.seats.iter().map(|seat| (seat.node.clone(), seat.link.clone())).collect();
+        let mut rng = Pcg64Mcg::seed_from_u64(self.rng.borrow_mut().random());
+        let accepted = self.accepted.clone();
+        let queue = queue();
+        tokio::task::spawn_local(async move {
+            loop {
+                let (node, link) = &nodes[rng.random_range(0..nodes.len())];
+                let runs = !matches!(
+                    link.condition.get(),
+                    Condition::Killed | Condition::Frozen | Condition::Cut
+                );
+                if runs {
+                    let end = tokio::time::Instant::now() + CALLER_LIMIT;
+                    let answer = node.submit(&queue, job, spec(tasks), end.into_std());
+                    let answer = tokio::time::timeout_at(end, answer).await;
+                    if answer == Ok(Submitted::Accepted) {
+                        accepted.borrow_mut().insert(job);
+                        return;
+                    }
+                }
+                tokio::time::sleep(CALLER_RETRY).await;
+            }
+        });
+    }
+
+    /// True when all jobs that were submitted are accepted.
+    pub(super) fn is_accepted(&self) -> bool {
+        self.accepted.borrow().len() as u64 == self.submitted.get()
+    }
+
+    /// Accepted jobs that aren't completed, as a node that works sees them.
+    pub(super) fn unfinished(&self) -> usize {
+        let Some(seat) = self.seats.iter().find(|s| s.link.condition.get() == Condition::Well)
+        else {
+            return self.accepted.borrow().len();
+        };
+        let book = seat.node.book.borrow();
+        let completed =
+            |job: &JobKey| book.job(*job).is_some_and(|e| e.state() == JobState::Completed);
+        self.accepted.borrow().iter().filter(|job| !completed(job)).count()
+    }
+
+    /// Calls of all nodes to the store.
+    pub(super) fn store_calls(&self) -> u64 {
+        self.seats.iter().map(|seat| seat.link.store_calls.get()).sum()
+    }
+}
+
+fn spec(tasks: u32) -> JobSpec {
+    let demand = Resources { memory: Mebibytes(500), ..resources(Millicores(1_000)) };
+    let step = StepSpec { count: tasks, demand, estimate: TASK, ..StepSpec::default() };
+    JobSpec { text: String::new(), steps: vec![step], schedule: None }
+}
--- /dev/null
+++ b/crates/cj-bench/src/entry/mod.rs
@@ -0,0 +1,7 @@
+//! Entry nodes on a simulated platform, in virtual time.
+
+mod fleet;
+mod platform;
+pub mod recover;
+mod store;
+pub mod takeover;
--- /dev/null
+++ b/crates/cj-bench/src/entry/platform.rs
@@ -0,0 +1,254 @@
+//! One node's way to the store and the workers. Faults of a node are faults of its way.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use cj_entry::{Guard, Newest, OperatorChange, Page, Platform, RegistryChange, StoreError, Topic};
+use cj_sched::{
+    TaskId,
+    sched::{
+        AdviceAnswer, ListAnswer, OrderAnswer, Refusal, StartOrder, StepKey, Target, VmAnswer,
+        VmRow, WorkerId,
+    },
+};
+use cj_types::{Clock, Error, ServiceId, UnixMillis, VmId};
+use compact_str::CompactString;
+use tokio::sync::Notify;
+
+use super::fleet::Fleet;
+use crate::virtual_time::START;
+
+/// Time for an answer of the store.
+const STORE_CALL: Duration = Duration::from_millis(4);
+
+/// Time for an answer of a worker.
+const WORKER_CALL: Duration = Duration::from_millis(3);
+
+/// Time after which a call without an answer is given up.
+const CALL_LIMIT: Duration = Duration::from_millis(1_400);
+
+/// Time between two looks of a listing that waits for an end.
+const LIST_CHECK: Duration = Duration::from_millis(10);
+
+/// What a node's process and its network are like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Condition {
+    /// All works.
+    Well,
+    /// The process is gone.
+    Killed,
+    /// The process doesn't run, and goes on later.
+    Frozen,
+    /// No call of it is answered.
+    Cut,
+    /// The store refuses its calls.
+    Refused,
+}
+
+/// A node's process and its network.
+pub(super) struct Link {
+    pub(super) condition: Cell<Condition>,
+    /// The condition changed.
+    changed: Notify,
+    /// Time that the process sees while it is frozen.
+    frozen_at: Cell<Option<Instant>>,
+    /// Calls to the store.
+    pub(super) store_calls: Cell<u64>,
+}
+
+impl Link {
+    pub(super) fn new() -> Rc<Self> {
+        Rc::new(Link {
+            condition: Cell::new(Condition::Well),
+            changed: Notify::new(),
+            frozen_at: Cell::default(),
+            store_calls: Cell::default(),
+        })
+    }
+
+    pub(super) fn set(&self, condition: Condition) {
+        let frozen = condition == Condition::Frozen;
+        self.frozen_at.set(frozen.then(|| tokio::time::Instant::now().into_std()));
+        self.condition.set(condition);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits while the process doesn't run.
+    async fn run(&self) {
+        while matches!(self.condition.get(), Condition::Killed | Condition::Frozen) {
+            self.changed.notified().await;
+        }
+    }
+}
+
+/// Clock of a node; it stands still while the process is frozen.
+#[derive(Clone)]
+pub(super) struct NodeClock(pub(super) Rc<Link>, pub(super) Instant);
+
+impl Clock for NodeClock {
+    fn now(&self) -> Instant {
+        self.0.frozen_at.get().unwrap_or_else(|| tokio::time::Instant::now().into_std())
+    }
+
+    fn wall(&self) -> UnixMillis {
+        START + self.now().saturating_duration_since(self.1)
+    }
+}
+
+/// The platform as one node sees it.
+pub(super) struct NodePlatform {
+    pub(super) fleet: Rc<RefCell<Fleet>>,
+    pub(super) link: Rc<Link>,
+}
+
+impl NodePlatform {
+    async fn store<T, F>(&self, call: F) -> Result<T, StoreError>
+    where
+        F: FnOnce(&Fleet) -> Result<T, StoreError>,
+    {
+        self.link.run().await;
+        self.link.store_calls.set(self.link.store_calls.get() + 1);
+        match self.link.condition.get() {
+            Condition::Cut => {
+                tokio::time::sleep(CALL_LIMIT).await;
+                return Err(StoreError::Unanswered("cut".into()));
+            }
+            Condition::Refused => {
+                tokio::time::sleep(STORE_CALL).await;
+                return Err(StoreError::Refused("503".into()));
+            }
+            _ => tokio::time::sleep(STORE_CALL).await,
+        }
+        self.link.run().await;
+        let answer = call(&self.fleet.borrow());
+        self.link.run().await;
+        answer
+    }
+
+    /// Calls a worker; `None` when it can't be reached.
+    async fn worker<T, F>(&self, call: F) -> Option<T>
+    where
+        F: FnOnce(&mut Fleet) -> Option<T>,
+    {
+        self.link.run().await;
+        if self.link.condition.get() == Condition::Cut {
+            tokio::time::sleep(CALL_LIMIT).await;
+            return None;
+        }
+        tokio::time::sleep(WORKER_CALL).await;
+        self.link.run().await;
+        call(&mut self.fleet.borrow_mut())
+    }
+
+    async fn order<F>(&self, call: F) -> OrderAnswer
+    where
+        F: FnOnce(&mut Fleet) -> Option<Result<(), Refusal>>,
+    {
+        match self.worker(call).await {
+            Some(Ok(())) => OrderAnswer::Done,
+            Some(Err(refusal)) => OrderAnswer::Refused(refusal),
+            None => OrderAnswer::Unanswered,
+        }
+    }
+}
+
+impl Platform for NodePlatform {
+    async fn append(
+        &self,
+        topic: Topic,
+        records: &[(CompactString, Vec<u8>)],
+        guard: Guard,
+    ) -> Result<u64, StoreError> {
+        self.store(|fleet| fleet.store.append(topic, records, guard)).await
+    }
+
+    async fn read(&self, topic: Topic, from: u64, wait: Duration) -> Result<Page, StoreError> {
+        let end = tokio::time::Instant::now() + wait;
+        let store = self.fleet.borrow().store.clone();
+        loop {
+            let appended = store.appended.notified();
+            if store.read(topic, from).end > from {
+                break;
+            }
+            if tokio::time::timeout_at(end, appended).await.is_err() {
+                break;
+            }
+        }
+        self.store(|fleet| Ok(fleet.store.read(topic, from))).await
+    }
+
+    async fn newest(&self, topic: Topic, after: Option<&str>) -> Result<Newest, StoreError> {
+        self.store(|fleet| Ok(fleet.store.newest(topic, after))).await
+    }
+
+    fn operator_change(&self, _: &str, _: &[u8]) -> cj_types::Result<OperatorChange> {
+        Ok(OperatorChange::Config(self.fleet.borrow().config.clone()))
+    }
+
+    fn registry_change(&self, key: &str, _: &[u8]) -> cj_types::Result<RegistryChange> {
+        let report = self.fleet.borrow().report(key);
+        report.map(RegistryChange::Reported).ok_or_else(|| Error::decode("registration", key))
+    }
+
+    fn report_wave(&self, _: u64, _: bool) -> impl Future<Output = Result<(), StoreError>> {
+        std::future::ready(Ok(()))
+    }
+
+    async fn start(&self, target: &Target, order: &StartOrder, token: u64) -> OrderAnswer {
+        self.order(|fleet| fleet.start(&target.worker, order, token)).await
+    }
+
+    async fn stop(&self, target: &Target, task: &TaskId, run: u64, token: u64) -> OrderAnswer {
+        self.order(|fleet| Some(fleet.worker(&target.worker)?.stop(*task, run, token))).await
+    }
+
+    async fn pace(&self, _: &Target, _: &TaskId, _: u64, _: u8, _: u64) -> OrderAnswer {
+        OrderAnswer::Refused(Refusal::Invalid)
+    }
+
+    async fn list(
+        &self,
+        target: &Target,
+        deadline: Option<u64>,
+        seen: u64,
+        wait: Duration,
+        token: u64,
+    ) -> ListAnswer {
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            let listed = self.worker(|fleet| fleet.list(&target.worker, token, seen, deadline));
+            match listed.await {
+                None => return ListAnswer::Unanswered,
+                Some(Err(refusal)) => return ListAnswer::Refused(refusal),
+                Some(Ok(listing)) => {
+                    let ended = listing.ended.iter().any(|row| row.number > seen);
+                    if ended || tokio::time::Instant::now() >= end {
+                        return ListAnswer::Listed(listing);
+                    }
+                }
+            }
+            tokio::time::sleep(LIST_CHECK).await;
+        }
+    }
+
+    async fn advise(&self, _: &StepKey, _: &[WorkerId]) -> AdviceAnswer {
+        AdviceAnswer::Later
+    }
+
+    async fn vms(&self) -> Result<Vec<VmRow>, StoreError> {
+        let rows = self.worker(|fleet| Some(fleet.vms())).await;
+        rows.ok_or_else(|| StoreError::Unanswered("cut".into()))
+    }
+
+    async fn maintain_vm(&self, _: &VmId, _: u64, _: u64) -> VmAnswer {
+        VmAnswer::Later
+    }
+
+    async fn move_vm(&self, _: &VmId, _: &ServiceId, _: u64) -> VmAnswer {
+        VmAnswer::Later
+    }
+}
--- /dev/null
+++ b/crates/cj-bench/src/entry/recover.rs
@@ -0,0 +1,80 @@
+//! Recovery after all nodes were lost: how long until the first order, by open jobs.
+
+use std::time::Duration;
+
+use cj_types::{Millicores, Result};
+use serde_json::{Value, json};
+
+use super::{fleet::Site, platform::Condition};
+use crate::{Options, virtual_time};
+
+/// Open jobs when all nodes are lost.
+const OPEN_JOBS: [u32; 3] = [100, 1_000, 10_000];
+
+/// Nodes that start again.
+const NODES: u32 = 3;
+
+/// Workers unless the options say otherwise; few, so that most jobs are open when the nodes are lost.
+const WORKERS: u32 = 1;
+
+/// Processor time of a node, in thousandths of a core.
+const NODE_CORES: Millicores = Millicores(250);
+
+/// Jobs submitted together.
+const BATCH: u32 = 400;
+
+/// Time between two batches.
+const BATCH_GAP: Duration = Duration::from_millis(20);
+
+/// Longest time until an order.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Time between two looks for an order.
+const CHECK: Duration = Duration::from_millis(5);
+
+/// Loses all nodes with 100, 1,000 and 10,000 open jobs, and starts others. Reports for each the time to the first order of
+/// the next owner in ms, and the bytes that its nodes read from the store until then.
+///
+/// # Errors
+///
+/// The runtime can't be started.
+pub fn run(options: &Options) -> Result<Value> {
+    let rows: Result<Vec<Value>> =
+        OPEN_JOBS.iter().map(|jobs| virtual_time::run(play(*jobs, options))).collect();
+    Ok(json!({ "recover": rows? }))
+}
+
+async fn play(jobs: u32, options: &Options) -> Value {
+    let mut site = Site::new(options.workers.unwrap_or(WORKERS), options.seed);
+    site.add_node(NODE_CORES);
+    while site.owner().is_none() {
+        tokio::time::sleep(CHECK).await;
+    }
+    for batch in 0..jobs.div_ceil(BATCH) {
+        let count = BATCH.min(jobs - batch * BATCH);
+        (0..count).for_each(|_| site.submit(1));
+        tokio::time::sleep(BATCH_GAP).await;
+    }
+    while !site.is_accepted() {
+        tokio::time::sleep(CHECK).await;
+    }
+    let (open, epoch) = (site.unfinished(), site.epoch());
+    site.seats.iter().for_each(|seat| seat.link.set(Condition::Killed));
+    let store = site.fleet.borrow().store.clone();
+    let (begun, bytes) = (tokio::time::Instant::now(), store.read_bytes.get());
+    for _ in 0..options.nodes.unwrap_or(NODES) {
+        site.add_node(NODE_CORES);
+    }
+    let ordered = |site: &Site| {
+        let fleet = site.fleet.borrow();
+        fleet.ordered.iter().find(|(token, _)| **token > epoch).map(|(_, at)| *at - begun)
+    };
+    while ordered(&site).is_none() && begun.elapsed() < LIMIT {
+        tokio::time::sleep(CHECK).await;
+    }
+    json!({
+        "open_jobs": open,
+        "first_order_ms": ordered(&site).map(|took| took.as_millis() as u64),
+        "read_bytes": store.read_bytes.get() - bytes,
+    })
+}
--- /dev/null
+++ b/crates/cj-bench/src/entry/takeover.rs
@@ -0,0 +1,149 @@
+//! Takeovers of the fleet: how long until the next owner has called all workers.
+
+use std::time::Duration;
+
+use cj_types::{Millicores, Result};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Map, Value, json};
+
+use super::{fleet::Site, platform::Condition};
+use crate::{
+    Options,
+    virtual_time::{self, Durations},
+};
+
+/// Takeovers of each kind.
+const TRIALS: u64 = 20;
+
+/// Entry nodes unless the options say otherwise.
+const NODES: u32 = 7;
+
+/// Workers unless the options say otherwise.
+const WORKERS: u32 = 24;
+
+/// Processor time of a node, in thousandths of a core.
+const NODE_CORES: Millicores = Millicores(250);
+
+/// Time between two jobs.
+const JOB_GAP: Duration = Duration::from_millis(60);
+
+/// Tasks of a job.
+const JOB_TASKS: u32 = 4;
+
+/// Least time before the fault.
+const WARM_UP: Duration = Duration::from_secs(4);
+
+/// Time that the fault lasts, and jobs go on to arrive.
+const FAULT: Duration = Duration::from_secs(7);
+
+/// Time for all jobs to end.
+const SETTLE: Duration = Duration::from_secs(15);
+
+/// Time between two looks whether all workers were called.
+const CHECK: Duration = Duration::from_millis(5);
+
+/// What happens to the owner.
+#[derive(Clone, Copy)]
+enum Fault {
+    /// It shuts down.
+    Planned,
+    /// Its process or network is in this condition.
+    Broken(Condition),
+}
+
+const FAULTS: &[(&str, Fault)] = &[
+    ("planned", Fault::Planned),
+    ("kill", Fault::Broken(Condition::Killed)),
+    ("freeze", Fault::Broken(Condition::Frozen)),
+    ("cut", Fault::Broken(Condition::Cut)),
+    ("store_refused", Fault::Broken(Condition::Refused)),
+];
+
+/// What one takeover took.
+struct Outcome {
+    /// `None` when no other node called all workers in time.
+    took: Option<Duration>,
+    lapsed: f64,
+    calls: u64,
+    doubled: usize,
+    lost: usize,
+}
+
+/// Takes the owner away in several ways, under a steady load. Times are in ms from the fault to the first call of the last
+/// worker by another owner, `lapsed_core_s` is the work of runs whose lease lapsed, `store_calls` the calls of all nodes
+/// while the fault lasted, the last two as means of a takeover.
+///
+/// # Errors
+///
+/// The runtime can't be started.
+pub fn run(options: &Options) -> Result<Value> {
+    let mut report = Map::new();
+    for (name, fault) in FAULTS {
+        let outcomes: Result<Vec<Outcome>> = (0..TRIALS)
+            .map(|trial| virtual_time::run(play(*fault, options, options.seed * 1_000 + trial)))
+            .collect();
+        report.insert((*name).to_owned(), summary(&outcomes?));
+    }
+    Ok(Value::Object(report))
+}
+
+fn summary(outcomes: &[Outcome]) -> Value {
+    let mut times = Durations::new();
+    outcomes.iter().filter_map(|outcome| outcome.took).for_each(|took| times.add(took));
+    let trials = outcomes.len() as f64;
+    json!({
+        "p50_ms": times.millis(0.5),
+        "p99_ms": times.millis(0.99),
+        "lapsed_core_s": outcomes.iter().map(|outcome| outcome.lapsed).sum::<f64>() / trials,
+        "store_calls": outcomes.iter().map(|outcome| outcome.calls).sum::<u64>() as f64 / trials,
+        "doubled": outcomes.iter().map(|outcome| outcome.doubled).sum::<usize>(),
+        "lost": outcomes.iter().map(|outcome| outcome.lost).sum::<usize>(),
+        "trials": outcomes.len(),
+        "never": outcomes.iter().filter(|outcome| outcome.took.is_none()).count(),
+    })
+}
+
+async fn play(fault: Fault, options: &Options, seed: u64) -> Outcome {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut site = Site::new(options.workers.unwrap_or(WORKERS), seed);
+    for _ in 0..options.nodes.unwrap_or(NODES) {
+        site.add_node(NODE_CORES);
+    }
+    let warm_up = WARM_UP + Duration::from_millis(rng.random_range(0..1_000));
+    load(&site, warm_up).await;
+    let Some(owner) = site.owner() else {
+        return Outcome { took: None, lapsed: 0.0, calls: 0, doubled: 0, lost: site.unfinished() };
+    };
+    let (begun, calls, epoch) = (tokio::time::Instant::now(), site.store_calls(), site.epoch());
+    match fault {
+        Fault::Planned => site.seats[owner].node.begin_stop(),
+        Fault::Broken(condition) => site.seats[owner].link.set(condition),
+    }
+    let fleet = site.fleet.clone();
+    let watch = tokio::task::spawn_local(async move {
+        while !fleet.borrow().is_taken(epoch + 1) {
+            tokio::time::sleep(CHECK).await;
+        }
+        begun.elapsed()
+    });
+    load(&site, FAULT).await;
+    let calls = site.store_calls() - calls;
+    let took = if watch.is_finished() { watch.await.ok() } else { None };
+    if matches!(fault, Fault::Broken(condition) if condition != Condition::Killed) {
+        site.seats[owner].link.set(Condition::Well);
+    }
+    tokio::time::sleep(SETTLE).await;
+    let fleet = site.fleet.borrow();
+    let (lapsed, doubled) = (fleet.lapsed_seconds(), fleet.doubled());
+    Outcome { took, lapsed, calls, doubled, lost: site.unfinished() }
+}
+
+/// Submits jobs for some time.
+async fn load(site: &Site, span: Duration) {
+    let end = tokio::time::Instant::now() + span;
+    while tokio::time::Instant::now() < end {
+        site.submit(JOB_TASKS);
+        tokio::time::sleep(JOB_GAP).await;
+    }
+}
--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod buffer;
 pub mod cancel;
 pub mod control;
+pub mod entry;
 mod fake;
 pub mod fleet;
 pub mod flood;
@@ -45,8 +46,10 @@
     ("fold", fold::run),
     ("membership", membership::run),
     ("place", place::run),
+    ("recover", entry::recover::run),
     ("rollout", rollout::run),
     ("route", route::run),
     ("settings", settings::run),
     ("storm", storm::run),
+    ("takeover", entry::takeover::run),
 ];
--- /dev/null
+++ b/crates/cj-bench/tests/entry.rs
@@ -0,0 +1,41 @@
+//! Takeovers and recovery of entry nodes in virtual time.
+
+use cj_bench::{
+    Options,
+    entry::{recover, takeover},
+};
+use cj_types::Result;
+
+const OPTIONS: Options = Options { seed: 7, workers: None, nodes: None };
+
+/// Guards against owners that are replaced late, and against jobs that are lost or done twice on the way.
+#[test]
+fn takeovers_keep_to_their_bounds() -> Result<()> {
+    let report = takeover::run(&OPTIONS)?;
+    for kind in ["planned", "kill", "freeze", "cut", "store_refused"] {
+        for count in ["doubled", "lost", "never"] {
+            assert_eq!(report[kind][count], 0, "{kind}: {count}");
+        }
+    }
+    let p99 = |kind: &str| report[kind]["p99_ms"].as_f64().unwrap();
+    assert!(p99("planned") <= 500.0, "{}", p99("planned"));
+    assert!(p99("kill") <= 4_500.0, "{}", p99("kill"));
+    Ok(())
+}
+
+/// Guards against a recovery whose reads grow faster than the open jobs.
+#[test]
+fn recovery_is_linear_in_open_jobs() -> Result<()> {
+    let report = recover::run(&OPTIONS)?;
+    let rows = report["recover"].as_array().unwrap();
+    let per_job = |n: usize| {
+        let open = rows[n]["open_jobs"].as_f64().unwrap();
+        assert!(open > 0.0);
+        rows[n]["read_bytes"].as_f64().unwrap() / open
+    };
+    assert!(per_job(1) < 1.5 * per_job(0) && per_job(2) < 1.5 * per_job(1));
+    for row in rows {
+        assert!(row["first_order_ms"].as_u64().is_some_and(|ms| ms <= 4_500), "{row}");
+    }
+    Ok(())
+}
--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -16,6 +16,8 @@
 use cj_types::{Clock, Millicores, NodeId};
 use futures::future::join_all;
 use log::{info, warn};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use tokio::sync::{Notify, mpsc};
 
 use crate::{
@@ -45,6 +47,8 @@
     pub cores: Millicores,
     /// How long a job that is final can be asked for.
     pub retention: Duration,
+    /// Seed of the node's random choices.
+    pub seed: u64,
 }
 
 /// An entry node.
@@ -83,6 +87,8 @@
     pub stopping: Cell<bool>,
     /// Set with `stopping`.
     pub stop: Notify,
+    /// Source of random choices.
+    pub(crate) rng: RefCell<Pcg64Mcg>,
 }
 
 impl<P, C> EntryNode<P, C>
@@ -93,6 +99,7 @@
     /// A node that knows nothing yet.
     pub fn new(platform: P, clock: C, settings: EntrySettings) -> Rc<Self> {
         let outbox = Outbox::new(&settings.node);
+        let rng = RefCell::new(Pcg64Mcg::seed_from_u64(settings.seed));
         Rc::new(EntryNode {
             platform,
             clock,
@@ -111,6 +118,7 @@
             wants_vms: Cell::default(),
             stopping: Cell::default(),
             stop: Notify::new(),
+            rng,
         })
     }
 
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -49,7 +49,7 @@
 
 /// A node with one core waits this long before it claims; one with less waits longer in proportion. The owner needs more
 /// processor time than the other nodes, and its own share bounds what the fleet can start.
-const CLAIM_DELAY: Duration = Duration::from_millis(50);
+const CLAIM_DELAY: Duration = Duration::from_millis(35);
 
 /// Least share of a core that the delay of a claim is worked out with.
 const LEAST_CORES: f64 = 0.1;
@@ -155,7 +155,7 @@
     let own = node.settings.cores;
     let share = f64::from(own.0) / 1_000.0;
     let least = CLAIM_DELAY.div_f64(share.max(LEAST_CORES));
-    let usual = least.mul_f64(rand::rng().random_range(1.0..CLAIM_SPREAD));
+    let usual = least.mul_f64(node.rng.borrow_mut().random_range(1.0..CLAIM_SPREAD));
     let book = node.book.borrow();
     let weak = book.owner().is_some_and(|owner| own.0 * 2 < owner.beat.cores.0);
     if weak { usual + WEAK_DELAY } else { usual }
--- a/crates/cj-entry/tests/entry/front.rs
+++ b/crates/cj-entry/tests/entry/front.rs
@@ -44,6 +44,7 @@
         limits: Limits::default(),
         cores: Millicores(1_000),
         retention: Duration::from_secs(150),
+        seed: 1,
     };
     let node = EntryNode::new(platform, clock, settings);
     let config = FleetConfig { version: Version(1), queues: vec![queue()], ..Default::default() };
