--- a/crates/cj-entry/src/follow.rs
+++ b/crates/cj-entry/src/follow.rs
@@ -63,6 +63,11 @@
         self.loaded.get() && silence.is_some_and(|silence| silence < LINK_SILENCE)
     }
 
+    /// Time since all records were known; `None` when they never were.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        self.known_at.get().map(|at| now.saturating_duration_since(at))
+    }
+
     /// True while reads are answered.
     pub fn is_answered(&self) -> bool {
         !self.lost.get()
--- a/crates/cj-entry/src/front.rs
+++ b/crates/cj-entry/src/front.rs
@@ -7,7 +7,7 @@
 
 use cj_sched::{JobKey, JobSpec, JobState, Queue, Record, Submission, codec};
 use cj_types::Clock;
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use log::info;
 
 use crate::{
@@ -95,17 +95,17 @@
         let version =
             self.config.borrow().as_ref().map(|config| config.version).unwrap_or_default();
         let offset = self.jobs.next();
+        let (choice, outcome, retry) = match &answer {
+            Submitted::Accepted => ("accepted", "accepted", Duration::ZERO),
+            Submitted::Invalid(_) => ("invalid", "invalid", Duration::ZERO),
+            Submitted::Refused(reason, after) => ("refused", *reason, *after),
+            Submitted::Unknown => ("unknown", "unknown", Duration::ZERO),
+        };
         info!(
             target: "decision",
-            "job={job} request=submit queue={} config={version} offset={offset} choice={answer:?}",
-            queue.name
+            "job={job} request=submit queue={} config={version} offset={offset} choice={choice} reason={outcome} retry_ms={}",
+            queue.name, retry.as_millis()
         );
-        let outcome = match &answer {
-            Submitted::Accepted => "accepted",
-            Submitted::Invalid(_) => "invalid",
-            Submitted::Refused(reason, _) => reason,
-            Submitted::Unknown => "unknown",
-        };
         self.count("submit", outcome);
         answer
     }
@@ -124,6 +124,7 @@
             return Submitted::Invalid(CompactString::from(error.to_string()));
         }
         if !self.reaches_store() {
+            self.log_unreachable(job);
             return Submitted::Refused("store_unreachable", STORE_RETRY);
         }
         let objective = spec.chain().mul_f32(queue.stretch.max(1.0)) + queue.target;
@@ -153,6 +154,17 @@
         }
     }
 
+    /// Tells what the node knows of the store.
+    fn log_unreachable(&self, job: JobKey) {
+        let now = self.clock.now();
+        let age = self.jobs.age(now).map(|age| age.as_millis().to_compact_string());
+        info!(
+            target: "decision",
+            "job={job} reason=store_unreachable read_age_ms={} reads_answered={} append_stalled={}",
+            age.as_deref().unwrap_or("never"), self.jobs.is_answered(), self.outbox.is_stalled(now)
+        );
+    }
+
     /// Tells which load decided a refusal, and how old it is.
     fn log_overload(&self, job: JobKey, queue: &Queue, objective: Duration) {
         let book = self.book.borrow();
@@ -195,16 +207,16 @@
     /// Cancels a job.
     pub async fn cancel(self: &Rc<Self>, job: JobKey, deadline: Instant) -> Cancelled {
         let answer = self.decide_cancel(job, deadline).await;
-        info!(
-            target: "decision",
-            "job={job} request=cancel offset={} choice={answer:?}", self.jobs.next()
-        );
         let outcome = match &answer {
             Cancelled::Done => "done",
             Cancelled::Gone => "gone",
             Cancelled::Refused(_) => "refused",
             Cancelled::Unknown => "unknown",
         };
+        info!(
+            target: "decision",
+            "job={job} request=cancel offset={} choice={outcome}", self.jobs.next()
+        );
         self.count("cancel", outcome);
         answer
     }
--- a/crates/cj-entry/src/logging.rs
+++ b/crates/cj-entry/src/logging.rs
@@ -25,6 +25,10 @@
 /// Time for the last lines at the end of the process.
 const FLUSH_LIMIT: Duration = Duration::from_millis(200);
 
+/// Most bytes of one write, unless a single line is longer. A pipe takes a write of this size as a whole, so a collector that
+/// reads several processes never gets a part of a line.
+const WRITE_BYTES: usize = 4_096;
+
 static PENDING: OnceLock<Arc<AtomicUsize>> = OnceLock::new();
 
 /// Count of dropped lines.
@@ -104,6 +108,9 @@
         batch.extend_from_slice(&first);
         let mut count = 1;
         while let Ok(line) = received.try_recv() {
+            if batch.len() + line.len() > WRITE_BYTES {
+                print(&mut batch);
+            }
             batch.extend_from_slice(&line);
             count += 1;
         }
@@ -114,12 +121,18 @@
             );
             told = lost;
         }
-        // There is nowhere to report that the output is gone.
-        let _ = io::stdout().write_all(&batch);
+        print(&mut batch);
         pending.fetch_sub(count, Ordering::Relaxed);
     }
 }
 
+fn print(batch: &mut Vec<u8>) {
+    let mut output = io::stdout().lock();
+    // There is nowhere to report that the output is gone.
+    let _ = output.write_all(batch).and_then(|()| output.flush());
+    batch.clear();
+}
+
 /// Waits a moment until the last lines are written.
 pub fn flush() {
     let Some(pending) = PENDING.get() else { return };
--- /dev/null
+++ b/crates/cj-story/src/lib.rs
@@ -0,0 +1,12 @@
+//! Tells from the log lines of entry nodes what became of a request, and why.
+
+mod cause;
+mod line;
+mod read;
+mod runs;
+mod story;
+
+pub use cause::causes;
+pub use line::Line;
+pub use read::read_logs;
+pub use story::{Part, Story, story};
--- /dev/null
+++ b/crates/cj-story/tests/story.rs
@@ -0,0 +1,79 @@
+//! Log lines are read back whole, and the cause of a refusal or a delay is named.
+
+use cj_story::{Line, Part, causes, story};
+
+const JOB: &str = "0e5ba474e38ad43a";
+
+fn lines(rows: &[&str]) -> Vec<Line> {
+    rows.iter().map(|row| Line::parse(row).unwrap_or_else(|| panic!("unread: {row}"))).collect()
+}
+
+fn told(rows: &[&str], id: &str) -> Vec<String> {
+    let lines = lines(rows);
+    causes(&story(&lines, id)).into_iter().map(|(_, cause)| cause).collect()
+}
+
+/// Guards against a log format that explain can't read.
+#[test]
+fn lines_are_read_back_whole() {
+    let rows = [
+        "at=17 level=INFO node=n1 kind=decision job=0e5ba474e38ad43a request=submit queue=q config=6 offset=9 choice=accepted reason=accepted retry_ms=0",
+        "at=18 level=WARN node=n1 kind=link topic=jobs choice=lost next=4 cause=\"no answer: Timeout while waiting\"",
+        "at=19 level=INFO node=n1 kind=decision task=0e5ba474e38ad43a.0.1.2 run=1048576 worker=w choice=start epoch=1 config=6 free=\"4700m 31312MiB 0acc\" listing_age_ms=0",
+    ];
+    for row in rows {
+        assert_eq!(Line::parse(row).unwrap().to_string(), row);
+        let collected = format!("   9.0502 front-1 {row}");
+        assert_eq!(Line::parse(&collected).unwrap().to_string(), row);
+    }
+    assert_eq!(Line::parse("stack backtrace:"), None);
+    assert_eq!(Line::parse("at=1 level=INFO node"), None);
+    assert_eq!(Line::parse("at=1 cause=\"cut"), None);
+}
+
+/// Guards against a refusal that is shown without the load that decided it.
+#[test]
+fn names_the_load_behind_a_refusal() {
+    let causes = told(
+        &[
+            "at=100 node=n1 kind=decision job=0e5ba474e38ad43a reason=overload service=s wait_ms=9000 objective_ms=800 epoch=1 load_offset=3 load_age_ms=20",
+            "at=101 node=n1 kind=decision job=0e5ba474e38ad43a request=submit queue=q choice=refused reason=overload retry_ms=2600",
+        ],
+        JOB,
+    );
+    assert_eq!(causes.len(), 1);
+    assert!(
+        causes[0].contains("s has 9000 ms") && causes[0].contains("after 2600 ms"),
+        "{causes:?}"
+    );
+}
+
+/// Guards against a delay by a lost worker or a takeover that isn't named.
+#[test]
+fn names_the_lost_worker_and_the_takeover() {
+    let rows = [
+        "at=100 node=n1 kind=decision job=0e5ba474e38ad43a request=submit queue=q choice=accepted reason=accepted retry_ms=0",
+        "at=1900 node=n2 kind=decision choice=own epoch=2 offset=8",
+        "at=2000 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=7 worker=w1 choice=start epoch=2",
+        "at=2500 node=n2 kind=decision worker=w1 choice=end_life runs=1 cause=\"no running VM names it\"",
+        "at=2500 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=7 choice=lose",
+        "at=2600 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=8 worker=w2 choice=start epoch=2",
+        "at=3100 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=8 worker=w2 end=Done number=1",
+        "at=3100 node=n2 kind=decision job=0e5ba474e38ad43a occurrence=0 choice=completed",
+        "at=3200 node=n2 kind=decision worker=w9 choice=end_life runs=0 cause=\"registered again\"",
+    ];
+    let causes = told(&rows, JOB);
+    assert!(causes.iter().any(|cause| cause.contains("n2 took over the fleet 1800 ms after")));
+    assert!(causes.iter().any(|cause| cause.contains("lost with w1: no running VM names it")));
+    let lines = lines(&rows);
+    let story = story(&lines, JOB);
+    assert!(story.around().all(|line| line.get("worker") != Some("w9")), "another worker");
+    assert_eq!(story.lines.iter().filter(|(part, _)| *part == Part::Own).count(), 6);
+}
+
+/// Guards against an id of one job that is found in another one's.
+#[test]
+fn an_id_names_itself_only() {
+    let rows = ["at=1 node=n1 kind=decision task=0e5ba474e38ad43ab.0.0.0 choice=start"];
+    assert!(story(&lines(&rows), JOB).lines.is_empty());
+}
--- a/crates/copperjunction/src/commands/explain.rs
+++ b/crates/copperjunction/src/commands/explain.rs
@@ -1,8 +1,11 @@
 //! `explain`: tells why a job, a VM or a setting was treated as it was.
 
+use std::path::{Path, PathBuf};
+
 use lexopt::{Arg, Parser, ValueExt};
-use serde_json::Value;
+use serde_json::{Value, json};
 
+use cj_story::{Part, causes, read_logs, story};
 use cj_types::{Error, ErrorKind, Result};
 
 use crate::{
@@ -22,23 +25,28 @@
 Tells from the recorded decisions why a job, a VM or a setting was treated as it was.
 
 Usage: copperjunction explain --node IP:PORT ID
+       copperjunction explain --logs PATH ID
 
-ID is a VM id, CALLER/KEY of a job, or the path of a setting.
+With --node, ID is a VM id, CALLER/KEY of a job, or the path of a setting. With --logs, it is the id of a job, task, worker,
+VM or wave in the log lines of `copperjunction-entry`.
 
 Options:
   --node IP:PORT      operator address of an entry node
+  --logs PATH         file or folder with the log lines of all nodes
   --report text|json  form of the report [text]
   -h, --help          show this help
 
 Example:
   copperjunction explain --node 127.0.0.1:7003 worker-07
+  copperjunction explain --logs logs/ 0e5ba474e38ad43a
 ";
 
 fn run(parser: &mut Parser) -> Result<Exit> {
-    let (mut node, mut report, mut id) = (None, Report::Text, None);
+    let (mut node, mut logs, mut report, mut id) = (None, None, Report::Text, None);
     while let Some(arg) = parser.next().map_err(|e| wrong_use(&e))? {
         match arg {
             Arg::Long("node") => node = Some(address(&text(parser)?)?),
+            Arg::Long("logs") => logs = Some(PathBuf::from(text(parser)?)),
             Arg::Long("report") => report = text(parser)?.parse()?,
             Arg::Value(value) if id.is_none() => {
                 id = Some(value.string().map_err(|e| wrong_use(&e))?);
@@ -50,8 +58,11 @@
             other => return Err(wrong_use(&other.unexpected())),
         }
     }
-    let node = node.ok_or_else(no_node)?;
     let id = id.ok_or_else(|| usage("no id given", "name a VM, CALLER/KEY or a settings path"))?;
+    if let Some(path) = logs {
+        return tell(&path, &id, report);
+    }
+    let node = node.ok_or_else(no_node)?;
     let (code, answer) = block_on(Operator::new(node).get(&format!("/explain/{id}")))?;
     if code != 200 {
         let reason = answer["error"].as_str().unwrap_or("no answer").to_owned();
@@ -65,6 +76,48 @@
     Ok(Exit::Ok)
 }
 
+/// Tells the story of an id from logs.
+fn tell(path: &Path, id: &str, report: Report) -> Result<Exit> {
+    let (lines, unread) = read_logs(path)?;
+    let story = story(&lines, id);
+    let Some((_, first)) = story.lines.first() else {
+        let problem = format!("no line of {} in {} names {id}", lines.len(), path.display());
+        return Err(Error::new(
+            ErrorKind::Failed(problem.into()),
+            "name a job, task, worker, VM or wave; look into the logs of all nodes",
+        ));
+    };
+    let causes = causes(&story);
+    if let Report::Json = report {
+        let rows = story
+            .lines
+            .iter()
+            .map(|(part, line)| json!({"own": *part == Part::Own, "line": line.to_string()}));
+        let causes = causes.iter().map(|(at, cause)| json!({"at": at, "cause": cause}));
+        let (rows, causes) = (rows.collect::<Value>(), causes.collect::<Value>());
+        println!("{}", json!({"id": id, "causes": causes, "lines": rows, "unread": unread}));
+        return Ok(Exit::Ok);
+    }
+    println!("{id}, from {} on, ms; `*` marks a line that shows a cause", first.at);
+    for (part, line) in &story.lines {
+        let shows = causes.iter().any(|(at, _)| *at == line.at) && *part == Part::Own;
+        let mark = if shows { "*" } else { " " };
+        let indent = if *part == Part::Own { "" } else { "    " };
+        println!("{mark} {:>7} {indent}{line}", line.at - first.at);
+    }
+    println!("causes:");
+    for (at, cause) in &causes {
+        println!("  {:>7} {cause}", at - first.at);
+    }
+    if causes.is_empty() {
+        println!("  none: nothing was refused, failed, was lost or waited for long");
+    }
+    if unread > 0 {
+        println!("{unread} lines could not be read");
+    }
+    Ok(Exit::Ok)
+}
+
 fn print(id: &str, answer: &Value) {
     println!("{id}");
     for part in ["job", "vm"] {
