Queue log lines as a whole

Cause: the logger writes a line in many parts, and each part took one of the 4,096 places of the queue. Ruled out: a storm of one kind of line. The quarantine of a worker is logged when it begins, not at each look that finds a hung task.

--- a/crates/cj-entry/src/logging.rs
+++ b/crates/cj-entry/src/logging.rs
@@ -42,21 +42,35 @@
     }
 }
 
-/// Hands each line to the writing thread.
-struct Output {
+/// Hands each whole line to the writing thread, or drops it when too many wait. The logger writes a line in many parts; one that is lost alone would break the line.
+pub struct LineQueue {
+    line: Vec<u8>,
     lines: SyncSender<Vec<u8>>,
     dropped: Dropped,
     pending: Arc<AtomicUsize>,
 }
 
-impl Write for Output {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+impl LineQueue {
+    /// A queue for up to `most` lines, and where they come out.
+    pub fn new(most: usize, dropped: Dropped) -> (Self, Receiver<Vec<u8>>) {
+        let (lines, received) = sync_channel(most);
+        let pending = Arc::new(AtomicUsize::new(0));
+        (LineQueue { line: Vec::new(), lines, dropped, pending }, received)
+    }
+}
+
+impl Write for LineQueue {
+    fn write(&mut self, part: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(part);
+        if !self.line.ends_with(b"\n") {
+            return Ok(part.len());
+        }
         self.pending.fetch_add(1, Ordering::Relaxed);
-        if self.lines.try_send(line.to_vec()).is_err() {
+        if self.lines.try_send(std::mem::take(&mut self.line)).is_err() {
             self.pending.fetch_sub(1, Ordering::Relaxed);
             self.dropped.0.fetch_add(1, Ordering::Relaxed);
         }
-        Ok(line.len())
+        Ok(part.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
@@ -70,9 +84,9 @@
 ///
 /// When a logger is installed already or the writing thread can't be started.
 pub fn install(node: NodeId) -> Result<Dropped> {
-    let (lines, received) = sync_channel(BUFFER_LINES);
     let dropped = Dropped::default();
-    let pending = Arc::new(AtomicUsize::new(0));
+    let (queue, received) = LineQueue::new(BUFFER_LINES, dropped.clone());
+    let pending = queue.pending.clone();
     let failed = |cause: String| {
         let kind = ErrorKind::Failed(format!("cannot start logging: {cause}").into());
         Error::new(kind, "install the logger once, and check the limits of the process")
@@ -82,8 +96,7 @@
     writer
         .spawn(move || write_lines(&received, &counted.0, &counted.1))
         .map_err(|e| failed(e.to_string()))?;
-    let output = Output { lines, dropped: dropped.clone(), pending: pending.clone() };
-    let boxed: Box<dyn Write + Send> = Box::new(output);
+    let boxed: Box<dyn Write + Send> = Box::new(queue);
     fern::Dispatch::new()
         .level(LevelFilter::Info)
         .format(move |out, message, record| {
--- /dev/null
+++ b/crates/cj-entry/tests/entry/logging.rs
@@ -0,0 +1,18 @@
+//! Log lines on their way to the output.
+
+use std::io::Write;
+
+use cj_entry::logging::{Dropped, LineQueue};
+
+/// Guards against lines that are broken because the logger writes them in parts, of which some are dropped.
+#[test]
+fn lines_are_queued_and_dropped_as_a_whole() {
+    let dropped = Dropped::default();
+    let (mut queue, received) = LineQueue::new(2, dropped.clone());
+    for (number, choice) in ["start", "stop", "reload"].iter().enumerate() {
+        writeln!(queue, "at={number} choice={choice}").unwrap();
+    }
+    let lines: Vec<Vec<u8>> = received.try_iter().collect();
+    assert_eq!(lines, [&b"at=0 choice=start\n"[..], b"at=1 choice=stop\n"]);
+    assert_eq!(dropped.count(), 1);
+}
--- a/crates/cj-entry/tests/entry/main.rs
+++ b/crates/cj-entry/tests/entry/main.rs
@@ -3,4 +3,5 @@
 mod admission;
 mod follow;
 mod front;
+mod logging;
 mod platform;
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -293,9 +293,13 @@
     }
 
     pub(super) fn quarantine(&mut self, key: WorkerKey) {
+        let now = self.now.mono;
         let worker = &mut self.workers[key];
-        worker.quarantined = Some(self.now.mono + QUARANTINE);
-        info!(target: "decision", "worker={} choice=quarantine failures={}", worker.id, worker.failures);
+        let known = worker.quarantined.is_some_and(|until| now < until);
+        worker.quarantined = Some(now + QUARANTINE);
+        if !known {
+            info!(target: "decision", "worker={} choice=quarantine failures={}", worker.id, worker.failures);
+        }
     }
 
     fn finish_task(&mut self, at: TaskRef) {
