--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -158,7 +158,9 @@
         let mut wanting: Vec<ServiceId> = needs.keys().cloned().collect();
         wanting.sort_by_key(|service| std::cmp::Reverse(needs[service].deficit()));
         for service in wanting {
-            while needs[&service].deficit() > 0 {
+            // The target of a pool with a stuck task is always one more than its size, so it counts once.
+            let target = needs[&service].target();
+            while needs[&service].size < target {
                 let Some(vm) = self.lender(&mut needs, &service).or_else(|| parked.pop()) else {
                     break;
                 };
--- a/crates/cj-sched/tests/sim/cases.rs
+++ b/crates/cj-sched/tests/sim/cases.rs
@@ -1,8 +1,9 @@
 //! Faults that were found once, each as a short course of events.
 
 use cj_sched::{JobKey, JobState, StepSpec};
+use cj_standin::task_worker::TaskWorker;
 
-use crate::world::{Faults, World, step};
+use crate::world::{Faults, World, resources, step};
 
 fn state(world: &World, key: u64) -> JobState {
     world.book.job(JobKey(key)).unwrap().state()
@@ -171,3 +172,20 @@
     assert_eq!(grown(&[0, 300, 600, 900, 1_200, 1_500]), 2);
     assert_eq!(grown(&[0, 2_000, 2_010]), 2);
 }
+
+/// Guards against a pool that takes all parked VMs because one lasting task doesn't fit into the room that is left on several.
+#[test]
+fn a_stuck_task_gets_one_vm() {
+    let mut world = small(2);
+    for n in 0..8 {
+        world.add_worker(&format!("s{n}"), "spare", "rack-9");
+    }
+    let large = || StepSpec { demand: resources(8_500, 1_000), ..lasting(1, 1) };
+    for key in 1..=5 {
+        world.submit(key, "red", vec![large()]);
+    }
+    world.run(2_500);
+    let red = |worker: &TaskWorker| worker.service.as_str() == "red";
+    assert_eq!(world.workers.iter().filter(|worker| red(worker)).count(), 5);
+    assert!((1..=5).all(|key| running(&world, key) == 1));
+}
