Let one piece of code serve what stood in two places

- Event::read says what the owner hears of a submission; the entry node and the simulation of the scheduler's tests each worked it out, so the tests did not play the product's own rule.
- JobSpec::longest_chain serves the whole chain and the rest of it.
- codec::entry makes the record of an append, Reply::answered the store's error for a call without an answer, HttpClient::post_json the requests with a JSON body; each stood in two to five places.
- Scheduler::is_catching_up is the one test of the time in which submissions may be unread.
- The labels of calls in cj-entry's metrics had no user and are gone; one constant for a long wait in cj-story.

--- a/crates/cj-bench/src/entry/fleet.rs
+++ b/crates/cj-bench/src/entry/fleet.rs
@@ -10,12 +10,10 @@
 use cj_entry::{EntryNode, EntrySettings, Guard, Topic, front::Submitted, owner};
 use cj_sched::{
     FleetConfig, JobKey, JobSpec, JobState, Pool, Queue, StepSpec, TaskId,
-    sched::{
-        EndKind, Limits, Listing, Refusal, StartOrder, VmRow, VmState, WorkerId, WorkerReport,
-    },
+    sched::{EndKind, Limits, Listing, Refusal, StartOrder, VmRow, WorkerId, WorkerReport},
 };
 use cj_standin::task_worker::TaskWorker;
-use cj_types::{Accelerators, Mebibytes, Millicores, NodeId, Resources, ServiceId, Version, VmId};
+use cj_types::{Accelerators, Mebibytes, Millicores, NodeId, Resources, ServiceId, Version};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -143,28 +141,11 @@
 
     pub(super) fn report(&self, key: &str) -> Option<WorkerReport> {
         let worker = self.workers.iter().find(|worker| worker.id.0 == key)?;
-        Some(WorkerReport {
-            id: worker.id.clone(),
-            born: Some(worker.born),
-            service: worker.service.clone(),
-            address: "127.0.0.1:1".into(),
-            capacity: worker.capacity,
-            labels: vec!["a".into(), worker.rack.as_str().into()],
-            draining: false,
-            remaining: None,
-        })
+        Some(worker.report())
     }
 
     pub(super) fn vms(&self) -> Vec<VmRow> {
-        let row = |worker: &TaskWorker| VmRow {
-            vm: VmId::clone(&worker.vm),
-            pool: worker.service.clone(),
-            state: VmState::Up,
-            labels: vec!["a".into(), worker.rack.as_str().into()],
-            capacity: worker.capacity,
-            worker: Some(worker.id.clone()),
-        };
-        self.workers.iter().map(row).collect()
+        self.workers.iter().map(TaskWorker::vm_row).collect()
     }
 
     /// True when all workers were called under a fencing token of at least `token`.
--- a/crates/cj-entry/src/claim.rs
+++ b/crates/cj-entry/src/claim.rs
@@ -164,7 +164,7 @@
         }
     };
     let beat = Record::Owner(node.beat(epoch, false, Vec::new()));
-    let records = [(beat.key_text(), codec::encode(&beat))];
+    let records = [codec::entry(&beat)];
     let deadline = node.clock.now() + CLAIM_LIMIT;
     loop {
         let guard = Guard::Owner { epoch, sequence: 0 };
--- a/crates/cj-entry/src/front.rs
+++ b/crates/cj-entry/src/front.rs
@@ -262,7 +262,7 @@
     where
         F: Fn() -> bool,
     {
-        let mut done = self.outbox.push((record.key_text(), codec::encode(record)));
+        let mut done = self.outbox.push(codec::entry(record));
         let end = deadline.min(self.clock.now() + APPEND_PATIENCE + ANSWER_RESERVE);
         loop {
             let left = end.saturating_duration_since(self.clock.now() + ANSWER_RESERVE);
--- a/crates/cj-entry/src/logging.rs
+++ b/crates/cj-entry/src/logging.rs
@@ -42,7 +42,8 @@
     }
 }
 
-/// Hands each whole line to the writing thread, or drops it when too many wait. The logger writes a line in many parts; one that is lost alone would break the line.
+/// Hands each whole line to the writing thread, or drops it when too many wait. The logger writes a line in many parts; one
+/// that is lost alone would break the line.
 pub struct LineQueue {
     line: Vec<u8>,
     lines: SyncSender<Vec<u8>>,
--- a/crates/cj-entry/src/metrics.rs
+++ b/crates/cj-entry/src/metrics.rs
@@ -22,15 +22,6 @@
     pub outcome: &'static str,
 }
 
-/// Labels of a call to the platform.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct CallLabels {
-    /// Kind of call.
-    pub call: &'static str,
-    /// Answered, refused or unanswered.
-    pub answer: &'static str,
-}
-
 /// All metrics of a node.
 pub struct Metrics {
     registry: Registry,
--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -211,17 +211,10 @@
         let change = self.book.borrow_mut().apply(log, record.offset, decoded, in_order);
         match change {
             Change::Submitted(job) => {
-                let book = self.book.borrow();
-                let Some(entry) = book.job(job) else { return };
-                let Some(submission) = entry.submission().cloned() else { return };
-                let fresh = entry.epoch != 0 && entry.epoch == book.epoch();
-                let (over, recorded) = (entry.state().is_final(), entry.recorded());
-                drop(book);
-                self.send(if over {
-                    Event::Closed(job)
-                } else {
-                    Event::Submitted { job, submission, fresh, recorded }
-                });
+                let event = Event::read(&self.book.borrow(), job);
+                if let Some(event) = event {
+                    self.send(event);
+                }
             }
             Change::Cancelled(job) => self.send(Event::Cancelled(job)),
             Change::Owner => self.heard.set(Some(self.clock.now())),
--- a/crates/cj-entry/src/overflow.rs
+++ b/crates/cj-entry/src/overflow.rs
@@ -23,7 +23,7 @@
     C: Clock + 'static,
 {
     let mark = Record::Owner(node.beat(epoch, false, Vec::new()));
-    let records = [(mark.key_text(), codec::encode(&mark))];
+    let records = [codec::entry(&mark)];
     let guard = Guard::Owner { epoch, sequence: 0 };
     let mut tries = 0;
     loop {
@@ -46,8 +46,7 @@
     P: Platform,
     C: Clock + 'static,
 {
-    let encoded: Vec<_> =
-        records.iter().map(|record| (record.key_text(), codec::encode(record))).collect();
+    let encoded: Vec<_> = records.iter().map(codec::entry).collect();
     let dropped = node.platform.append(Topic::Jobs(log), &encoded, Guard::None).await;
     if let Err(error) = dropped {
         warn!(target: "link", "log={log} choice=drop_later records={} cause=\"{error}\"", records.len());
--- a/crates/cj-entry/src/writer.rs
+++ b/crates/cj-entry/src/writer.rs
@@ -146,8 +146,7 @@
 
     /// Appends records, repeatedly until the store tells what became of them. Returns false when another owner has written.
     async fn append(&self, records: &[Record]) -> bool {
-        let encoded: Vec<_> =
-            records.iter().map(|record| (record.key_text(), codec::encode(record))).collect();
+        let encoded: Vec<_> = records.iter().map(codec::entry).collect();
         let sequence = self.sequence.get();
         let guard = Guard::Owner { epoch: self.epoch, sequence };
         let mut unanswered = 0;
--- a/crates/cj-sched/src/codec.rs
+++ b/crates/cj-sched/src/codec.rs
@@ -1,6 +1,7 @@
 //! Encoding of records: a version byte and a postcard body. A record without a body drops its key.
 
 use cj_types::{Error, Result};
+use compact_str::CompactString;
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::record::{Record, RecordKey};
@@ -8,6 +9,11 @@
 /// First byte of each value; it changes when a record gets other fields.
 const FORMAT: u8 = 1;
 
+/// A record as it is appended: its key and its value.
+pub fn entry(record: &Record) -> (CompactString, Vec<u8>) {
+    (record.key_text(), encode(record))
+}
+
 /// Value of a record; empty for a dropped key.
 pub fn encode(record: &Record) -> Vec<u8> {
     match record {
--- a/crates/cj-sched/src/job.rs
+++ b/crates/cj-sched/src/job.rs
@@ -183,10 +183,18 @@
 
     /// Sum of the estimates along the longest chain of dependent steps.
     pub fn chain(&self) -> Duration {
+        self.longest_chain(|_, step| step.estimate)
+    }
+
+    /// Sum of `span`, given the number of a step and the step, along the longest chain of dependent steps.
+    pub fn longest_chain<F>(&self, span: F) -> Duration
+    where
+        F: Fn(usize, &StepSpec) -> Duration,
+    {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (number, step) in self.steps.iter().enumerate() {
             let ready = step.after.iter().filter_map(|&n| ends.get(n as usize)).max();
-            ends.push(ready.copied().unwrap_or_default() + step.estimate);
+            ends.push(ready.copied().unwrap_or_default() + span(number, step));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 
 use crate::{
+    book::Book,
     config::FleetConfig,
     job::{JobKey, TaskId},
     record::{Progress, Record, Submission, WaveProgress},
@@ -270,6 +271,19 @@
     Maintained(VmId, u64, VmAnswer),
 }
 
+impl Event {
+    /// What the owner hears of a job whose submission was read into its book; `None` when the submission isn't known.
+    pub fn read(book: &Book, job: JobKey) -> Option<Event> {
+        let entry = book.job(job)?;
+        if entry.state().is_final() {
+            return Some(Event::Closed(job));
+        }
+        let submission = entry.submission()?.clone();
+        let fresh = entry.epoch != 0 && entry.epoch == book.epoch();
+        Some(Event::Submitted { job, submission, fresh, recorded: entry.recorded() })
+    }
+}
+
 /// Names one step of one occurrence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StepKey {
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -14,8 +14,7 @@
         },
         scheduler::Scheduler,
         settings::{
-            LISTING_GAP, LISTING_RETRY, LISTING_WAIT, QUARANTINE, QUARANTINE_FAILURES, READ_LAG,
-            RENEWAL_GAP,
+            LISTING_GAP, LISTING_RETRY, LISTING_WAIT, QUARANTINE, QUARANTINE_FAILURES, RENEWAL_GAP,
         },
         work::{Phase, Placed, Stage, TaskRef},
         worker::{ClockReading, Worker, WorkerKey},
@@ -129,7 +128,7 @@
     /// are read apart from the log of the owner's records.
     fn is_unread(&self, task: &TaskId) -> bool {
         let known = self.job_index.contains_key(&task.job) || self.closed.contains(&task.job);
-        !known && self.now.mono < self.horizon + READ_LAG
+        !known && self.is_catching_up()
     }
 
     fn note_unread(&mut self, key: WorkerKey, task: Option<TaskId>) {
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -186,7 +186,7 @@
         self.run_waves();
         self.plan_pools();
         self.pace_tasks();
-        if self.now.mono >= self.horizon + READ_LAG {
+        if !self.is_catching_up() {
             self.closed = HashSet::new();
         }
     }
@@ -267,9 +267,14 @@
         }
     }
 
+    /// True while submissions that an earlier owner read may still be unread.
+    pub(super) fn is_catching_up(&self) -> bool {
+        self.now.mono < self.horizon + READ_LAG
+    }
+
     /// Remembers that a job is over, while runs of it that an earlier owner started may still be listed.
     fn close(&mut self, key: JobKey) {
-        if self.now.mono < self.horizon + READ_LAG {
+        if self.is_catching_up() {
             self.closed.insert(key);
         }
     }
--- a/crates/cj-sched/src/sched/trend.rs
+++ b/crates/cj-sched/src/sched/trend.rs
@@ -40,8 +40,8 @@
     /// Takes note of a job and its work, in thousandths of a core times milliseconds. A VM called for now takes `move_time`.
     pub(super) fn note(&mut self, work: u64, move_time: Duration, now: Instant) {
         self.arrivals.push_back((now, work));
-        let oldest = |at: Instant| now.saturating_duration_since(at) <= WINDOW * 2;
-        while self.arrivals.front().is_some_and(|(at, _)| !oldest(*at)) {
+        let recent = |at: Instant| now.saturating_duration_since(at) <= WINDOW * 2;
+        while self.arrivals.front().is_some_and(|(at, _)| !recent(*at)) {
             self.arrivals.pop_front();
         }
         let Some(demand) = self.foresee(move_time + ARRIVAL, now) else { return };
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -289,13 +289,10 @@
 
     /// Estimate of the time that the rest of an occurrence takes without any waiting.
     pub(super) fn remaining_chain(&self, occurrence: u32) -> Duration {
-        let steps = &self.submission.spec.steps;
-        let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
-        for (spec, step) in steps.iter().zip(&self.occurrences[occurrence as usize].steps) {
-            let own = if step.is_done() { Duration::ZERO } else { spec.estimate };
-            let ready = spec.after.iter().filter_map(|&n| ends.get(n as usize)).max();
-            ends.push(ready.copied().unwrap_or_default() + own);
-        }
-        ends.into_iter().max().unwrap_or_default()
+        let steps = &self.occurrences[occurrence as usize].steps;
+        let left = |number: usize, spec: &StepSpec| {
+            if steps[number].is_done() { Duration::ZERO } else { spec.estimate }
+        };
+        self.submission.spec.longest_chain(left)
     }
 }
--- a/crates/cj-sched/tests/sim/logs.rs
+++ b/crates/cj-sched/tests/sim/logs.rs
@@ -1,6 +1,6 @@
 //! The logs of the simulated store, and what each owner has read of them.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use cj_sched::{
     Book, Event, JobKey, JobSpec, Log, Record, Scheduler, StepSpec, Submission,
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::world::{Effect, Owner, World, report_of, service};
+use crate::world::{Effect, Owner, World, service};
 
 /// Chance that a record of a caller goes to the overflow log while it is in use.
 const OVERFLOW_SHARE: f64 = 0.5;
@@ -87,7 +87,7 @@
         let owner = self.owners.len() - 1;
         for index in 0..self.workers.len() {
             if self.workers[index].alive {
-                let event = Event::Reported(report_of(&self.workers[index]));
+                let event = Event::Reported(self.workers[index].report());
                 self.schedule(3, Effect::Reply { owner, event });
             }
         }
@@ -145,15 +145,7 @@
             }
             match change {
                 Change::Submitted(job) => {
-                    let entry = state.book.job(job).unwrap();
-                    if entry.state().is_final() {
-                        state.scheduler.handle(Event::Closed(job), now);
-                        continue;
-                    }
-                    let submission = entry.submission().unwrap().clone();
-                    let fresh = entry.epoch == state.epoch;
-                    let recorded = entry.recorded();
-                    let event = Event::Submitted { job, submission, fresh, recorded };
+                    let event = Event::read(&state.book, job).unwrap();
                     state.scheduler.handle(event, now);
                 }
                 Change::Cancelled(job) => state.scheduler.handle(Event::Cancelled(job), now),
@@ -177,20 +169,16 @@
             spec: JobSpec { text: String::new(), steps, schedule: None },
         };
         let log = self.callers_log();
-        self.write(log, Record::Submission(job, Box::new(submission.clone())));
+        self.write(log, Record::Submission(job, Box::new(submission)));
         if log == OVERFLOW {
             return;
         }
-        let epoch = self.book.job(job).unwrap().epoch;
-        let submission = Rc::new(submission);
         for owner in 0..self.owners.len() {
             let state = &self.owners[owner];
             // An owner reads the record of a later owner before the submissions that follow it.
             let current = state.epoch == self.book.epoch();
             if state.active && state.connected && current {
-                let (fresh, recorded) = (epoch == state.epoch, Vec::new());
-                let submission = submission.clone();
-                let event = Event::Submitted { job, submission, fresh, recorded };
+                let event = Event::read(&state.book, job).unwrap();
                 self.schedule(4, Effect::Reply { owner, event });
             }
         }
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -11,7 +11,7 @@
     Action, Book, Event, FleetConfig, Log, Pool, Queue, Record, Scheduler, StepSpec,
     sched::{
         ListAnswer, Now, OrderAnswer, Refusal, TENURE, Target, VmAnswer, VmRow, VmState, WaveOrder,
-        WorkerId, WorkerReport,
+        WorkerId,
     },
 };
 use cj_types::{
@@ -238,21 +238,13 @@
     }
 
     fn report(&mut self, index: usize) {
-        let event = Event::Reported(report_of(&self.workers[index]));
+        let event = Event::Reported(self.workers[index].report());
         self.tell(&event);
     }
 
     pub(crate) fn vm_rows(&self) -> Vec<VmRow> {
-        let up = |worker: &TaskWorker| VmRow {
-            vm: worker.vm.clone(),
-            pool: worker.service.clone(),
-            state: if worker.alive { VmState::Up } else { VmState::Down },
-            labels: vec!["a".into(), worker.rack.as_str().into()],
-            capacity: worker.capacity,
-            worker: worker.alive.then(|| worker.id.clone()),
-        };
         let is_off = |vm: &VmId| self.off.iter().any(|off| off.vm == *vm);
-        let rows = self.workers.iter().filter(|worker| !is_off(&worker.vm)).map(up);
+        let rows = self.workers.iter().filter(|worker| !is_off(&worker.vm)).map(TaskWorker::vm_row);
         let moves = self.off.iter().map(|off| VmRow {
             vm: off.vm.clone(),
             pool: off.pool.clone(),
@@ -528,19 +520,6 @@
     }
 }
 
-pub(crate) fn report_of(worker: &TaskWorker) -> WorkerReport {
-    WorkerReport {
-        id: worker.id.clone(),
-        born: Some(worker.born),
-        service: worker.service.clone(),
-        address: "127.0.0.1:1".into(),
-        capacity: worker.capacity,
-        labels: vec!["a".into(), worker.rack.as_str().into()],
-        draining: worker.draining,
-        remaining: worker.draining.then_some(Duration::from_secs(3)),
-    }
-}
-
 fn answer(result: Result<(), Refusal>) -> OrderAnswer {
     result.map_or_else(OrderAnswer::Refused, |()| OrderAnswer::Done)
 }
--- a/crates/cj-standin/src/task_worker.rs
+++ b/crates/cj-standin/src/task_worker.rs
@@ -1,13 +1,23 @@
 //! A worker for tests of the scheduler: runs tasks under a lease, and keeps their ends until they are acknowledged. It
 //! does no I/O, and time is passed in.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use cj_sched::{
     TaskId,
-    sched::{EndKind, EndRow, Listing, Refusal, RunRow, StartOrder, WorkerId},
+    sched::{
+        EndKind, EndRow, Listing, Refusal, RunRow, StartOrder, VmRow, VmState, WorkerId,
+        WorkerReport,
+    },
 };
 use cj_types::{Resources, ServiceId, VmId};
+use compact_str::CompactString;
+
+/// Time that a draining worker has left, as it says itself.
+const DRAIN: Duration = Duration::from_secs(3);
 
 /// A run of a task.
 #[derive(Clone, Debug)]
@@ -89,6 +99,36 @@
         }
     }
 
+    /// Its registration.
+    pub fn report(&self) -> WorkerReport {
+        WorkerReport {
+            id: self.id.clone(),
+            born: Some(self.born),
+            service: self.service.clone(),
+            address: "127.0.0.1:1".into(),
+            capacity: self.capacity,
+            labels: self.labels(),
+            draining: self.draining,
+            remaining: self.draining.then_some(DRAIN),
+        }
+    }
+
+    /// Its row in the list of VMs.
+    pub fn vm_row(&self) -> VmRow {
+        VmRow {
+            vm: self.vm.clone(),
+            pool: self.service.clone(),
+            state: if self.alive { VmState::Up } else { VmState::Down },
+            labels: self.labels(),
+            capacity: self.capacity,
+            worker: self.alive.then(|| self.id.clone()),
+        }
+    }
+
+    fn labels(&self) -> Vec<CompactString> {
+        vec!["a".into(), self.rack.as_str().into()]
+    }
+
     /// The same worker on another VM.
     pub fn on_vm(self, vm: VmId) -> Self {
         TaskWorker { vm, ..self }
--- a/crates/cj-story/src/cause.rs
+++ b/crates/cj-story/src/cause.rs
@@ -1,9 +1,10 @@
 //! Names the causes of a refusal, a failure or a delay.
 
-use crate::{line::Line, runs::delays, story::Story};
-
-/// A wait between two steps of a job that is worth an explanation, in ms.
-const LONG_WAIT_MS: u64 = 800;
+use crate::{
+    line::Line,
+    runs::{LONG_WAIT_MS, delays},
+    story::Story,
+};
 
 /// Causes that the lines of a story show, each with the time of the line that shows it, in order of time.
 pub fn causes(story: &Story<'_>) -> Vec<(u64, String)> {
--- a/crates/cj-story/src/runs.rs
+++ b/crates/cj-story/src/runs.rs
@@ -4,8 +4,8 @@
 
 use crate::{line::Line, story::Story};
 
-/// A task started this long after its step could begin waited for room, in ms.
-const LONG_WAIT_MS: u64 = 800;
+/// A wait between two steps of a job that is worth an explanation, in ms.
+pub(crate) const LONG_WAIT_MS: u64 = 800;
 
 /// A run is slow when it took this multiple of the median of its step.
 const SLOW: u64 = 2;
