Begin an ownership with the book alone, and move VMs only when ends are durable

Cause: a node that claimed ownership handed each record of its backlog to the scheduler's queue while it read. Ruled out: acknowledgements before the progress was durable, newest records paged out of order, the second submission of the caller. Apart from that, pools moved VMs whose workers had listed ends that weren't durable; the ends go with the worker, and the next owner starts the tasks again.

Change: events begin with the scheduler; a closed job stays closed; idle VMs leave their pool, and VMs of a wave go off, only when all ends that were read there are durable. Both faults have a test that failed first.

--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -72,16 +72,17 @@
     P: Platform,
     C: Clock + 'static,
 {
-    let (events, mut received) = mpsc::unbounded_channel();
-    *node.events.borrow_mut() = Some(events.clone());
     node.claimed.notify_waiters();
-    // All records before the first one of this ownership have to be known before any decision.
+    // All records before the first one of this ownership have to be known before any decision. The scheduler begins with
+    // the book, so events of these records would come twice, and with the state that the book had when each was read.
     while node.jobs.next() <= term.offset {
         if node.stopping.get() {
             break;
         }
         let _ = tokio::time::timeout(READ_CHECK, node.changed.notified()).await;
     }
+    let (events, mut received) = mpsc::unbounded_channel();
+    *node.events.borrow_mut() = Some(events.clone());
     let mut owner = Owner::begin(node, &term, events);
     let mut tasks = owner.spawn_helpers(node);
     let writer = owner.spawn_writer(node);
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -267,8 +267,11 @@
         }
         let key = *self.worker_index.get(row.worker.as_ref()?)?;
         let worker = &self.workers[key];
-        let free =
-            worker.is_known() && worker.misses == 0 && !worker.evacuating && worker.runs.is_empty();
+        let free = worker.is_known()
+            && worker.misses == 0
+            && !worker.evacuating
+            && worker.runs.is_empty()
+            && worker.has_durable_ends();
         let since = self.pools.idle.get(&key).filter(|_| free && worker.service == row.pool)?;
         Some((row.vm.clone(), key, self.now.mono.saturating_duration_since(*since)))
     }
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -203,7 +203,8 @@
         fresh: bool,
         recorded: &[Progress],
     ) {
-        if self.job_index.contains_key(&key) {
+        // A job that is over may be heard of once more when its submission was read before the records that end it.
+        if self.job_index.contains_key(&key) || self.closed.contains(&key) {
             return;
         }
         let progress = |number: u32| recorded.get(number as usize);
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -268,7 +268,7 @@
         };
         self.workers[key].evacuating = true;
         if self.workers[key].runs.is_empty() {
-            return self.is_found_empty(key, since);
+            return self.is_found_empty(key, since) && self.workers[key].has_durable_ends();
         }
         let waited = self.now.mono.saturating_duration_since(since);
         for at in self.workers[key].runs.clone() {
@@ -280,7 +280,8 @@
             }
         }
         let lasting = |at: &TaskRef| self.jobs[at.job].step_spec(at.step).lasting;
-        waited > EVACUATION_LIMIT && !self.workers[key].runs.iter().any(lasting)
+        let worker = &self.workers[key];
+        waited > EVACUATION_LIMIT && worker.has_durable_ends() && !worker.runs.iter().any(lasting)
     }
 
     /// True when a worker without runs has answered since then, so that no other life runs on its VM.
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -175,6 +175,11 @@
         Some(deadline)
     }
 
+    /// True when what its ends mean is durable. Its VM may be taken off only then: the ends are gone with the worker.
+    pub(super) fn has_durable_ends(&self) -> bool {
+        self.ended_seen <= self.ended_durable
+    }
+
     /// Free capacity.
     pub(super) fn free(&self) -> Resources {
         self.capacity.minus(self.used)
--- a/crates/cj-sched/tests/sim/direct.rs
+++ b/crates/cj-sched/tests/sim/direct.rs
@@ -7,11 +7,12 @@
 };
 
 use cj_sched::{
-    Action, Advice, Book, Event, FleetConfig, JobKey, JobSpec, Pool, Progress, Queue, Schedule,
-    Scheduler, StepProgress, StepSpec, Submission,
+    Action, Advice, Book, Event, FleetConfig, JobKey, JobSpec, Log, Pool, Progress, Queue, Record,
+    Schedule, Scheduler, StepProgress, StepSpec, Submission,
+    record::Outcome,
     sched::{
-        AdviceAnswer, Limits, ListAnswer, Listing, Now, OrderAnswer, RunRow, StartOrder, Target,
-        Ticket, VmRow, VmState, WorkerId, WorkerReport,
+        AdviceAnswer, EndKind, EndRow, Limits, ListAnswer, Listing, Now, OrderAnswer, RunRow,
+        StartOrder, Target, Ticket, VmRow, VmState, WorkerId, WorkerReport,
     },
 };
 use cj_types::{UnixMillis, Version, VmId};
@@ -26,6 +27,7 @@
     base: Instant,
     ms: u64,
     workers: Vec<WorkerId>,
+    rows: Vec<VmRow>,
 }
 
 fn config(advice: Option<Advice>) -> Rc<FleetConfig> {
@@ -47,11 +49,15 @@
 impl Bench {
     /// `racks` has the rack of each worker; each has 8 cores.
     fn new(racks: &[&str], advice: Option<Advice>) -> Self {
+        Bench::with_book(&Book::default(), racks, advice)
+    }
+
+    /// An owner that finds these jobs recorded.
+    fn with_book(book: &Book, racks: &[&str], advice: Option<Advice>) -> Self {
         let base = Instant::now();
         let now = Now { mono: base, wall: UnixMillis(WALL) };
-        let book = Book::default();
-        let scheduler = Scheduler::new(1, Limits::default(), config(advice), &book, base, now);
-        let mut bench = Bench { scheduler, base, ms: 0, workers: Vec::new() };
+        let scheduler = Scheduler::new(1, Limits::default(), config(advice), book, base, now);
+        let mut bench = Bench { scheduler, base, ms: 0, workers: Vec::new(), rows: Vec::new() };
         let rows = racks.iter().enumerate().map(|(n, rack)| VmRow {
             vm: VmId::try_from(format!("vm-{n}").as_str()).unwrap(),
             pool: service("red"),
@@ -74,7 +80,8 @@
                 remaining: None,
             }));
         }
-        let rows = Event::Vms(base, rows.collect());
+        bench.rows = rows.collect();
+        let rows = Event::Vms(base, bench.rows.clone());
         bench.tell(rows);
         for n in 0..racks.len() {
             bench.list(n, Vec::new());
@@ -98,6 +105,27 @@
         self.tell(Event::Listed(self.workers[worker].clone(), sent, ListAnswer::Listed(listing)));
     }
 
+    fn list_all(&mut self) {
+        let rows = self.rows.clone();
+        self.tell(Event::Vms(self.now().mono, rows));
+        for n in 0..self.workers.len() {
+            self.list(n, Vec::new());
+        }
+    }
+
+    /// Lists the end of a run.
+    fn end(&mut self, worker: usize, order: &StartOrder, how: EndKind) {
+        let ended = EndRow { number: 1, task: order.task, run: order.run, how, saved: "".into() };
+        let listing = Listing {
+            born: Some(1),
+            clock: 1_000 + self.ms,
+            running: Vec::new(),
+            ended: vec![ended],
+        };
+        let sent = self.now().mono;
+        self.tell(Event::Listed(self.workers[worker].clone(), sent, ListAnswer::Listed(listing)));
+    }
+
     fn submit(&mut self, key: u64, steps: Vec<StepSpec>, schedule: Option<Schedule>) {
         self.submit_recorded(key, steps, schedule, Vec::new());
     }
@@ -109,16 +137,7 @@
         schedule: Option<Schedule>,
         recorded: Vec<Progress>,
     ) {
-        let submission = Submission {
-            queue: "red".into(),
-            service: service("red"),
-            priority: 0,
-            attempts: 2,
-            objective: Duration::from_secs(3),
-            at: self.now().wall,
-            spec: JobSpec { text: String::new(), steps, schedule },
-        };
-        let submission = Rc::new(submission);
+        let submission = Rc::new(submission(steps, schedule));
         self.tell(Event::Submitted { job: JobKey(key), submission, fresh: true, recorded });
     }
 
@@ -131,6 +150,18 @@
     }
 }
 
+fn submission(steps: Vec<StepSpec>, schedule: Option<Schedule>) -> Submission {
+    Submission {
+        queue: "red".into(),
+        service: service("red"),
+        priority: 0,
+        attempts: 2,
+        objective: Duration::from_secs(3),
+        at: UnixMillis(WALL),
+        spec: JobSpec { text: String::new(), steps, schedule },
+    }
+}
+
 fn starts(actions: &[Action]) -> Vec<(&Target, &StartOrder)> {
     let mut found = Vec::new();
     for action in actions {
@@ -298,3 +329,60 @@
     let started: Vec<u32> = starts(&actions).iter().map(|(_, order)| order.task.index).collect();
     assert_eq!(started, [1]);
 }
+
+/// Guards against a job that is run again because its submission was read before the records that follow it: the owner finds
+/// the job completed when it begins, and hears of the submission afterwards.
+#[test]
+fn completed_jobs_stay_closed_when_their_submission_is_heard_of_late() {
+    let mut book = Book::default();
+    let accepted = submission(vec![step(1, 1_000, 500)], None);
+    book.apply(Log::Jobs, 1, Record::Submission(JobKey(1), Box::new(accepted.clone())), true);
+    let completed = Progress { outcome: Outcome::Completed, ..Progress::default() };
+    book.apply(Log::Jobs, 2, Record::Progress(JobKey(1), 0, completed), true);
+    let mut bench = Bench::with_book(&book, &["x"], None);
+    bench.submit(1, accepted.spec.steps, None);
+    assert!(starts(&bench.after(200)).is_empty());
+}
+
+/// Guards against a task that is run again because its VM was moved before its end was durable: the list of ends goes with the
+/// worker, and the next owner finds nothing of it.
+#[test]
+fn vms_stay_until_the_ends_of_their_tasks_are_durable() {
+    let mut bench = Bench::new(&["r1", "r2", "r3", "r4"], None);
+    let mut with_spare = (*config(None)).clone();
+    with_spare.pools.insert(service("spare"), Pool { guarded: true, spare: true });
+    bench.tell(Event::Config(Rc::new(with_spare)));
+    bench.submit(1, vec![StepSpec { spread: Some(1), ..step(4, 1_000, 500) }], None);
+    let actions = bench.after(200);
+    let orders: Vec<(WorkerId, StartOrder)> =
+        starts(&actions).iter().map(|(t, o)| (t.worker.clone(), (*o).clone())).collect();
+    assert_eq!(orders.len(), 4);
+    for (worker, order) in &orders {
+        bench.tell(Event::Started(worker.clone(), order.task, order.run, OrderAnswer::Done));
+    }
+    for (worker, order) in &orders {
+        let number = bench.workers.iter().position(|id| id == worker).unwrap();
+        bench.end(number, order, EndKind::Done);
+    }
+    let mut batches = Vec::new();
+    let mut moved = HashSet::new();
+    for round in 0..120 {
+        let durable = round >= 60;
+        if durable {
+            let written: Vec<u64> = std::mem::take(&mut batches);
+            written.into_iter().for_each(|batch| bench.tell(Event::Written(batch)));
+        }
+        for action in bench.after(100) {
+            match action {
+                Action::Write(batch, _) => batches.push(batch),
+                Action::MoveVm(vm, _) => {
+                    assert!(durable, "the ends aren't durable");
+                    moved.insert(vm);
+                }
+                _ => {}
+            }
+        }
+        bench.list_all();
+    }
+    assert_eq!(moved.len(), 2, "idle VMs are parked once the ends are durable");
+}
