--- /dev/null
+++ b/crates/cj-bench/src/entry/cells.rs
@@ -0,0 +1,131 @@
+//! A fleet of several cells whose owners fail one after the other.
+
+use std::time::Duration;
+
+use cj_types::{Millicores, Result};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+
+use super::{fleet::Site, platform::Condition};
+use crate::{Options, virtual_time};
+
+/// Days that are played.
+const TRIALS: u64 = 6;
+
+/// Entry nodes unless the options say otherwise.
+const NODES: u32 = 9;
+
+/// Workers unless the options say otherwise.
+const WORKERS: u32 = 24;
+
+/// Processor time of a node, in thousandths of a core.
+const NODE_CORES: Millicores = Millicores(250);
+
+/// Bandwidth of a node's link in Mbit/s; a third of the workers fit on it.
+const NODE_LINK: f64 = 0.25;
+
+/// Faults of a day.
+const FAULTS: u32 = 7;
+
+/// Nodes that are killed in a day; the others come back.
+const KILLS: u32 = 2;
+
+/// Time that a fault lasts.
+const FAULT: Duration = Duration::from_millis(2_600);
+
+/// Time between the end of a fault and the next one.
+const REST: Duration = Duration::from_millis(900);
+
+/// Time before the first fault.
+const WARM_UP: Duration = Duration::from_secs(4);
+
+/// Time for all jobs to end.
+const SETTLE: Duration = Duration::from_secs(25);
+
+/// Time between two jobs.
+const JOB_GAP: Duration = Duration::from_millis(50);
+
+/// Estimated run time of a task.
+const TASK: Duration = Duration::from_millis(600);
+
+/// Tasks of a job.
+const JOB_TASKS: u32 = 4;
+
+/// What a day showed.
+#[derive(Default)]
+struct Outcome {
+    cells: usize,
+    doubled: usize,
+    lost: usize,
+    without_owner: usize,
+    takeovers: u64,
+}
+
+/// Lets owners of cells fail in turn under a steady load. `doubled` counts tasks that were done twice, `lost` accepted jobs
+/// that aren't completed, `without_owner` cells that nobody owns at the end, `takeovers` owners of all cells and days.
+///
+/// # Errors
+///
+/// The runtime can't be started.
+pub fn run(options: &Options) -> Result<Value> {
+    let mut sum = Outcome::default();
+    for trial in 0..TRIALS {
+        let day = virtual_time::run(play(options, options.seed * 1_000 + trial))?;
+        sum.cells = day.cells;
+        sum.doubled += day.doubled;
+        sum.lost += day.lost;
+        sum.without_owner += day.without_owner;
+        sum.takeovers += day.takeovers;
+    }
+    Ok(json!({
+        "cells": sum.cells,
+        "doubled": sum.doubled,
+        "lost": sum.lost,
+        "without_owner": sum.without_owner,
+        "takeovers": sum.takeovers,
+        "trials": TRIALS,
+    }))
+}
+
+async fn play(options: &Options, seed: u64) -> Outcome {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut site = Site::with_links(options.workers.unwrap_or(WORKERS), seed, NODE_LINK);
+    for _ in 0..options.nodes.unwrap_or(NODES) {
+        site.add_node(NODE_CORES);
+    }
+    load(&site, WARM_UP).await;
+    for number in 0..FAULTS {
+        let owners = site.owners();
+        let Some(&owner) = owners.get(rng.random_range(0..owners.len().max(1))) else { continue };
+        let broken = [Condition::Frozen, Condition::Cut, Condition::Refused];
+        let killed = number >= FAULTS - KILLS;
+        let condition =
+            if killed { Condition::Killed } else { broken[rng.random_range(0..broken.len())] };
+        site.seats[owner].link.set(condition);
+        load(&site, FAULT).await;
+        if !killed {
+            site.seats[owner].link.set(Condition::Well);
+        }
+        load(&site, REST).await;
+    }
+    tokio::time::sleep(SETTLE).await;
+    let cells = site.seats[0].node.members().len();
+    let owned = site.owned_cells();
+    Outcome {
+        cells,
+        doubled: site.fleet.borrow().doubled(),
+        lost: site.unfinished(),
+        without_owner: cells - owned,
+        takeovers: site.seats.iter().map(|seat| seat.node.metrics.takeovers.get()).sum(),
+    }
+}
+
+/// Submits jobs for some time.
+async fn load(site: &Site, span: Duration) {
+    let end = tokio::time::Instant::now() + span;
+    while tokio::time::Instant::now() < end {
+        site.submit(JOB_TASKS, TASK);
+        tokio::time::sleep(JOB_GAP).await;
+    }
+}
--- a/crates/cj-bench/src/entry/fleet.rs
+++ b/crates/cj-bench/src/entry/fleet.rs
@@ -3,17 +3,18 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
-    rc::Rc,
+    rc::{Rc, Weak},
     time::{Duration, Instant},
 };
 
-use cj_entry::{EntryNode, EntrySettings, Guard, Topic, front::Submitted, owner};
+use cj_entry::{EntryNode, EntrySettings, Guard, Topic, front::Submitted, layout::NodeSize, owner};
 use cj_sched::{
     FleetConfig, JobKey, JobSpec, JobState, Pool, Queue, StepSpec, TaskId,
     sched::{EndKind, Limits, Listing, Refusal, StartOrder, VmRow, WorkerId, WorkerReport},
 };
 use cj_standin::task_worker::TaskWorker;
 use cj_types::{Accelerators, Mebibytes, Millicores, NodeId, Resources, ServiceId, Version};
+use compact_str::{CompactString, format_compact};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -25,6 +26,12 @@
 /// Cores of a worker, in thousandths.
 const WORKER_CORES: Millicores = Millicores(16_000);
 
+/// Bandwidth of a node's link in Mbit/s unless said otherwise; one cell has room on it.
+const WIDE_LINK: f64 = 1_000.0;
+
+/// Most cells of a site.
+const CELLS: u16 = 12;
+
 /// Time between two tries of a caller whose job isn't accepted.
 const CALLER_RETRY: Duration = Duration::from_millis(150);
 
@@ -42,6 +49,8 @@
     done: HashMap<TaskId, u32>,
     /// Core milliseconds of runs whose lease lapsed.
     lapsed: u64,
+    /// Nodes by the address at which others ask them.
+    peers: HashMap<CompactString, Weak<Peer>>,
     /// When the first order to start came, by fencing token.
     pub(super) ordered: HashMap<u64, tokio::time::Instant>,
 }
@@ -87,7 +96,8 @@
         let config = FleetConfig { version: Version(1), queues: vec![queue()], pools };
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let (done, ordered) = (HashMap::new(), HashMap::new());
-        Fleet { store, config, workers, base, rng, done, lapsed: 0, ordered }
+        let peers = HashMap::new();
+        Fleet { store, config, workers, base, rng, done, lapsed: 0, peers, ordered }
     }
 
     fn now(&self) -> u64 {
@@ -144,6 +154,11 @@
         Some(worker.report())
     }
 
+    /// The node that answers at an address.
+    pub(super) fn peer(&self, address: &str) -> Option<Rc<Peer>> {
+        self.peers.get(address)?.upgrade()
+    }
+
     pub(super) fn vms(&self) -> Vec<VmRow> {
         self.workers.iter().map(TaskWorker::vm_row).collect()
     }
@@ -165,7 +180,7 @@
 }
 
 /// A node and its network.
-pub(super) struct Seat {
+pub(super) struct Peer {
     pub(super) node: Rc<EntryNode<NodePlatform, NodeClock>>,
     pub(super) link: Rc<Link>,
 }
@@ -173,7 +188,9 @@
 /// A simulated site.
 pub(super) struct Site {
     pub(super) fleet: Rc<RefCell<Fleet>>,
-    pub(super) seats: Vec<Seat>,
+    pub(super) seats: Vec<Rc<Peer>>,
+    /// Bandwidth of a node's link in Mbit/s; a narrow one makes small cells.
+    bandwidth: f64,
     /// Jobs that were accepted.
     accepted: Rc<RefCell<HashSet<JobKey>>>,
     submitted: Cell<u64>,
@@ -184,10 +201,16 @@
 impl Site {
     /// A site of workers without a node.
     pub(super) fn new(workers: u32, seed: u64) -> Self {
+        Site::with_links(workers, seed, WIDE_LINK)
+    }
+
+    /// A site whose nodes have links of this bandwidth in Mbit/s.
+    pub(super) fn with_links(workers: u32, seed: u64, bandwidth: f64) -> Self {
         let fleet = Rc::new(RefCell::new(Fleet::new(workers, seed)));
         Site {
             fleet,
             seats: Vec::new(),
+            bandwidth,
             accepted: Rc::default(),
             submitted: Cell::new(0),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed ^ 1)),
@@ -199,29 +222,51 @@
     pub(super) fn add_node(&mut self, cores: Millicores) {
         let link = Link::new();
         let platform = NodePlatform { fleet: self.fleet.clone(), link: link.clone() };
+        let address = format_compact!("node-{}", self.seats.len());
         let settings = EntrySettings {
             node: NodeId::try_from(format!("n{}", self.seats.len()).as_str())
                 .expect("the name is valid"),
+            peer: address.clone(),
             limits: Limits::default(),
-            cores,
+            size: NodeSize { cores, link: self.bandwidth, cells: CELLS },
             retention: Duration::from_secs(150),
             seed: self.rng.borrow_mut().random(),
         };
         let node = EntryNode::new(platform, NodeClock(link.clone(), self.base), settings);
         tokio::task::spawn_local(node.clone().follow());
         tokio::task::spawn_local(owner::run(node.clone()));
-        self.seats.push(Seat { node, link });
+        let peer = Rc::new(Peer { node, link });
+        self.fleet.borrow_mut().peers.insert(address, Rc::downgrade(&peer));
+        self.seats.push(peer);
     }
 
     /// The node that owns the fleet.
     pub(super) fn owner(&self) -> Option<usize> {
-        let owns = |seat: &Seat| seat.node.events.borrow().is_some();
+        let owns = |seat: &Rc<Peer>| seat.node.members().iter().any(|member| member.is_owned());
         self.seats.iter().position(owns)
     }
 
+    /// Nodes that work and own a cell.
+    pub(super) fn owners(&self) -> Vec<usize> {
+        let owns = |number: &usize| {
+            let seat = &self.seats[*number];
+            let well = seat.link.condition.get() == Condition::Well;
+            well && seat.node.members().iter().any(|member| member.is_owned())
+        };
+        (0..self.seats.len()).filter(owns).collect()
+    }
+
+    /// Number of cells that a node which works owns.
+    pub(super) fn owned_cells(&self) -> usize {
+        let well = self.seats.iter().filter(|s| s.link.condition.get() == Condition::Well);
+        let owned = well.flat_map(|seat| seat.node.members()).filter(|member| member.is_owned());
+        owned.map(|member| member.id).collect::<HashSet<_>>().len()
+    }
+
     /// Highest fencing token that a node has read.
     pub(super) fn epoch(&self) -> u64 {
-        self.seats.iter().map(|seat| seat.node.book.borrow().epoch()).max().unwrap_or_default()
+        let members = self.seats.iter().flat_map(|seat| seat.node.members());
+        members.map(|member| member.book.borrow().epoch()).max().unwrap_or_default()
     }
 
     /// Submits a job of `tasks` tasks that take about `estimate`; its caller tries nodes at random until one accepts it.
@@ -261,13 +306,15 @@
 
     /// Accepted jobs that aren't completed, as a node that works sees them.
     pub(super) fn unfinished(&self) -> usize {
-        let Some(seat) = self.seats.iter().find(|s| s.link.condition.get() == Condition::Well)
-        else {
-            return self.accepted.borrow().len();
+        let well = |seat: &&Rc<Peer>| seat.link.condition.get() == Condition::Well;
+        let state = |seat: &Rc<Peer>, job: JobKey| {
+            let member = seat.node.member_for(job).filter(|member| member.is_followed())?;
+            member.book.borrow().job(job).map(|entry| entry.state())
+        };
+        let completed = |job: &JobKey| {
+            let states = self.seats.iter().filter(well).find_map(|seat| state(seat, *job));
+            states == Some(JobState::Completed)
         };
-        let book = seat.node.book.borrow();
-        let completed =
-            |job: &JobKey| book.job(*job).is_some_and(|e| e.state() == JobState::Completed);
         self.accepted.borrow().iter().filter(|job| !completed(job)).count()
     }
 
--- a/crates/cj-bench/src/entry/mod.rs
+++ b/crates/cj-bench/src/entry/mod.rs
@@ -1,5 +1,6 @@
 //! Entry nodes on a simulated platform, in virtual time.
 
+pub mod cells;
 mod fleet;
 mod platform;
 pub mod recover;
--- a/crates/cj-bench/src/entry/platform.rs
+++ b/crates/cj-bench/src/entry/platform.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use cj_entry::{Guard, Newest, OperatorChange, Page, Platform, RegistryChange, StoreError, Topic};
 use cj_sched::{
     TaskId,
@@ -16,7 +17,7 @@
     },
 };
 use cj_types::{Clock, Error, ServiceId, UnixMillis, VmId};
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use tokio::sync::Notify;
 
 use super::fleet::Fleet;
@@ -255,4 +256,18 @@
     async fn move_vm(&self, _: &VmId, _: &ServiceId, _: u64) -> VmAnswer {
         VmAnswer::Later
     }
+
+    async fn ask(&self, address: &str, question: Vec<u8>) -> Result<Bytes, CompactString> {
+        self.link.run().await;
+        tokio::time::sleep(WORKER_CALL).await;
+        let peer = self.fleet.borrow().peer(address).ok_or("no node has this address")?;
+        peer.link.run().await;
+        if [&self.link, &peer.link].iter().any(|link| link.condition.get() == Condition::Cut) {
+            tokio::time::sleep(CALL_LIMIT).await;
+            return Err("cut".into());
+        }
+        let answer = peer.node.answer_peer(&question).await;
+        self.link.run().await;
+        answer.map(Bytes::from).map_err(|error| error.to_compact_string())
+    }
 }
--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -41,6 +41,7 @@
     ("append", append::run),
     ("buffer", buffer::run),
     ("cancel", cancel::run),
+    ("cells", entry::cells::run),
     ("control", control::run),
     ("flood", flood::run),
     ("fold", fold::run),
--- a/crates/cj-bench/tests/entry.rs
+++ b/crates/cj-bench/tests/entry.rs
@@ -2,7 +2,7 @@
 
 use cj_bench::{
     Options,
-    entry::{recover, takeover},
+    entry::{cells, recover, takeover},
 };
 use cj_types::Result;
 
@@ -44,3 +44,15 @@
     }
     Ok(())
 }
+
+/// Guards against jobs that are lost or done twice, and cells that stay without an owner, while the owners of several cells
+/// are frozen, cut off, refused by the store and killed one after the other.
+#[test]
+fn cells_outlive_their_owners() -> Result<()> {
+    let report = cells::run(&Options { seed: 3, ..OPTIONS })?;
+    assert!(report["cells"].as_u64().unwrap() > 1, "{report}");
+    for count in ["doubled", "lost", "without_owner"] {
+        assert_eq!(report[count], 0, "{report}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cj-entry/src/agree.rs
@@ -0,0 +1,72 @@
+//! Agreement on the layout of the cells: the first append to an empty topic decides.
+
+use std::time::Duration;
+
+use cj_types::Clock;
+use log::{info, warn};
+
+use crate::{
+    claim::strength_delay,
+    follow::{Update, load},
+    layout::Layout,
+    node::EntryNode,
+    platform::{Guard, Platform, Topic},
+    roster::CellRecord,
+};
+
+/// Pause after a read or an append that failed.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Waits until the layout is known; decides on one when the store has none.
+pub(crate) async fn agree<P, C>(node: &EntryNode<P, C>)
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    let mut waited = false;
+    loop {
+        let apply = &mut |update: Update<'_>| {
+            if let Update::Record { record, .. } = update {
+                node.read_cell_record(record);
+            }
+        };
+        let end = load(&node.platform, Topic::Cells, apply).await;
+        if node.layout.borrow().is_some() {
+            return;
+        }
+        match end {
+            Ok(_) if !waited => {
+                // Nodes with more processor time go first: the layout says what an owner can carry.
+                waited = true;
+                tokio::time::sleep(strength_delay(node)).await;
+            }
+            Ok(end) => propose(node, end).await,
+            Err(error) => {
+                warn!(target: "link", "topic=cells choice=read_again cause=\"{error}\"");
+                tokio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Appends a layout, if the topic still ends at `end`.
+async fn propose<P, C>(node: &EntryNode<P, C>, end: u64)
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    let rows = match node.platform.vms().await {
+        Ok(rows) => rows,
+        Err(error) => {
+            warn!(target: "link", "choice=no_layout cause=\"{error}\"");
+            return tokio::time::sleep(RETRY).await;
+        }
+    };
+    let layout = Layout::plan(&rows, node.settings.size);
+    info!(target: "decision", "choice=propose_layout vms={} cells={}", rows.len(), layout.cells);
+    let record = [CellRecord::Layout(layout).entry()];
+    // The next read tells whose layout holds, whatever became of this append.
+    if let Err(error) = node.platform.append(Topic::Cells, &record, Guard::End(end)).await {
+        info!(target: "decision", "choice=other_layout cause=\"{error}\"");
+    }
+}
--- a/crates/cj-entry/src/dispatch.rs
+++ b/crates/cj-entry/src/dispatch.rs
@@ -15,7 +15,7 @@
 use log::warn;
 use tokio::sync::{Semaphore, mpsc};
 
-use crate::{node::EntryNode, platform::Platform};
+use crate::{member::CellMember, platform::Platform};
 
 /// Orders on their way to one worker, listings aside; each takes a connection.
 const ORDERS_PER_WORKER: usize = 3;
@@ -25,7 +25,7 @@
 
 /// Calls a worker, a VM or the policy service for each action, and reports the answers as events.
 pub(crate) struct Dispatcher<P, C> {
-    node: Rc<EntryNode<P, C>>,
+    member: Rc<CellMember<P, C>>,
     epoch: u64,
     active: Rc<Cell<Option<Instant>>>,
     events: mpsc::UnboundedSender<Event>,
@@ -38,17 +38,17 @@
     C: Clock + 'static,
 {
     pub(crate) fn new(
-        node: Rc<EntryNode<P, C>>,
+        member: Rc<CellMember<P, C>>,
         epoch: u64,
         active: Rc<Cell<Option<Instant>>>,
         events: mpsc::UnboundedSender<Event>,
     ) -> Self {
-        Dispatcher { node, epoch, active, events, lanes: RefCell::default() }
+        Dispatcher { member, epoch, active, events, lanes: RefCell::default() }
     }
 
     /// Carries out an action; its answer comes as an event.
     pub(crate) fn dispatch(&self, action: Action) {
-        let (node, token) = (self.node.clone(), self.epoch);
+        let (node, token) = (self.member.node.clone(), self.epoch);
         match action {
             Action::Start(target, order) => {
                 let (worker, task, run) = (target.worker.clone(), order.task, order.run);
@@ -75,7 +75,7 @@
             Action::List { target, deadline, seen, wait } => {
                 let worker = target.worker.clone();
                 let event = move |(sent, answer)| Event::Listed(worker, sent, answer);
-                let skipped = (self.node.clock.now(), ListAnswer::Unanswered);
+                let skipped = (self.member.node.clock.now(), ListAnswer::Unanswered);
                 self.call(event, skipped, async move |sent| {
                     (sent, node.platform.list(&target, deadline, seen, wait, token).await)
                 });
@@ -100,9 +100,8 @@
                     node.platform.maintain_vm(&vm, wave, token).await
                 });
             }
-            Action::ReportWave { wave, completed } => self.report_wave(wave, completed),
             // The owner's loop handles these itself.
-            Action::Write(..) | Action::StepDown => {}
+            Action::Write(..) | Action::ReportWave { .. } | Action::StepDown => {}
         }
     }
 
@@ -131,7 +130,8 @@
         E: FnOnce(T) -> Event + 'static,
         F: AsyncFnOnce(Instant) -> T + 'static,
     {
-        let (events, active, node) = (self.events.clone(), self.active.clone(), self.node.clone());
+        let (events, active) = (self.events.clone(), self.active.clone());
+        let node = self.member.node.clone();
         actix_rt::spawn(async move {
             let sent = node.clock.now();
             let answer = if is_active(&active, sent) { send(sent).await } else { skipped };
@@ -140,13 +140,14 @@
         });
     }
 
-    fn report_wave(&self, wave: u64, completed: bool) {
-        let node = self.node.clone();
+    /// Publishes the state of a wave.
+    pub(crate) fn report_wave(&self, wave: u64, completed: bool) {
+        let member = self.member.clone();
         actix_rt::spawn(async move {
-            while let Err(error) = node.platform.report_wave(wave, completed).await {
+            while let Err(error) = member.node.platform.report_wave(wave, completed).await {
                 warn!(target: "link", "wave={wave} choice=report_again cause=\"{error}\"");
                 tokio::time::sleep(REPORT_RETRY).await;
-                if node.events.borrow().is_none() {
+                if !member.is_owned() {
                     return;
                 }
             }
--- a/crates/cj-entry/src/feeds.rs
+++ b/crates/cj-entry/src/feeds.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     follow::{Link, Update, follow},
-    node::EntryNode,
+    layout::Layout,
+    member::CellMember,
     platform::{Platform, RegistryChange, Topic},
 };
 
@@ -22,11 +23,12 @@
 const REGISTRY_PAUSE: Duration = Duration::from_millis(60);
 
 /// Hands changes of the registry to the scheduler.
-pub(crate) async fn follow_registry<P, C>(node: Rc<EntryNode<P, C>>)
+pub(crate) async fn follow_registry<P, C>(member: Rc<CellMember<P, C>>, layout: Rc<Layout>)
 where
     P: Platform,
     C: Clock + 'static,
 {
+    let node = &member.node;
     let link = Link::default();
     let mut listed: HashSet<WorkerId> = HashSet::new();
     let mut loading: HashSet<WorkerId> = HashSet::new();
@@ -35,20 +37,24 @@
         let Update::Record { record, in_order } = update else {
             // A worker without a record in a new reading of all keys is gone.
             for id in listed.difference(&loading) {
-                node.send(Event::Unlisted(id.clone()));
+                member.send(Event::Unlisted(id.clone()));
             }
             listed = std::mem::take(&mut loading);
             return;
         };
         match node.platform.registry_change(&record.key, &record.value) {
             Ok(RegistryChange::Reported(report)) => {
+                if layout.cell_of(&report.labels) != member.id {
+                    return;
+                }
                 let known = if in_order { &mut listed } else { &mut loading };
                 known.insert(report.id.clone());
-                node.send(Event::Reported(report));
+                member.send(Event::Reported(report));
             }
             Ok(RegistryChange::Removed(id)) => {
-                listed.remove(&id);
-                node.send(Event::Unlisted(id));
+                if listed.remove(&id) {
+                    member.send(Event::Unlisted(id));
+                }
             }
             Err(error) => {
                 warn!(
@@ -63,16 +69,18 @@
 }
 
 /// Hands the list of VMs to the scheduler.
-pub(crate) async fn follow_vms<P, C>(node: Rc<EntryNode<P, C>>)
+pub(crate) async fn follow_vms<P, C>(member: Rc<CellMember<P, C>>, layout: Rc<Layout>)
 where
     P: Platform,
     C: Clock + 'static,
 {
+    let node = &member.node;
     loop {
         let sent = node.clock.now();
         let listed = match node.platform.vms().await {
-            Ok(rows) => {
-                node.send(Event::Vms(sent, rows));
+            Ok(mut rows) => {
+                rows.retain(|row| layout.cell_of(&row.labels) == member.id);
+                member.send(Event::Vms(sent, rows));
                 true
             }
             Err(error) => {
@@ -82,7 +90,7 @@
         };
         let due = sent + if listed { VMS_IDLE_GAP } else { VMS_GAP };
         tokio::time::sleep(VMS_GAP).await;
-        while node.clock.now() < due && !node.wants_vms.get() {
+        while node.clock.now() < due && !member.wants_vms.get() {
             tokio::time::sleep(VMS_GAP / 4).await;
         }
     }
--- a/crates/cj-entry/src/follow.rs
+++ b/crates/cj-entry/src/follow.rs
@@ -52,6 +52,14 @@
         self.loaded.get()
     }
 
+    /// Forgets what was read.
+    pub(crate) fn reset(&self) {
+        self.loaded.set(false);
+        self.known_at.set(None);
+        self.next.set(0);
+        self.lost.set(false);
+    }
+
     /// Offset of the next record.
     pub fn next(&self) -> u64 {
         self.next.get()
@@ -125,7 +133,7 @@
 }
 
 /// Reads the newest records. Returns the offset from which all later ones have to be read.
-async fn load<P, F>(platform: &P, topic: Topic, apply: &mut F) -> Result<u64, StoreError>
+pub(crate) async fn load<P, F>(platform: &P, topic: Topic, apply: &mut F) -> Result<u64, StoreError>
 where
     P: Platform,
     F: FnMut(Update<'_>),
--- a/crates/cj-entry/src/front.rs
+++ b/crates/cj-entry/src/front.rs
@@ -1,20 +1,24 @@
 //! What callers can ask: submit a job, read its state, cancel it, and count the waiting jobs of a queue.
 
 use std::{
-    rc::Rc,
+    fmt,
     time::{Duration, Instant},
 };
 
-use cj_sched::{JobKey, JobSpec, JobState, Queue, Record, Submission, codec};
+use cj_sched::{JobKey, JobSpec, JobState, Queue, Record, Submission, codec, record::OwnerBeat};
 use cj_types::Clock;
 use compact_str::{CompactString, ToCompactString};
 use log::info;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     admission::{Verdict, admit, backlog_time},
+    follow::Link,
+    member::CellMember,
     metrics::AnswerLabels,
     node::EntryNode,
     outbox::Appended,
+    peer::{Answer, Question},
     platform::Platform,
 };
 
@@ -30,6 +34,9 @@
 /// Time that an answer takes to reach its caller.
 const ANSWER_RESERVE: Duration = Duration::from_millis(150);
 
+/// What is known of the owners' waiting jobs may be this old.
+const WAITING_AGE: Duration = Duration::from_millis(1_900);
+
 /// Longest time that a caller without a deadline waits for.
 pub const DEADLINE: Duration = Duration::from_secs(3);
 
@@ -47,7 +54,7 @@
 }
 
 /// Answer to a question about a job.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Looked {
     /// Its state.
     State(JobState),
@@ -58,7 +65,7 @@
 }
 
 /// Answer to a cancellation.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Cancelled {
     /// The cancellation is durable, or the job was over.
     Done,
@@ -70,6 +77,16 @@
     Unknown,
 }
 
+impl Looked {
+    /// The answer of a node that can't reach what it needs.
+    pub(crate) const UNAVAILABLE: Looked = Looked::Unavailable(STORE_RETRY);
+}
+
+impl Cancelled {
+    /// The answer of a node that can't reach what it needs.
+    pub(crate) const UNREACHABLE: Cancelled = Cancelled::Refused(STORE_RETRY);
+}
+
 impl<P, C> EntryNode<P, C>
 where
     P: Platform,
@@ -85,16 +102,19 @@
 
     /// Accepts a job, if the store takes it and its pool can do it in time.
     pub async fn submit(
-        self: &Rc<Self>,
+        &self,
         queue: &Queue,
         job: JobKey,
         spec: JobSpec,
         deadline: Instant,
     ) -> Submitted {
-        let answer = self.decide_submission(queue, job, spec, deadline).await;
+        let member = self.member_for(job);
+        let answer = match &member {
+            Some(member) => member.decide_submission(queue, job, spec, deadline).await,
+            None => Submitted::Refused("no_layout", STORE_RETRY),
+        };
         let version =
             self.config.borrow().as_ref().map(|config| config.version).unwrap_or_default();
-        let offset = self.jobs.next();
         let (choice, outcome, retry) = match &answer {
             Submitted::Accepted => ("accepted", "accepted", Duration::ZERO),
             Submitted::Invalid(_) => ("invalid", "invalid", Duration::ZERO),
@@ -103,21 +123,109 @@
         };
         info!(
             target: "decision",
-            "job={job} request=submit queue={} config={version} offset={offset} choice={choice} reason={outcome} retry_ms={}",
-            queue.name, retry.as_millis()
+            "job={job} request=submit queue={} config={version} {} choice={choice} reason={outcome} retry_ms={}",
+            queue.name, Position(member.as_deref()), retry.as_millis()
         );
         self.count("submit", outcome);
         answer
     }
 
+    /// State of a job.
+    pub async fn look(&self, job: JobKey) -> Looked {
+        let member = self.member_for(job);
+        let answer = match &member {
+            Some(member) => member.look(job).await,
+            None => Looked::UNAVAILABLE,
+        };
+        let outcome = match &answer {
+            Looked::State(_) => "state",
+            Looked::Gone => "gone",
+            Looked::Unavailable(_) => "unavailable",
+        };
+        if !matches!(answer, Looked::State(_)) {
+            info!(
+                target: "decision",
+                "job={job} request=status choice={outcome} {}", Position(member.as_deref())
+            );
+        }
+        self.count("status", outcome);
+        answer
+    }
+
+    /// Cancels a job.
+    pub async fn cancel(&self, job: JobKey, deadline: Instant) -> Cancelled {
+        let member = self.member_for(job);
+        let answer = match &member {
+            Some(member) => member.cancel(job, deadline).await,
+            None => Cancelled::UNREACHABLE,
+        };
+        let outcome = match &answer {
+            Cancelled::Done => "done",
+            Cancelled::Gone => "gone",
+            Cancelled::Refused(_) => "refused",
+            Cancelled::Unknown => "unknown",
+        };
+        info!(
+            target: "decision",
+            "job={job} request=cancel {} choice={outcome}", Position(member.as_deref())
+        );
+        self.count("cancel", outcome);
+        answer
+    }
+
+    /// Number of jobs of a queue of which no task has begun; `None` while the node doesn't know.
+    pub fn waiting(&self, queue: &Queue) -> Option<usize> {
+        let known = if self.has_cells() {
+            let layout = self.layout.borrow().clone()?;
+            let now = self.clock.now();
+            self.roster.borrow().waiting(&queue.name, layout.cells, now, WAITING_AGE)
+        } else {
+            let members = self.members();
+            let member = members.first().filter(|member| member.knows_all_jobs());
+            member.map(|member| member.book.borrow().waiting(&queue.name))
+        };
+        self.count("waiting", if known.is_some() { "count" } else { "unavailable" });
+        known
+    }
+
+    fn count(&self, request: &'static str, outcome: &'static str) {
+        self.metrics.answers.get_or_create(&AnswerLabels { request, outcome }).inc();
+    }
+}
+
+/// For log lines: the cell of a job, and up to where the node has read it.
+struct Position<'a, P, C>(Option<&'a CellMember<P, C>>);
+
+impl<P, C> fmt::Display for Position<'_, P, C>
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(member) = self.0 else { return f.write_str("cell=none") };
+        if !member.is_followed() {
+            let silence = member.node.roster.borrow().silence(member.id, member.node.clock.now());
+            let age = silence.map_or(-1, |silence| silence.as_millis() as i64);
+            return write!(f, "cell={} owner_age_ms={age}", member.id);
+        }
+        let (offset, answered) = (member.jobs.next(), member.jobs.is_answered());
+        write!(f, "cell={} offset={offset} store_answers={answered}", member.id)
+    }
+}
+
+impl<P, C> CellMember<P, C>
+where
+    P: Platform,
+    C: Clock + 'static,
+{
     async fn decide_submission(
-        self: &Rc<Self>,
+        &self,
         queue: &Queue,
         job: JobKey,
         spec: JobSpec,
         deadline: Instant,
     ) -> Submitted {
-        if self.book.borrow().job(job).is_some() {
+        if self.is_known(job) {
             return Submitted::Accepted;
         }
         if let Err(error) = spec.check() {
@@ -128,13 +236,10 @@
             return Submitted::Refused("store_unreachable", STORE_RETRY);
         }
         let objective = spec.chain().mul_f32(queue.stretch.max(1.0)) + queue.target;
-        let verdict = {
-            let book = self.book.borrow();
-            admit(book.owner().map(|owner| &owner.beat), &queue.service, &spec, objective)
-        };
+        let verdict = admit(self.owner_beat().as_ref(), &queue.service, &spec, objective);
         if let Verdict::Refuse(after) = verdict {
             self.log_overload(job, queue, objective);
-            return Submitted::Refused("overload", after);
+            return self.refuse_unless_known(job, after).await;
         }
         let submission = Submission {
             queue: queue.name.clone(),
@@ -142,118 +247,137 @@
             priority: queue.priority,
             attempts: queue.attempts,
             objective,
-            at: self.clock.wall(),
+            at: self.node.clock.wall(),
             spec,
         };
         let record = Record::Submission(job, Box::new(submission));
-        let known = || self.book.borrow().job(job).is_some();
-        match self.append(&record, deadline, known).await {
+        match self.append(&record, deadline, || self.is_known(job)).await {
             Appended::Durable => Submitted::Accepted,
             Appended::Refused => Submitted::Refused("store_refused", STORE_RETRY),
             Appended::Unknown => Submitted::Unknown,
         }
     }
 
+    /// Refuses a job for overload. An earlier try of its caller may have been accepted by another node, so a node that doesn't
+    /// follow the cell asks the owner first.
+    async fn refuse_unless_known(&self, job: JobKey, after: Duration) -> Submitted {
+        if self.is_followed() {
+            return Submitted::Refused("overload", after);
+        }
+        match self.look(job).await {
+            Looked::State(_) => Submitted::Accepted,
+            Looked::Gone => Submitted::Refused("overload", after),
+            Looked::Unavailable(_) => Submitted::Unknown,
+        }
+    }
+
+    fn is_known(&self, job: JobKey) -> bool {
+        self.book.borrow().job(job).is_some()
+    }
+
+    /// The last heartbeat of the owner that the node knows.
+    fn owner_beat(&self) -> Option<OwnerBeat> {
+        if self.is_followed() {
+            return self.book.borrow().owner().map(|owner| owner.beat.clone());
+        }
+        self.node.roster.borrow().beat(self.id).map(|beat| beat.owner.clone())
+    }
+
     /// Tells what the node knows of the store.
     fn log_unreachable(&self, job: JobKey) {
-        let now = self.clock.now();
-        let age = self.jobs.age(now).map(|age| age.as_millis().to_compact_string());
+        let now = self.node.clock.now();
+        let link = self.link();
+        let age = link.age(now).map(|age| age.as_millis().to_compact_string());
         info!(
             target: "decision",
             "job={job} reason=store_unreachable read_age_ms={} reads_answered={} append_stalled={}",
-            age.as_deref().unwrap_or("never"), self.jobs.is_answered(), self.outbox.is_stalled(now)
+            age.as_deref().unwrap_or("never"), link.is_answered(), self.outbox.is_stalled(now)
         );
     }
 
-    /// Tells which load decided a refusal, and how old it is.
+    /// Tells which load decided a refusal.
     fn log_overload(&self, job: JobKey, queue: &Queue, objective: Duration) {
-        let book = self.book.borrow();
-        let Some(owner) = book.owner() else { return };
-        let load = owner.beat.load.iter().find(|(service, _)| *service == queue.service);
+        let Some(beat) = self.owner_beat() else { return };
+        let load = beat.load.iter().find(|(service, _)| *service == queue.service);
         let wait = load.map(|(_, load)| backlog_time(load)).unwrap_or_default();
-        let age = self.heard.get().map(|at| self.clock.now().saturating_duration_since(at));
         info!(
             target: "decision",
-            "job={job} reason=overload service={} wait_ms={} objective_ms={} epoch={} load_offset={} load_age_ms={}",
-            queue.service, wait.as_millis(), objective.as_millis(), owner.beat.epoch, owner.offset,
-            age.unwrap_or_default().as_millis()
+            "job={job} reason=overload service={} wait_ms={} objective_ms={} epoch={} {}",
+            queue.service, wait.as_millis(), objective.as_millis(), beat.epoch, Position(Some(self))
         );
     }
 
-    /// State of a job.
-    pub fn look(&self, job: JobKey) -> Looked {
-        let state = self.book.borrow().job(job).map(|entry| entry.state());
-        let answer = match state {
+    /// State of a job: from the book where the cell is followed, else from the owner.
+    async fn look(&self, job: JobKey) -> Looked {
+        if self.is_followed() {
+            let known = self.look_here(job);
+            if !matches!(known, Looked::Unavailable(_)) || self.is_home {
+                return known;
+            }
+        }
+        match self.ask(Question::Look(job)).await {
+            Some(Answer::Looked(answer)) => answer,
+            _ => Looked::UNAVAILABLE,
+        }
+    }
+
+    /// State of a job as the book of this node has it.
+    pub(crate) fn look_here(&self, job: JobKey) -> Looked {
+        match self.book.borrow().job(job).map(|entry| entry.state()) {
             Some(state) => Looked::State(state),
             None if self.knows_all_jobs() => Looked::Gone,
-            None => Looked::Unavailable(STORE_RETRY),
-        };
-        let outcome = match &answer {
-            Looked::State(_) => "state",
-            Looked::Gone => "gone",
-            Looked::Unavailable(_) => "unavailable",
-        };
-        if !matches!(answer, Looked::State(_)) {
-            let (offset, answered) = (self.jobs.next(), self.jobs.is_answered());
-            info!(
-                target: "decision",
-                "job={job} request=status choice={outcome} offset={offset} store_answers={answered}"
-            );
+            None => Looked::UNAVAILABLE,
         }
-        self.count("status", outcome);
-        answer
     }
 
-    /// Cancels a job.
-    pub async fn cancel(self: &Rc<Self>, job: JobKey, deadline: Instant) -> Cancelled {
-        let answer = self.decide_cancel(job, deadline).await;
-        let outcome = match &answer {
-            Cancelled::Done => "done",
-            Cancelled::Gone => "gone",
-            Cancelled::Refused(_) => "refused",
-            Cancelled::Unknown => "unknown",
-        };
-        info!(
-            target: "decision",
-            "job={job} request=cancel offset={} choice={outcome}", self.jobs.next()
-        );
-        self.count("cancel", outcome);
-        answer
+    /// Cancels a job: here where the cell is followed, else through the owner.
+    async fn cancel(&self, job: JobKey, deadline: Instant) -> Cancelled {
+        if self.is_followed() {
+            return self.cancel_here(job, deadline).await;
+        }
+        match self.ask(Question::Cancel(job)).await {
+            Some(Answer::Cancelled(answer @ (Cancelled::Done | Cancelled::Gone))) => answer,
+            // Without an owner the cancellation is stored all the same; it holds once the job is read.
+            _ if self.reaches_store() => self.append_cancel(job, deadline, || false).await,
+            _ => Cancelled::UNREACHABLE,
+        }
     }
 
-    async fn decide_cancel(self: &Rc<Self>, job: JobKey, deadline: Instant) -> Cancelled {
+    /// Cancels a job of which the book of this node tells whether it exists.
+    pub(crate) async fn cancel_here(&self, job: JobKey, deadline: Instant) -> Cancelled {
         let known = self.book.borrow().job(job).map(|entry| entry.state());
         match known {
             Some(state) if state.is_final() => return Cancelled::Done,
-            Some(_) if !self.reaches_store() => return Cancelled::Refused(STORE_RETRY),
+            Some(_) if !self.reaches_store() => return Cancelled::UNREACHABLE,
             Some(_) => {}
             None if self.knows_all_jobs() => return Cancelled::Gone,
-            None => return Cancelled::Refused(STORE_RETRY),
+            None => return Cancelled::UNREACHABLE,
         }
-        let record = Record::Cancel(job, self.clock.wall());
         let seen = || self.book.borrow().job(job).is_some_and(|entry| entry.cancelled.is_some());
+        self.append_cancel(job, deadline, seen).await
+    }
+
+    async fn append_cancel<F>(&self, job: JobKey, deadline: Instant, seen: F) -> Cancelled
+    where
+        F: Fn() -> bool,
+    {
+        let record = Record::Cancel(job, self.node.clock.wall());
         match self.append(&record, deadline, seen).await {
             Appended::Durable => Cancelled::Done,
-            Appended::Refused => Cancelled::Refused(STORE_RETRY),
+            Appended::Refused => Cancelled::UNREACHABLE,
             Appended::Unknown => Cancelled::Unknown,
         }
     }
 
-    /// True while appends have a chance to be answered.
-    fn reaches_store(&self) -> bool {
-        let now = self.clock.now();
-        self.jobs.is_fresh(now) && self.jobs.is_answered() && !self.outbox.is_stalled(now)
+    /// The topic whose reads tell whether the node reaches the store.
+    fn link(&self) -> &Link {
+        if self.is_followed() { &self.jobs } else { &self.node.cells }
     }
 
-    /// Number of jobs of a queue of which no task has begun; `None` while the node doesn't know.
-    pub fn waiting(&self, queue: &Queue) -> Option<usize> {
-        let fresh = self.knows_all_jobs();
-        self.count("waiting", if fresh { "count" } else { "unavailable" });
-        fresh.then(|| self.book.borrow().waiting(&queue.name))
-    }
-
-    fn count(&self, request: &'static str, outcome: &'static str) {
-        self.metrics.answers.get_or_create(&AnswerLabels { request, outcome }).inc();
+    /// True while appends have a chance to be answered.
+    fn reaches_store(&self) -> bool {
+        let (now, link) = (self.node.clock.now(), self.link());
+        link.is_fresh(now) && link.is_answered() && !self.outbox.is_stalled(now)
     }
 
     /// Appends a record whose repetition changes nothing. Returns when the store has told what became of it, when the record
@@ -263,9 +387,9 @@
         F: Fn() -> bool,
     {
         let mut done = self.outbox.push(codec::entry(record));
-        let end = deadline.min(self.clock.now() + APPEND_PATIENCE + ANSWER_RESERVE);
+        let end = deadline.min(self.node.clock.now() + APPEND_PATIENCE + ANSWER_RESERVE);
         loop {
-            let left = end.saturating_duration_since(self.clock.now() + ANSWER_RESERVE);
+            let left = end.saturating_duration_since(self.node.clock.now() + ANSWER_RESERVE);
             if left.is_zero() {
                 return Appended::Unknown;
             }
--- /dev/null
+++ b/crates/cj-entry/src/layout.rs
@@ -0,0 +1,180 @@
+//! How the fleet is divided into cells.
+//!
+//! A cell is a set of workers with the jobs that run on them. It has logs of its own and one owner at a time, so several
+//! nodes give the orders of a large fleet and none has to read all of its jobs. All workers of a rack are in one cell, and
+//! the id of a job names its cell, so no record says where a job is. The first node that finds no layout in the store
+//! decides on one; it holds for as long as the store does.
+
+use std::collections::BTreeMap;
+
+use cj_sched::{JobKey, sched::VmRow};
+use cj_types::{Millicores, ServiceId, rendezvous};
+use compact_str::CompactString;
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// VMs that one owner can look after when its fleet has a single cell.
+const SINGLE_CELL_VMS: usize = 400;
+
+/// VMs of a cell in a larger fleet: its owner has to give the orders of a burst that uses them all.
+const CELL_VMS: usize = 190;
+
+/// Bandwidth that the orders and listings of a busy VM take, in Mbit/s.
+const VM_MBPS: f64 = 0.03;
+
+/// A cell.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
+pub struct CellId(pub u16);
+
+impl CellId {
+    /// Its place in a list of all cells.
+    pub fn index(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
+/// What a node can carry as an owner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodeSize {
+    /// Processor time in cores.
+    pub cores: Millicores,
+    /// Bandwidth of its link in Mbit/s.
+    pub link: f64,
+    /// Most cells that the store can hold.
+    pub cells: u16,
+}
+
+/// The cells of a fleet.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Layout {
+    /// Number of cells.
+    pub cells: u16,
+    /// Processor time of the node that decided on the layout. Such nodes are the ones that own cells.
+    pub cores: Millicores,
+    /// Cells of the racks that were known then.
+    racks: BTreeMap<CompactString, CellId>,
+}
+
+impl Layout {
+    /// A layout with one cell.
+    pub fn single(cores: Millicores) -> Self {
+        Layout { cells: 1, cores, racks: BTreeMap::new() }
+    }
+
+    /// Divides the VMs of a fleet. Each cell gets racks of each pool, and about the same number of VMs of it.
+    pub fn plan(rows: &[VmRow], size: NodeSize) -> Self {
+        let racks = racks_by_pool(rows);
+        let fewest = racks.values().map(BTreeMap::len).min().unwrap_or(1);
+        let cells = cell_count(rows.len(), size).min(fewest as u16).max(1);
+        let mut layout = Layout { cells, ..Layout::single(size.cores) };
+        if cells == 1 {
+            return layout;
+        }
+        let mut totals = vec![0; usize::from(cells)];
+        for racks in racks.into_values() {
+            let mut racks: Vec<_> = racks.into_iter().collect();
+            racks.sort_by_key(|(_, vms)| std::cmp::Reverse(*vms));
+            let mut counts = vec![0; usize::from(cells)];
+            for (rack, vms) in racks {
+                let emptiest = (0..counts.len()).min_by_key(|&n| (counts[n], totals[n]));
+                let cell = emptiest.unwrap_or_default();
+                counts[cell] += vms;
+                totals[cell] += vms;
+                layout.racks.insert(rack, CellId(cell as u16));
+            }
+        }
+        layout
+    }
+
+    /// True when the fleet has a single cell.
+    pub fn is_single(&self) -> bool {
+        self.cells == 1
+    }
+
+    /// All cells.
+    pub fn ids(&self) -> impl Iterator<Item = CellId> + use<> {
+        (0..self.cells).map(CellId)
+    }
+
+    /// The cell of a job.
+    pub fn cell_of_job(&self, job: JobKey) -> CellId {
+        self.pick(&job.0.to_be_bytes())
+    }
+
+    /// The cell of a worker or VM with these labels, of which the last one names its rack.
+    pub fn cell_of(&self, labels: &[CompactString]) -> CellId {
+        let rack = labels.last().map(CompactString::as_str).unwrap_or_default();
+        self.racks.get(rack).copied().unwrap_or_else(|| self.pick(rack.as_bytes()))
+    }
+
+    fn pick(&self, key: &[u8]) -> CellId {
+        CellId((rendezvous::weight(key, b"cell") % u64::from(self.cells.max(1))) as u16)
+    }
+
+    /// The cells that a node follows all the time, so that it can take them over at once. Weak nodes of a large fleet
+    /// follow none.
+    pub fn homes(&self, node: &str, cores: Millicores) -> Vec<CellId> {
+        if self.is_single() {
+            return vec![CellId(0)];
+        }
+        if cores.0 * 2 < self.cores.0 {
+            return Vec::new();
+        }
+        let mut cells: Vec<CellId> = self.ids().collect();
+        let weight = |cell: &CellId| rendezvous::weight(&cell.0.to_be_bytes(), node.as_bytes());
+        cells.sort_by_key(|cell| std::cmp::Reverse(weight(cell)));
+        cells.truncate(HOME_CELLS);
+        cells
+    }
+}
+
+/// Cells of a large fleet that a node follows all the time.
+const HOME_CELLS: usize = 2;
+
+/// VMs of each rack, by the pool that has most VMs of the rack.
+fn racks_by_pool(rows: &[VmRow]) -> BTreeMap<ServiceId, BTreeMap<CompactString, usize>> {
+    let mut racks: BTreeMap<CompactString, BTreeMap<&ServiceId, usize>> = BTreeMap::new();
+    for row in rows {
+        let rack = row.labels.last().cloned().unwrap_or_default();
+        *racks.entry(rack).or_default().entry(&row.pool).or_default() += 1;
+    }
+    let mut pools: BTreeMap<ServiceId, BTreeMap<CompactString, usize>> = BTreeMap::new();
+    for (rack, counts) in racks {
+        let total = counts.values().sum();
+        let main = counts.into_iter().max_by_key(|(_, vms)| *vms);
+        if let Some((pool, _)) = main {
+            pools.entry(pool.clone()).or_default().insert(rack, total);
+        }
+    }
+    pools
+}
+
+fn cell_count(vms: usize, size: NodeSize) -> u16 {
+    let by_orders = if vms <= SINGLE_CELL_VMS { 1 } else { vms.div_ceil(CELL_VMS) };
+    let by_link = (vms as f64 * VM_MBPS / size.link.max(VM_MBPS)).ceil() as usize;
+    by_orders.max(by_link).min(usize::from(size.cells)) as u16
+}
+
+/// Most VMs of a wave that a cell may take off at once, where `cap` holds for all cells together. `done` tells which cells
+/// have no VM left to maintain; each of them hands its share on to the next cell, which is safe because it needs none again.
+pub fn wave_share(cap: u32, cell: CellId, done: &[bool]) -> u32 {
+    let cells = done.len();
+    let holder = |unit: usize| {
+        let mut ring = (0..cells).map(|step| (unit + step) % cells);
+        ring.find(|&at| at == cell.index() || !done[at])
+    };
+    (0..cap as usize).filter(|unit| holder(unit % cells) == Some(cell.index())).count() as u32
+}
--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -3,49 +3,50 @@
 use std::{
     cell::{Cell, RefCell},
     collections::BTreeMap,
-    rc::Rc,
-    time::{Duration, Instant},
+    rc::{Rc, Weak},
+    time::Duration,
 };
 
 use cj_sched::{
-    Book, Event, FleetConfig, Log, OVERFLOWS,
-    book::Change,
-    codec,
+    Event, FleetConfig, JobKey,
     record::{OwnerBeat, ServiceLoad},
     sched::{Limits, Now, WaveOrder},
 };
-use cj_types::{Clock, Millicores, NodeId, ServiceId};
+use cj_types::{Clock, NodeId, ServiceId};
+use compact_str::CompactString;
 use futures::future::join_all;
 use log::{info, warn};
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 
 use crate::{
+    agree::agree,
     follow::{Link, Update, follow},
+    layout::{CellId, Layout, NodeSize},
+    member::CellMember,
     metrics::Metrics,
-    outbox::Outbox,
-    platform::{OperatorChange, Platform, Topic},
+    platform::{OperatorChange, Platform, RawRecord, Topic},
+    roster::{CellRecord, Roster},
 };
 
-/// Time between two reads of the jobs by the owner.
-const OWNER_PAUSE: Duration = Duration::from_millis(8);
-
-/// Time between two reads of the jobs by other nodes; callers may see a state this late.
-const STANDBY_PAUSE: Duration = Duration::from_millis(150);
-
 /// Time between two reads of the operator's records.
 const OPERATOR_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time between two reads of the owners' heartbeats.
+const ROSTER_PAUSE: Duration = Duration::from_millis(300);
+
 /// Settings of an entry node.
 #[derive(Clone, Debug)]
 pub struct EntrySettings {
     /// The node.
     pub node: NodeId,
+    /// Where other nodes ask it, `ip:port`.
+    pub peer: CompactString,
     /// Bounds of the platform.
     pub limits: Limits,
-    /// Processor time of the node in cores; nodes with more take over first.
-    pub cores: Millicores,
+    /// What the node can carry; nodes with more processor time take over first.
+    pub size: NodeSize,
     /// How long a job that is final can be asked for.
     pub retention: Duration,
     /// Seed of the node's random choices.
@@ -54,38 +55,34 @@
 
 /// An entry node.
 pub struct EntryNode<P, C> {
+    /// This node, for the parts that refer to it.
+    this: Weak<Self>,
     /// The platform.
     pub platform: P,
     /// The clock.
     pub clock: C,
     /// The settings.
     pub settings: EntrySettings,
-    /// All jobs.
-    pub book: RefCell<Book>,
     /// The operators' configuration, once one was read.
     pub config: RefCell<Option<Rc<FleetConfig>>>,
     /// Waves that the operators ordered.
     pub waves: RefCell<BTreeMap<u64, WaveOrder>>,
-    /// State of the log of jobs.
-    pub jobs: Link,
-    /// States of the overflow logs.
-    pub overflows: [Link; OVERFLOWS as usize],
     /// State of the operator's topic.
     pub operator: Link,
-    /// Records of callers that wait for the store.
-    pub outbox: Outbox,
+    /// How the fleet is divided, once that is known.
+    pub(crate) layout: RefCell<Option<Rc<Layout>>>,
+    /// This node's part in each cell, once the layout is known.
+    members: RefCell<Vec<Rc<CellMember<P, C>>>>,
+    /// The layout became known.
+    pub(crate) laid_out: Notify,
+    /// Owners of the cells.
+    pub(crate) roster: RefCell<Roster>,
+    /// State of the topic of the cells; it is followed only when there are several.
+    pub(crate) cells: Link,
+    /// Cells that this node owns or is about to own.
+    pub(crate) owned: Cell<u32>,
     /// Counters.
     pub metrics: Metrics,
-    /// The book changed.
-    pub changed: Notify,
-    /// When the owner was last heard of.
-    pub heard: Cell<Option<Instant>>,
-    /// Where events go while this node owns the fleet.
-    pub events: RefCell<Option<mpsc::UnboundedSender<Event>>>,
-    /// The scheduler needs an up-to-date list of VMs.
-    pub wants_vms: Cell<bool>,
-    /// This node has claimed the fleet.
-    pub(crate) claimed: Notify,
     /// The node is shutting down.
     pub stopping: Cell<bool>,
     /// Set with `stopping`.
@@ -101,25 +98,22 @@
 {
     /// A node that knows nothing yet.
     pub fn new(platform: P, clock: C, settings: EntrySettings) -> Rc<Self> {
-        let outbox = Outbox::new(&settings.node);
         let rng = RefCell::new(Pcg64Mcg::seed_from_u64(settings.seed));
-        Rc::new(EntryNode {
+        Rc::new_cyclic(|this| EntryNode {
+            this: this.clone(),
             platform,
             clock,
             settings,
-            book: RefCell::default(),
             config: RefCell::default(),
             waves: RefCell::default(),
-            jobs: Link::default(),
-            overflows: Default::default(),
             operator: Link::default(),
-            outbox,
+            layout: RefCell::default(),
+            members: RefCell::default(),
+            laid_out: Notify::new(),
+            roster: RefCell::default(),
+            cells: Link::default(),
+            owned: Cell::default(),
             metrics: Metrics::default(),
-            changed: Notify::new(),
-            heard: Cell::default(),
-            events: RefCell::default(),
-            wants_vms: Cell::default(),
-            claimed: Notify::new(),
             stopping: Cell::default(),
             stop: Notify::new(),
             rng,
@@ -131,27 +125,50 @@
         Now { mono: self.clock.now(), wall: self.clock.wall() }
     }
 
+    /// This node's part in each cell; empty until the layout is known.
+    pub fn members(&self) -> Vec<Rc<CellMember<P, C>>> {
+        self.members.borrow().clone()
+    }
+
+    /// The cell that a job belongs to, once the layout is known.
+    pub fn member_for(&self, job: JobKey) -> Option<Rc<CellMember<P, C>>> {
+        let cell = self.layout.borrow().as_ref()?.cell_of_job(job);
+        self.members.borrow().get(cell.index()).cloned()
+    }
+
+    /// True when the fleet has several cells.
+    pub(crate) fn has_cells(&self) -> bool {
+        self.layout.borrow().as_ref().is_some_and(|layout| !layout.is_single())
+    }
+
     /// True when the node can take submissions.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get()
-            && self.config.borrow().is_some()
-            && self.jobs.is_fresh(self.clock.now())
+        !self.stopping.get() && self.config.borrow().is_some() && self.is_current()
     }
 
-    /// True while all records that are older than a moment are known, so that a job without a record doesn't exist.
-    pub fn knows_all_jobs(&self) -> bool {
+    /// True while the node knows how the jobs or their owners stand.
+    fn is_current(&self) -> bool {
         let now = self.clock.now();
-        self.jobs.is_fresh(now) && self.overflows.iter().all(|link| link.is_fresh(now))
+        if self.has_cells() {
+            return self.cells.is_fresh(now);
+        }
+        self.members.borrow().first().is_some_and(|member| member.jobs.is_fresh(now))
+    }
+
+    /// True while all records of the cells that the node follows are known, older ones than a moment ago at least.
+    pub fn knows_all_jobs(&self) -> bool {
+        let members = self.members.borrow();
+        !members.is_empty() && members.iter().all(|member| member.knows_all_jobs())
     }
 
-    /// A heartbeat of this node as the owner.
+    /// A heartbeat of this node as the owner of a cell.
     pub(crate) fn beat(
         &self,
         epoch: u64,
         released: bool,
         load: Vec<(ServiceId, ServiceLoad)>,
     ) -> OwnerBeat {
-        let (node, cores) = (self.settings.node.clone(), self.settings.cores);
+        let (node, cores) = (self.settings.node.clone(), self.settings.size.cores);
         OwnerBeat { epoch, node, cores, released, load }
     }
 
@@ -161,19 +178,20 @@
         self.stop.notify_waiters();
     }
 
-    /// Sends an event to the scheduler, if this node owns the fleet.
-    pub fn send(&self, event: Event) {
-        if let Some(events) = &*self.events.borrow() {
-            // The owner's loop ends before its receiver is dropped, so a failed send concerns an ownership that is over.
-            let _ = events.send(event);
+    /// A duration drawn evenly up to `most`.
+    pub(crate) fn random_up_to(&self, most: Duration) -> Duration {
+        most.mul_f64(self.rng.borrow_mut().random_range(0.0..1.0))
+    }
+
+    /// Sends an event to the schedulers of all cells that this node owns.
+    fn send_all(&self, event: &Event) {
+        for member in self.members.borrow().iter() {
+            member.send(event.clone());
         }
     }
 
-    /// Follows the jobs and the operator, and appends the records of callers, until the task is dropped.
+    /// Follows the operator and the cells, and appends the records of callers, until the task is dropped.
     pub async fn follow(self: Rc<Self>) {
-        let jobs = self.follow_log(Log::Jobs, &self.jobs);
-        let links = (0..OVERFLOWS).zip(&self.overflows);
-        let overflows = join_all(links.map(|(n, link)| self.follow_log(Log::Overflow(n), link)));
         let operator = follow(
             &self.platform,
             &self.clock,
@@ -182,45 +200,61 @@
             async || tokio::time::sleep(OPERATOR_PAUSE).await,
             |update| self.read_operator(update),
         );
-        let outbox = self.outbox.run(&self.platform, &self.clock);
-        futures::join!(jobs, overflows, operator, outbox);
+        let cells = async {
+            agree(&self).await;
+            let members = self.members();
+            futures::join!(
+                join_all(members.iter().map(|member| member.run_links())),
+                self.follow_roster()
+            );
+        };
+        futures::join!(operator, cells);
     }
 
-    async fn follow_log(&self, log: Log, link: &Link) {
-        let pause = async || {
-            let owns = self.events.borrow().is_some();
-            let span = if owns { OWNER_PAUSE } else { STANDBY_PAUSE };
-            // A new owner reads at once: it waits for its own first record.
-            let _ = tokio::time::timeout(span, self.claimed.notified()).await;
+    /// Follows the heartbeats of the owners where there are several cells.
+    async fn follow_roster(&self) {
+        if !self.has_cells() {
+            return;
+        }
+        let pause = async || tokio::time::sleep(ROSTER_PAUSE).await;
+        let apply = |update: Update<'_>| {
+            if let Update::Record { record, .. } = update {
+                self.read_cell_record(record);
+            }
         };
-        let apply = |update: Update<'_>| self.read_job(log, update);
-        follow(&self.platform, &self.clock, Topic::Jobs(log), link, pause, apply).await;
+        follow(&self.platform, &self.clock, Topic::Cells, &self.cells, pause, apply).await;
     }
 
-    fn read_job(&self, log: Log, update: Update<'_>) {
-        let Update::Record { record, in_order } = update else {
-            return self.changed.notify_waiters();
-        };
-        let decoded = match codec::decode(&record.key, &record.value) {
-            Ok(decoded) => decoded,
+    /// Takes note of a record about the cells.
+    pub(crate) fn read_cell_record(&self, record: &RawRecord) {
+        let now = self.clock.now();
+        match CellRecord::decode(&record.key, &record.value) {
+            Ok(CellRecord::Layout(layout)) => self.lay_out(layout),
+            Ok(CellRecord::Beat(cell, beat)) => self.roster.borrow_mut().hear(cell, beat, now),
+            Ok(CellRecord::Bid(cell, node)) => self.roster.borrow_mut().note_bid(cell, node, now),
             Err(error) => {
-                warn!(target: "link", "topic={log} offset={} choice=skip cause=\"{error}\"", record.offset);
-                return;
-            }
-        };
-        let change = self.book.borrow_mut().apply(log, record.offset, decoded, in_order);
-        match change {
-            Change::Submitted(job) => {
-                let event = Event::read(&self.book.borrow(), job);
-                if let Some(event) = event {
-                    self.send(event);
-                }
+                warn!(
+                    target: "link",
+                    "topic=cells key={} offset={} choice=skip cause=\"{error}\"",
+                    record.key, record.offset
+                );
             }
-            Change::Cancelled(job) => self.send(Event::Cancelled(job)),
-            Change::Owner => self.heard.set(Some(self.clock.now())),
-            Change::Progressed(_) | Change::Nothing => {}
         }
-        self.changed.notify_waiters();
+    }
+
+    /// Takes a layout into use; the first one holds.
+    fn lay_out(&self, layout: Layout) {
+        if self.layout.borrow().is_some() {
+            return;
+        }
+        let homes = layout.homes(self.settings.node.as_str(), self.settings.size.cores);
+        info!(target: "decision", "choice=use_layout cells={} homes={homes:?}", layout.cells);
+        let Some(node) = self.this.upgrade() else { return };
+        // The node and its members refer to each other; both last as long as the process.
+        let member = |cell: CellId| CellMember::new(node.clone(), cell, homes.contains(&cell));
+        *self.members.borrow_mut() = layout.ids().map(member).collect();
+        *self.layout.borrow_mut() = Some(Rc::new(layout));
+        self.laid_out.notify_waiters();
     }
 
     fn read_operator(&self, update: Update<'_>) {
@@ -228,9 +262,11 @@
         match self.platform.operator_change(&record.key, &record.value) {
             Ok(OperatorChange::Config(config)) => self.configure(config, record.offset),
             Ok(OperatorChange::Wave(order)) => {
-                let progress = self.book.borrow().wave(order.number);
                 self.waves.borrow_mut().insert(order.number, order.clone());
-                self.send(Event::Wave(order, progress));
+                for member in self.members.borrow().iter() {
+                    let progress = member.book.borrow().wave(order.number);
+                    member.send(Event::Wave(order.clone(), progress));
+                }
             }
             Ok(OperatorChange::Other) => {}
             Err(error) => {
@@ -257,6 +293,6 @@
         let config = Rc::new(config);
         *self.config.borrow_mut() = Some(config.clone());
         self.metrics.config.set(config.version.0 as i64);
-        self.send(Event::Config(config));
+        self.send_all(&Event::Config(config));
     }
 }
--- a/crates/cj-entry/src/outbox.rs
+++ b/crates/cj-entry/src/outbox.rs
@@ -17,7 +17,10 @@
 use log::{info, warn};
 use tokio::sync::{Notify, oneshot};
 
-use crate::platform::{Guard, Platform, StoreError, Topic};
+use crate::{
+    layout::CellId,
+    platform::{Guard, Platform, StoreError, Topic},
+};
 
 /// Most records in one append.
 const BATCH_RECORDS: usize = 200;
@@ -90,6 +93,8 @@
 
 /// Records that wait for their append. A repeated append of any of them changes nothing.
 pub struct Outbox {
+    /// The cell whose jobs the records are about.
+    cell: CellId,
     /// Log for records while the log of jobs is slow.
     overflow: Log,
     /// Log for the next append.
@@ -104,10 +109,11 @@
 
 impl Outbox {
     /// An outbox without records. The node's name decides which overflow log it uses.
-    pub fn new(node: &NodeId) -> Self {
+    pub fn new(node: &NodeId, cell: CellId) -> Self {
         let mut hasher = DefaultHasher::new();
         node.hash(&mut hasher);
         Outbox {
+            cell,
             overflow: Log::Overflow((hasher.finish() % u64::from(OVERFLOWS)) as u8),
             log: Cell::new(Log::Jobs),
             waiting: RefCell::default(),
@@ -127,7 +133,7 @@
             _ => return,
         };
         self.log.set(next);
-        info!(target: "decision", "choice=change_log from={log} to={next} latency_ms={}", latency.as_millis());
+        info!(target: "decision", "cell={} choice=change_log from={log} to={next} latency_ms={}", self.cell, latency.as_millis());
     }
 
     /// True when an append has waited for its answer for long.
@@ -180,7 +186,7 @@
         let outcome = loop {
             let sent = clock.now();
             let patience = patience(CALLER_PATIENCE, self.latency.get());
-            let topic = Topic::Jobs(self.log.get());
+            let topic = Topic::Jobs(self.cell, self.log.get());
             let answer =
                 append_once(platform, topic, &records, Guard::None, patience, unanswered).await;
             let took = clock.now().saturating_duration_since(sent);
--- a/crates/cj-entry/src/overflow.rs
+++ b/crates/cj-entry/src/overflow.rs
@@ -7,7 +7,7 @@
 use log::{info, warn};
 
 use crate::{
-    node::EntryNode,
+    member::CellMember,
     outbox::{OWNER_PATIENCE, append_once},
     platform::{Guard, Platform, StoreError, Topic},
 };
@@ -17,18 +17,20 @@
 
 /// Marks where this ownership begins in an overflow log. Submissions that follow are known to be new: an earlier owner that
 /// reads the mark first gives no more orders.
-pub(crate) async fn mark_overflow<P, C>(node: Rc<EntryNode<P, C>>, log: Log, epoch: u64)
+pub(crate) async fn mark_overflow<P, C>(member: Rc<CellMember<P, C>>, log: Log, epoch: u64)
 where
     P: Platform,
     C: Clock + 'static,
 {
-    let mark = Record::Owner(node.beat(epoch, false, Vec::new()));
+    let mark = Record::Owner(member.node.beat(epoch, false, Vec::new()));
     let records = [codec::entry(&mark)];
     let guard = Guard::Owner { epoch, sequence: 0 };
     let mut tries = 0;
     loop {
-        let topic = Topic::Jobs(log);
-        match append_once(&node.platform, topic, &records, guard, OWNER_PATIENCE, tries).await {
+        let topic = Topic::Jobs(member.id, log);
+        match append_once(&member.node.platform, topic, &records, guard, OWNER_PATIENCE, tries)
+            .await
+        {
             Ok(_) => return,
             Err(StoreError::Refused(_) | StoreError::Unanswered(_)) => tries += 1,
             Err(error) => {
@@ -41,13 +43,17 @@
 }
 
 /// Drops records of jobs that were final for long from an overflow log. A later clean-up repeats what fails.
-pub(crate) async fn drop_overflow<P, C>(node: Rc<EntryNode<P, C>>, log: Log, records: Vec<Record>)
-where
+pub(crate) async fn drop_overflow<P, C>(
+    member: Rc<CellMember<P, C>>,
+    log: Log,
+    records: Vec<Record>,
+) where
     P: Platform,
     C: Clock + 'static,
 {
     let encoded: Vec<_> = records.iter().map(codec::entry).collect();
-    let dropped = node.platform.append(Topic::Jobs(log), &encoded, Guard::None).await;
+    let dropped =
+        member.node.platform.append(Topic::Jobs(member.id, log), &encoded, Guard::None).await;
     if let Err(error) = dropped {
         warn!(target: "link", "log={log} choice=drop_later records={} cause=\"{error}\"", records.len());
     }
--- a/crates/cj-entry/src/platform.rs
+++ b/crates/cj-entry/src/platform.rs
@@ -14,18 +14,23 @@
 use compact_str::CompactString;
 use derive_more::Display;
 
-/// The log that holds the owner's records.
-pub const JOBS: Topic = Topic::Jobs(Log::Jobs);
+use crate::layout::CellId;
+
+/// The log that holds the records of the owner of the first cell.
+pub const JOBS: Topic = Topic::Jobs(CellId(0), Log::Jobs);
 
 /// A topic of the store.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
 pub enum Topic {
-    /// A log of jobs and of the owner, by key.
-    #[display("{_0}")]
-    Jobs(Log),
-    /// Claims of ownership; the offset of a claim makes its fencing token.
-    #[display("claims")]
-    Claims,
+    /// The layout of the cells and the heartbeats of their owners, by key.
+    #[display("cells")]
+    Cells,
+    /// A log of jobs and of the owner of a cell, by key.
+    #[display("{_1}@{_0}")]
+    Jobs(CellId, Log),
+    /// Claims of the ownership of a cell; the offset of a claim makes its fencing token.
+    #[display("claims@{_0}")]
+    Claims(CellId),
     /// What the operator publishes, by key.
     #[display("operator")]
     Operator,
@@ -220,4 +225,11 @@
 
     /// Moves a VM to a pool.
     fn move_vm(&self, vm: &VmId, pool: &ServiceId, token: u64) -> impl Future<Output = VmAnswer>;
+
+    /// Asks another entry node. Fails with a cause when no answer comes.
+    fn ask(
+        &self,
+        address: &str,
+        question: Vec<u8>,
+    ) -> impl Future<Output = Result<Bytes, CompactString>>;
 }
--- a/crates/cj-entry/src/writer.rs
+++ b/crates/cj-entry/src/writer.rs
@@ -7,15 +7,15 @@
     time::{Duration, Instant},
 };
 
-use cj_sched::{Record, codec, record::ServiceLoad, sched::TENURE};
+use cj_sched::{Log, Record, codec, record::ServiceLoad, sched::TENURE};
 use cj_types::{Clock, ServiceId};
 use log::warn;
 use tokio::sync::Notify;
 
 use crate::{
-    node::EntryNode,
+    member::CellMember,
     outbox::{OWNER_PATIENCE, append_once, patience},
-    platform::{Guard, JOBS, Platform, StoreError},
+    platform::{Guard, Platform, StoreError, Topic},
 };
 
 /// Time between two heartbeats.
@@ -41,7 +41,7 @@
 
 /// Writes for one ownership.
 pub(crate) struct Writer<P, C> {
-    pub(crate) node: Rc<EntryNode<P, C>>,
+    pub(crate) member: Rc<CellMember<P, C>>,
     pub(crate) epoch: u64,
     jobs: RefCell<VecDeque<WriteJob>>,
     pushed: Notify,
@@ -63,10 +63,10 @@
     P: Platform,
     C: Clock + 'static,
 {
-    pub(crate) fn new(node: Rc<EntryNode<P, C>>, epoch: u64) -> Rc<Self> {
-        let now = node.clock.now();
+    pub(crate) fn new(member: Rc<CellMember<P, C>>, epoch: u64) -> Rc<Self> {
+        let now = member.node.clock.now();
         Rc::new(Writer {
-            node,
+            member,
             epoch,
             jobs: RefCell::default(),
             pushed: Notify::new(),
@@ -104,7 +104,7 @@
 
     fn beat(&self, released: bool) -> Record {
         let load = self.load.borrow().clone();
-        Record::Owner(self.node.beat(self.epoch, released, load))
+        Record::Owner(self.member.node.beat(self.epoch, released, load))
     }
 
     /// Writes until it is closed, another owner takes over, or the task is dropped.
@@ -135,7 +135,7 @@
     /// Waits until a heartbeat is due or records are to be written.
     async fn wait_for_work(&self) {
         loop {
-            let now = self.node.clock.now();
+            let now = self.member.node.clock.now();
             let due = self.beat_due.get();
             if self.closing.get() || !self.jobs.borrow().is_empty() || due <= now {
                 return;
@@ -149,15 +149,15 @@
         let encoded: Vec<_> = records.iter().map(codec::entry).collect();
         let sequence = self.sequence.get();
         let guard = Guard::Owner { epoch: self.epoch, sequence };
+        let topic = Topic::Jobs(self.member.id, Log::Jobs);
         let mut unanswered = 0;
         loop {
-            let sent = self.node.clock.now();
+            let sent = self.member.node.clock.now();
             let patience = patience(OWNER_PATIENCE, self.latency.get());
-            match append_once(&self.node.platform, JOBS, &encoded, guard, patience, unanswered)
-                .await
-            {
+            let platform = &self.member.node.platform;
+            match append_once(platform, topic, &encoded, guard, patience, unanswered).await {
                 Ok(_) => {
-                    self.latency.set(self.node.clock.now().saturating_duration_since(sent));
+                    self.latency.set(self.member.node.clock.now().saturating_duration_since(sent));
                     self.sequence.set(sequence + 1);
                     self.confirm(sent);
                     return true;
--- a/crates/cj-entry/tests/entry/front.rs
+++ b/crates/cj-entry/tests/entry/front.rs
@@ -5,6 +5,7 @@
 use cj_entry::{
     EntryNode, EntrySettings, JOBS, Newest, Page, StoreError,
     front::{Cancelled, Looked, Submitted},
+    layout::NodeSize,
 };
 use cj_sched::{FleetConfig, JobKey, JobSpec, Queue, StepSpec, sched::Limits};
 use cj_types::{Clock, ManualClock, Millicores, NodeId, ServiceId, Version};
@@ -13,7 +14,7 @@
 
 type Node = Rc<EntryNode<FakePlatform, ManualClock>>;
 
-fn queue() -> Queue {
+pub(crate) fn queue() -> Queue {
     Queue {
         name: "q".into(),
         host: "host".into(),
@@ -27,7 +28,7 @@
     }
 }
 
-fn job() -> JobSpec {
+pub(crate) fn job() -> JobSpec {
     let step = StepSpec { count: 1, estimate: Duration::from_millis(500), ..StepSpec::default() };
     JobSpec { text: String::new(), steps: vec![step], schedule: None }
 }
@@ -41,8 +42,9 @@
     platform.appends.borrow_mut().extend(appends);
     let settings = EntrySettings {
         node: NodeId::try_from("n1").unwrap(),
+        peer: "127.0.0.1:1".into(),
         limits: Limits::default(),
-        cores: Millicores(1_000),
+        size: NodeSize { cores: Millicores(1_000), link: 1_000.0, cells: 1 },
         retention: Duration::from_secs(150),
         seed: 1,
     };
@@ -115,9 +117,9 @@
 #[actix_rt::test]
 async fn knows_no_job_only_while_it_is_up_to_date() {
     let node = node(Vec::new()).await;
-    assert_eq!(node.look(JobKey(9)), Looked::Gone);
+    assert_eq!(node.look(JobKey(9)).await, Looked::Gone);
     node.clock.advance(Duration::from_secs(4));
-    assert!(matches!(node.look(JobKey(9)), Looked::Unavailable(_)));
+    assert!(matches!(node.look(JobKey(9)).await, Looked::Unavailable(_)));
     let deadline = node.clock.now() + Duration::from_secs(3);
     assert!(matches!(node.cancel(JobKey(9), deadline).await, Cancelled::Refused(_)));
 }
--- a/crates/cj-entry/tests/entry/platform.rs
+++ b/crates/cj-entry/tests/entry/platform.rs
@@ -6,9 +6,10 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use cj_entry::{
     Guard, JOBS, Newest, OperatorChange, Page, Platform, RawRecord, RegistryChange, StoreError,
-    Topic,
+    Topic, layout::Layout, roster::CellRecord,
 };
 use cj_sched::{
     TaskId,
@@ -17,7 +18,7 @@
         WorkerId,
     },
 };
-use cj_types::{Error, ManualClock, ServiceId, UnixMillis, VmId};
+use cj_types::{Error, ManualClock, Millicores, ServiceId, UnixMillis, VmId};
 use compact_str::CompactString;
 
 /// An answer of the store, and how long it takes.
@@ -46,6 +47,12 @@
     pub(crate) appended: Cell<usize>,
     /// Topics of the appends.
     pub(crate) topics: RefCell<Vec<Topic>>,
+    /// The first record of the topic of the cells, and the ones that follow.
+    pub(crate) layout: RefCell<Layout>,
+    pub(crate) beats: RefCell<Vec<RawRecord>>,
+    /// Answers of other nodes, and what they were asked.
+    pub(crate) answers: RefCell<VecDeque<Result<Bytes, CompactString>>>,
+    pub(crate) asked: RefCell<Vec<(CompactString, Vec<u8>)>>,
     /// Overflow logs that were read; they are empty, and answer one read each.
     overflows_read: RefCell<HashSet<Topic>>,
 }
@@ -59,6 +66,10 @@
             appends: RefCell::default(),
             appended: Cell::new(0),
             topics: RefCell::default(),
+            layout: RefCell::new(Layout::single(Millicores(1_000))),
+            beats: RefCell::default(),
+            answers: RefCell::default(),
+            asked: RefCell::default(),
             overflows_read: RefCell::default(),
         }
     }
@@ -95,7 +106,14 @@
     async fn read(&self, topic: Topic, _: u64, _: Duration) -> Result<Page, StoreError> {
         match topic {
             JOBS => self.next(&self.reads).await,
-            Topic::Jobs(_) if self.overflows_read.borrow_mut().insert(topic) => Ok(Page::default()),
+            Topic::Cells if !self.beats.borrow().is_empty() => {
+                let records = self.beats.take();
+                let next = 1 + records.len() as u64;
+                Ok(Page { records, next, end: next })
+            }
+            Topic::Jobs(..) if self.overflows_read.borrow_mut().insert(topic) => {
+                Ok(Page::default())
+            }
             _ => std::future::pending().await,
         }
     }
@@ -103,7 +121,11 @@
     async fn newest(&self, topic: Topic, _: Option<&str>) -> Result<Newest, StoreError> {
         match topic {
             JOBS => self.next(&self.newest).await,
-            Topic::Jobs(_) => Ok(Newest::default()),
+            Topic::Jobs(..) => Ok(Newest::default()),
+            Topic::Cells => {
+                let (key, value) = CellRecord::Layout(self.layout.borrow().clone()).entry();
+                Ok(Newest { records: vec![record(0, &key, value)], after: None, end: 1 })
+            }
             _ => std::future::pending().await,
         }
     }
@@ -151,4 +173,10 @@
     async fn move_vm(&self, _: &VmId, _: &ServiceId, _: u64) -> VmAnswer {
         VmAnswer::Later
     }
+
+    async fn ask(&self, address: &str, question: Vec<u8>) -> Result<Bytes, CompactString> {
+        self.asked.borrow_mut().push((address.into(), question));
+        let answer = self.answers.borrow_mut().pop_front();
+        answer.unwrap_or_else(|| Err("no other node".into()))
+    }
 }
--- a/crates/cj-sched/src/book.rs
+++ b/crates/cj-sched/src/book.rs
@@ -8,6 +8,7 @@
 
 use cj_types::UnixMillis;
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     job::JobKey,
@@ -40,7 +41,7 @@
 }
 
 /// State of a job as its caller sees it.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobState {
     /// No task has begun.
     #[display("queued")]
--- a/crates/cj-sched/src/codec.rs
+++ b/crates/cj-sched/src/codec.rs
@@ -17,16 +17,17 @@
 /// Value of a record; empty for a dropped key.
 pub fn encode(record: &Record) -> Vec<u8> {
     match record {
-        Record::Submission(_, body) => body_of(body),
-        Record::Progress(_, _, body) => body_of(body),
-        Record::Cancel(_, at) => body_of(at),
-        Record::Wave(_, progress) => body_of(progress),
-        Record::Owner(body) => body_of(body),
+        Record::Submission(_, body) => to_bytes(body),
+        Record::Progress(_, _, body) => to_bytes(body),
+        Record::Cancel(_, at) => to_bytes(at),
+        Record::Wave(_, progress) => to_bytes(progress),
+        Record::Owner(body) => to_bytes(body),
         Record::Drop(_) => Vec::new(),
     }
 }
 
-fn body_of<T>(body: &T) -> Vec<u8>
+/// A body after its version byte.
+pub fn to_bytes<T>(body: &T) -> Vec<u8>
 where
     T: Serialize,
 {
@@ -41,24 +42,32 @@
 /// An unknown key, another format, or a body that can't be read.
 pub fn decode(key: &str, value: &[u8]) -> Result<Record> {
     let key: RecordKey = key.parse()?;
-    let Some((format, body)) = value.split_first() else {
+    if value.is_empty() {
         return Ok(Record::Drop(key));
-    };
-    if *format != FORMAT {
-        return Err(Error::decode("record", format!("format {format}")));
     }
     match key {
-        RecordKey::Submission(job) => Ok(Record::Submission(job, Box::new(read(body)?))),
-        RecordKey::Progress(job, number) => Ok(Record::Progress(job, number, read(body)?)),
-        RecordKey::Cancel(job) => Ok(Record::Cancel(job, read(body)?)),
-        RecordKey::Wave(number) => Ok(Record::Wave(number, read(body)?)),
-        RecordKey::Owner => Ok(Record::Owner(read(body)?)),
+        RecordKey::Submission(job) => Ok(Record::Submission(job, Box::new(from_bytes(value)?))),
+        RecordKey::Progress(job, number) => Ok(Record::Progress(job, number, from_bytes(value)?)),
+        RecordKey::Cancel(job) => Ok(Record::Cancel(job, from_bytes(value)?)),
+        RecordKey::Wave(number) => Ok(Record::Wave(number, from_bytes(value)?)),
+        RecordKey::Owner => Ok(Record::Owner(from_bytes(value)?)),
     }
 }
 
-fn read<T>(body: &[u8]) -> Result<T>
+/// Reads a body after its version byte.
+///
+/// # Errors
+///
+/// Another format, or a body that can't be read.
+pub fn from_bytes<T>(value: &[u8]) -> Result<T>
 where
     T: DeserializeOwned,
 {
+    let Some((format, body)) = value.split_first() else {
+        return Err(Error::decode("record", "it is empty"));
+    };
+    if *format != FORMAT {
+        return Err(Error::decode("record", format!("format {format}")));
+    }
     postcard::from_bytes(body).map_err(|e| Error::decode("record", e.to_string()))
 }
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -73,6 +73,8 @@
 pub(super) struct Wave {
     order: WaveOrder,
     progress: WaveProgress,
+    /// Most VMs that may be off at once.
+    cap: usize,
     stands: BTreeMap<VmId, Stand>,
     reported: bool,
 }
@@ -112,7 +114,17 @@
             "wave={} choice=begin vms={} done={} cap={}",
             order.number, order.vms.len(), progress.begun.len(), order.cap
         );
-        self.waves.push(Wave { order, progress, stands: BTreeMap::new(), reported: false });
+        let cap = order.cap as usize;
+        let stands = BTreeMap::new();
+        self.waves.push(Wave { order, progress, cap, stands, reported: false });
+    }
+
+    /// Bounds the VMs that may be off at once for a wave, where several schedulers share its cap.
+    pub fn set_wave_cap(&mut self, number: u64, cap: u32) {
+        let wave = self.waves.iter_mut().find(|wave| wave.order.number == number);
+        if let Some(wave) = wave {
+            wave.cap = cap as usize;
+        }
     }
 
     /// True while the list of VMs has to be kept up to date: a wave runs, or tasks are on a worker that is silent.
@@ -178,7 +190,7 @@
     /// Picks the VMs to empty next, at most a share of each pool.
     fn choose_vms(&mut self, wave: &mut Wave) {
         let now = self.now.mono;
-        let most = wave.order.cap as usize + AHEAD;
+        let most = if wave.cap == 0 { 0 } else { wave.cap + AHEAD };
         let mut busy: BTreeMap<ServiceId, usize> = BTreeMap::new();
         for row in self.vms.values() {
             let taken = wave.stands.contains_key(&row.vm) || row.state != VmState::Up;
@@ -220,7 +232,7 @@
         let vms: Vec<_> =
             wave.stands.iter().map(|(vm, stand)| (vm.clone(), stand.clone())).collect();
         for (vm, stand) in vms {
-            let room = settled && wave.off(&self.vms, &vm) < wave.order.cap as usize;
+            let room = settled && wave.off(&self.vms, &vm) < wave.cap;
             match stand {
                 Stand::Emptying(since) => {
                     if self.empty_vm(&vm, since) && room {
