Bound the numbers of messages, so that none ends a daemon

Cause: a panic ends the daemon, and durations of messages were converted without a bound. One submission with an estimate of 1e300 ms, or a request with the largest deadline, ended each daemon that read it, and the platform's records could do the same; sums of demands overflowed.

--- a/crates/cj-entry/src/layout.rs
+++ b/crates/cj-entry/src/layout.rs
@@ -172,9 +172,11 @@
 /// have no VM left to maintain; each of them hands its share on to the next cell, which is safe because it needs none again.
 pub fn wave_share(cap: u32, cell: CellId, done: &[bool]) -> u32 {
     let cells = done.len();
-    let holder = |unit: usize| {
-        let mut ring = (0..cells).map(|step| (unit + step) % cells);
-        ring.find(|&at| at == cell.index() || !done[at])
+    // Each cell holds the units that are its own number, or the same beyond a multiple of all cells.
+    let own = |first: usize| cap as usize / cells + usize::from(first < cap as usize % cells);
+    let holder = |first: &usize| {
+        let mut ring = (0..cells).map(|step| (first + step) % cells);
+        ring.find(|&at| at == cell.index() || !done[at]) == Some(cell.index())
     };
-    (0..cap as usize).filter(|unit| holder(unit % cells) == Some(cell.index())).count() as u32
+    (0..cells).filter(holder).map(own).sum::<usize>() as u32
 }
--- a/crates/cj-sched/src/sched/load.rs
+++ b/crates/cj-sched/src/sched/load.rs
@@ -20,7 +20,9 @@
         for job in self.jobs.values().filter(|job| !job.is_over()) {
             let service = self.service_of(&job.submission).clone();
             let speed = self.speeds.get(&job.submission.queue).copied().unwrap_or(1.0);
-            load.entry(service).or_default().backlog += (open_work(job) as f32 * speed) as u64;
+            let work = (open_work(job) as f32 * speed) as u64;
+            let backlog = &mut load.entry(service).or_default().backlog;
+            *backlog = backlog.saturating_add(work);
         }
         load.into_iter().collect()
     }
@@ -28,7 +30,7 @@
 
 /// Estimated work of the finite tasks that aren't done, in thousandths of a core times milliseconds.
 pub(super) fn open_work(job: &Job) -> u64 {
-    let mut sum = 0;
+    let mut sum: u64 = 0;
     for occurrence in &job.occurrences {
         for (number, step) in occurrence.steps.iter().enumerate() {
             let spec = job.step_spec(number as u32);
@@ -36,7 +38,8 @@
                 continue;
             }
             let open = step.tasks.iter().filter(|task| !task.is_done()).count() as u64;
-            sum += open * u64::from(spec.demand.cores.0) * spec.estimate.as_millis() as u64;
+            let work = open * u64::from(spec.demand.cores.0);
+            sum = sum.saturating_add(work.saturating_mul(spec.estimate.as_millis() as u64));
         }
     }
     sum
--- a/crates/cj-sched/src/sched/trend.rs
+++ b/crates/cj-sched/src/sched/trend.rs
@@ -57,8 +57,8 @@
         if last < LEAST_ARRIVALS || last < RISE * before + 1 {
             return None;
         }
-        let work: u64 = self.arrivals.iter().filter(|(at, _)| recent(at)).map(|(_, w)| w).sum();
-        let present = work as f32 / WINDOW.as_millis() as f32;
+        let work = self.arrivals.iter().filter(|(at, _)| recent(at)).map(|(_, work)| *work as f32);
+        let present = work.sum::<f32>() / WINDOW.as_millis() as f32;
         let windows = (ahead + WINDOW / 2).as_secs_f32() / WINDOW.as_secs_f32();
         let growth = 1.0 + (last - before) as f32 / last as f32 * windows;
         Some(present * growth.min(MOST_GROWTH))
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -168,7 +168,7 @@
         let clock = self.clock?;
         let lease = LEASE.min(most).min(limit.saturating_duration_since(now));
         let elapsed = now.saturating_duration_since(clock.at);
-        let deadline = clock.value + (elapsed + lease).as_millis() as u64;
+        let deadline = clock.value.saturating_add((elapsed + lease).as_millis() as u64);
         let span = Duration::from_millis(deadline - clock.value).div_f64(CLOCK_RATE);
         let end = clock.at + span;
         self.lease_end = Some(self.lease_end.map_or(end, |known| known.max(end)));
