Refuse for overload only what the log doesn't hold

Cause: a caller whose answer was lost asks another node again.

Change: before such a refusal a node that follows the cell reads on up to the moment of the request, 0.45 s at most, and answers that it doesn't know when it can't. A node that doesn't follow the cell asks the owner, as before.

An earlier try that is still on its way to the store, or in an overflow log, isn't covered.

--- a/crates/cj-entry/src/follow.rs
+++ b/crates/cj-entry/src/follow.rs
@@ -76,6 +76,11 @@
         self.known_at.get().map(|at| now.saturating_duration_since(at))
     }
 
+    /// True when all records before `moment` are known.
+    pub(crate) fn is_read_past(&self, moment: Instant) -> bool {
+        self.loaded.get() && self.known_at.get().is_some_and(|known| known >= moment)
+    }
+
     /// True while reads are answered.
     pub fn is_answered(&self) -> bool {
         !self.lost.get()
--- a/crates/cj-entry/src/front.rs
+++ b/crates/cj-entry/src/front.rs
@@ -34,6 +34,12 @@
 /// Time that an answer takes to reach its caller.
 const ANSWER_RESERVE: Duration = Duration::from_millis(150);
 
+/// Longest wait for the records before a refusal; a busy log is read several times in it.
+const READ_LIMIT: Duration = Duration::from_millis(450);
+
+/// Time between two looks whether they were read.
+const READ_CHECK: Duration = Duration::from_millis(10);
+
 /// What is known of the owners' waiting jobs may be this old.
 const WAITING_AGE: Duration = Duration::from_millis(1_900);
 
@@ -258,11 +264,15 @@
         }
     }
 
-    /// Refuses a job for overload. An earlier try of its caller may have been accepted by another node, so a node that doesn't
-    /// follow the cell asks the owner first.
+    /// Refuses a job for overload. An earlier try of its caller may have been accepted by another node, and its answer lost: a
+    /// node that follows the cell reads on first, another one asks the owner.
     async fn refuse_unless_known(&self, job: JobKey, after: Duration) -> Submitted {
         if self.is_followed() {
-            return Submitted::Refused("overload", after);
+            return match self.read_on().await {
+                _ if self.is_known(job) => Submitted::Accepted,
+                true => Submitted::Refused("overload", after),
+                false => Submitted::Unknown,
+            };
         }
         match self.look(job).await {
             Looked::State(_) => Submitted::Accepted,
@@ -271,6 +281,17 @@
         }
     }
 
+    /// Waits until the log of jobs is read up to now. Returns false when that takes too long.
+    async fn read_on(&self) -> bool {
+        let asked = self.node.clock.now();
+        let read = async {
+            while !self.jobs.is_read_past(asked) {
+                tokio::time::sleep(READ_CHECK).await;
+            }
+        };
+        tokio::time::timeout(READ_LIMIT, read).await.is_ok()
+    }
+
     fn is_known(&self, job: JobKey) -> bool {
         self.book.borrow().job(job).is_some()
     }
--- a/crates/cj-entry/tests/entry/front.rs
+++ b/crates/cj-entry/tests/entry/front.rs
@@ -7,10 +7,17 @@
     front::{Cancelled, Looked, Submitted},
     layout::NodeSize,
 };
-use cj_sched::{FleetConfig, JobKey, JobSpec, Queue, StepSpec, sched::Limits};
-use cj_types::{Clock, ManualClock, Millicores, NodeId, ServiceId, Version};
+use cj_sched::{
+    FleetConfig, JobKey, JobSpec, Queue, Record, StepSpec, Submission, codec, record::ServiceLoad,
+    sched::Limits,
+};
+use cj_types::{Clock, ManualClock, Millicores, NodeId, ServiceId, UnixMillis, Version};
+use compact_str::CompactString;
 
-use crate::platform::{FakePlatform, after, lost};
+use crate::{
+    platform::{FakePlatform, after, lost, record},
+    roster::beat,
+};
 
 type Node = Rc<EntryNode<FakePlatform, ManualClock>>;
 
@@ -104,6 +111,48 @@
     assert_eq!(direct, [true, false, false, true]);
 }
 
+/// Guards against a caller who hears that its job hasn't run, although another node accepted it a moment before and the answer was
+/// lost.
+#[actix_rt::test]
+async fn an_overloaded_node_reads_on_before_it_refuses() {
+    let beat = {
+        let mut beat = beat(3, false, 0).owner;
+        let load = ServiceLoad { capacity: 1_000, backlog: 100_000_000 };
+        beat.load = vec![(ServiceId::try_from("s").unwrap(), load)];
+        codec::entry(&Record::Owner(beat))
+    };
+    let accepted = Submission {
+        queue: "q".into(),
+        service: ServiceId::try_from("s").unwrap(),
+        priority: 0,
+        attempts: 2,
+        objective: Duration::from_secs(1),
+        at: UnixMillis(0),
+        spec: job(),
+    };
+    let accepted = codec::entry(&Record::Submission(JobKey(1), Box::new(accepted)));
+    let page = |offset, (key, value): &(CompactString, Vec<u8>)| Page {
+        records: vec![record(offset, key, value.clone())],
+        next: offset + 1,
+        end: offset + 1,
+    };
+    let node = node(Vec::new()).await;
+    node.platform.reads.borrow_mut().push_back(after(1, Ok(page(0, &beat))));
+    while node.members()[0].book.borrow().owner().is_none() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    node.clock.advance(Duration::from_millis(50));
+    let mut submitted = Box::pin(submit(&node));
+    let early = tokio::time::timeout(Duration::from_millis(60), &mut submitted).await;
+    assert!(early.is_err(), "what came meanwhile isn't read yet");
+    node.platform.reads.borrow_mut().push_back(after(1, Ok(page(1, &accepted))));
+    assert_eq!(submitted.await, Submitted::Accepted);
+
+    let deadline = node.clock.now() + Duration::from_secs(3);
+    let answer = node.submit(&queue(), JobKey(2), job(), deadline).await;
+    assert_eq!(answer, Submitted::Unknown, "nothing was read since it asked");
+}
+
 /// Guards against callers that wait for a store which is known to be out of reach.
 #[actix_rt::test]
 async fn refuses_at_once_when_the_store_is_out_of_reach() {
