Share the fleet among pools by what they need, and take VMs back for lasting tasks

Three causes in the owner's log: the pool with the larger deficit took each VM that got idle (target 303 of 184 VMs); room was made on the VM where the least was missing, though only lasting tasks ran there, and that was logged on each pass; VMs whose workers drained counted as VMs of their pool.

Change: VMs go first to pools with a lasting task that finds no worker, then to the one with the smallest share of what it needs; when none is idle, a busy one is emptied for such a task; finite tasks give way only where that makes room; VMs that are about to leave don't count. Each has a test on a played load that failed first.

--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -10,6 +10,7 @@
 mod place;
 mod pool;
 mod rank;
+mod reclaim;
 mod scheduler;
 mod settings;
 mod trend;
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -323,22 +323,32 @@
         if waited < LASTING_PATIENCE || self.workers[key].runs.iter().any(stopping) {
             return;
         }
-        let id = self.jobs[at.job].task_id(at);
-        info!(target: "decision", "task={id} worker={} choice=preempt missing=\"{missing}\"", self.workers[key].id);
-        self.preempt(key, missing, self.jobs[at.job].submission.priority);
+        self.preempt(at, key, missing);
     }
 
-    /// The suitable worker where the least has to be freed, and what is missing there.
+    /// The suitable worker where the least has to be freed, and what is missing there. Lasting tasks don't give way, so only
+    /// the room of finite ones counts.
     fn closest(&self, at: TaskRef) -> Option<(WorkerKey, Resources)> {
         let view = self.step_view(at);
         let demand = view.spec.counted();
         let suiting = self.workers.iter().filter(|(key, worker)| self.suits(&view, *key, worker));
-        let fitting = suiting.filter(|(_, worker)| demand.fits(worker.capacity));
-        let missing = fitting.map(|(key, worker)| (key, demand.minus(worker.free())));
-        missing.min_by_key(|(_, missing)| (missing.cores, missing.memory))
+        let missing = suiting.map(|(key, worker)| (key, demand.minus(worker.free())));
+        let freeable = |(key, missing): &(WorkerKey, Resources)| {
+            missing.fits(self.finite_use(&self.workers[*key]))
+        };
+        missing.filter(freeable).min_by_key(|(_, missing)| (missing.cores, missing.memory))
+    }
+
+    /// What the finite tasks of a worker use.
+    fn finite_use(&self, worker: &Worker) -> Resources {
+        let specs = worker.runs.iter().map(|at| self.jobs[at.job].step_spec(at.step));
+        let finite = specs.filter(|spec| !spec.lasting).map(StepSpec::counted);
+        finite.fold(Resources::default(), Resources::plus)
     }
 
-    fn preempt(&mut self, key: WorkerKey, missing: Resources, priority: u32) {
+    /// Stops finite tasks of a worker for a lasting one.
+    fn preempt(&mut self, lasting: TaskRef, key: WorkerKey, missing: Resources) {
+        let priority = self.jobs[lasting.job].submission.priority;
         let mut runs: Vec<(bool, Reverse<std::time::Instant>, TaskRef)> = Vec::new();
         for &at in &self.workers[key].runs {
             let job = &self.jobs[at.job];
@@ -348,6 +358,11 @@
                 runs.push((!spec.checkpoints, Reverse(placed.since), at));
             }
         }
+        if runs.is_empty() {
+            return;
+        }
+        let id = self.jobs[lasting.job].task_id(lasting);
+        info!(target: "decision", "task={id} worker={} choice=preempt missing=\"{missing}\"", self.workers[key].id);
         runs.sort_by_key(|run| (run.0, run.1));
         let mut freed = Resources::default();
         for (_, _, at) in runs {
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -18,6 +18,7 @@
     sched::{
         event::{Action, VmAnswer, VmRow, VmState},
         load::open_work,
+        reclaim::Reclaim,
         scheduler::Scheduler,
         settings::TENURE_RESERVE,
         trend::Trend,
@@ -37,7 +38,7 @@
 const LEND_AFTER: Duration = Duration::from_millis(300);
 
 /// Least VMs of a pool: one may be lost or in maintenance while the other takes work.
-const LEAST_VMS: usize = 2;
+pub(super) const LEAST_VMS: usize = 2;
 
 /// Share of the waiting tasks' demand that is provided for: some of them start as running ones end.
 const PROVIDED: f32 = 1.0;
@@ -48,6 +49,12 @@
 /// A lasting task that waits this long shows that its pool is too small.
 const STUCK_AFTER: Duration = Duration::from_millis(500);
 
+/// Steps in which the shares of pools are compared.
+const SHARE_STEPS: usize = 1_000;
+
+/// Stuck lasting tasks that one more VM is expected to take.
+const STUCK_PER_VM: usize = 2;
+
 /// Time between two log lines about the sizes of the pools.
 const REPORT_GAP: Duration = Duration::from_secs(1);
 
@@ -73,15 +80,31 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct PoolPlan {
     moves: BTreeMap<VmId, Move>,
+    /// VMs that are emptied for another pool.
+    pub(super) reclaims: BTreeMap<VmId, Reclaim>,
     idle: HashMap<WorkerKey, Instant>,
     planned: Option<Instant>,
     reported: Option<Instant>,
     trends: HashMap<ServiceId, Trend>,
 }
 
+/// The pool that gets the next VM: one with a lasting task that finds no worker, else the one that has the least share of what
+/// it needs. So pools that want more than the fleet has share it, and none waits until another has all.
+fn neediest(
+    needs: &BTreeMap<ServiceId, Need>,
+    targets: &BTreeMap<ServiceId, usize>,
+) -> Option<ServiceId> {
+    let wanting = targets.iter().filter(|(service, target)| needs[*service].size < **target);
+    let rank = |(service, target): &(&ServiceId, &usize)| {
+        let need = &needs[*service];
+        (need.stuck == 0, need.size * SHARE_STEPS / **target)
+    };
+    wanting.min_by_key(rank).map(|(service, _)| service.clone())
+}
+
 /// What a pool needs and has.
 #[derive(Clone, Debug, Default)]
-struct Need {
+pub(super) struct Need {
     /// Processors for running and waiting tasks, in thousandths of a core.
     cores: f32,
     /// Memory for the same tasks, in MiB.
@@ -92,12 +115,12 @@
     foreseen: f32,
     /// Processors for lasting tasks.
     lasting: f32,
-    /// A lasting task finds no worker although the pool has as many VMs as it seems to need.
-    stuck: bool,
+    /// Lasting tasks that have found no worker for a while, less the VMs on their way to the pool.
+    pub(super) stuck: usize,
     /// VMs that the lasting tasks need because of their spread.
     spread: usize,
     /// VMs in the pool or on their way to it.
-    size: usize,
+    pub(super) size: usize,
     /// Idle VMs that may leave.
     idle: Vec<(VmId, WorkerKey, Duration)>,
 }
@@ -118,16 +141,17 @@
             |amount: f32, unit: u32| (amount / (unit as f32 * FILLED).max(1.0)).ceil() as usize;
         let cores = share(cores, self.unit.cores.0);
         let memory = share(self.memory, self.unit.memory.0);
-        let grown = if self.stuck { self.size + 1 } else { 0 };
+        let grown = if self.stuck > 0 { self.size + self.stuck.div_ceil(STUCK_PER_VM) } else { 0 };
         cores.max(memory).max(self.spread).max(LEAST_VMS).max(grown)
     }
 
-    fn surplus(&self) -> usize {
-        self.size.saturating_sub(self.target())
+    /// How much it has of what it needs, in thousandths.
+    pub(super) fn share(&self) -> usize {
+        self.size * SHARE_STEPS / self.target()
     }
 
-    fn deficit(&self) -> usize {
-        self.target().saturating_sub(self.size)
+    fn surplus(&self) -> usize {
+        self.size.saturating_sub(self.target())
     }
 }
 
@@ -150,22 +174,26 @@
         }
         self.pools.planned = Some(now);
         self.settle_moves();
+        self.settle_reclaims();
         self.note_idle();
         let Some(spare) = self.config.spare_pool().cloned() else { return };
         let mut needs = self.needs(&spare);
         let mut parked = self.parked(&spare);
         self.report_pools(&needs, parked.len());
-        let mut wanting: Vec<ServiceId> = needs.keys().cloned().collect();
-        wanting.sort_by_key(|service| std::cmp::Reverse(needs[service].deficit()));
-        for service in wanting {
-            // The target of a pool with a stuck task is always one more than its size, so it counts once.
-            let target = needs[&service].target();
-            while needs[&service].size < target {
-                let Some(vm) = self.lender(&mut needs, &service).or_else(|| parked.pop()) else {
-                    break;
-                };
-                self.move_vm(vm, &service);
-                needs.entry(service.clone()).and_modify(|need| need.size += 1);
+        // The target of a pool with stuck tasks is always more than its size, so it counts once.
+        let mut targets: BTreeMap<ServiceId, usize> =
+            needs.iter().map(|(service, need)| (service.clone(), need.target())).collect();
+        while let Some(service) = neediest(&needs, &targets) {
+            match self.lender(&mut needs, &service).or_else(|| parked.pop()) {
+                Some(vm) => {
+                    self.move_vm(vm, &service);
+                    needs.entry(service).and_modify(|need| need.size += 1);
+                }
+                None => {
+                    self.reclaim(&needs, &service);
+                    // Another pool may still borrow from this one.
+                    targets.remove(&service);
+                }
             }
         }
         let surplus: Vec<VmId> = needs.values().flat_map(parkable).collect();
@@ -238,7 +266,7 @@
             let Some(need) = needs.get_mut(pool) else { continue };
             need.unit.cores = need.unit.cores.max(row.capacity.cores);
             need.unit.memory = need.unit.memory.max(row.capacity.memory);
-            if row.state == VmState::Down || self.waves.iter().any(|wave| wave.is_busy(&row.vm)) {
+            if row.state == VmState::Down || self.is_in_wave(&row.vm) || self.is_leaving(row) {
                 continue;
             }
             need.size += 1;
@@ -251,15 +279,27 @@
             let trend = self.pools.trends.get(service);
             need.foreseen = trend.map_or(0.0, |trend| trend.expected(self.now.mono));
         }
-        // A VM on its way may be all that is missing.
+        // Tasks that don't use an idle VM of their pool need something that more VMs don't bring.
+        for need in needs.values_mut() {
+            if need.idle.iter().any(|(_, _, idle)| *idle > STUCK_AFTER) {
+                need.stuck = 0;
+            }
+        }
+        // The VMs on their way may be all that is missing.
         for moving in self.pools.moves.values() {
             if let Some(need) = needs.get_mut(&moving.to) {
-                need.stuck = false;
+                need.stuck = need.stuck.saturating_sub(1);
             }
         }
         needs
     }
 
+    /// True when the worker on a VM drains, so that its pool is about to lose the VM.
+    fn is_leaving(&self, row: &VmRow) -> bool {
+        let key = row.worker.as_ref().and_then(|id| self.worker_index.get(id));
+        key.is_some_and(|key| self.workers[*key].draining)
+    }
+
     /// The VM with its idle time, if it is free to leave its pool.
     fn idle_vm(&self, row: &VmRow) -> Option<(VmId, WorkerKey, Duration)> {
         if row.state != VmState::Up || self.pools.moves.contains_key(&row.vm) {
@@ -303,7 +343,8 @@
                     need.lasting += if spec.lasting { cores } else { 0.0 };
                     need.memory += demand.memory.0 as f32 * share;
                     let waited = self.now.mono.saturating_duration_since(task.idle_since);
-                    need.stuck |= spec.lasting && task.is_idle() && waited > STUCK_AFTER;
+                    let stuck = spec.lasting && task.is_idle() && waited > STUCK_AFTER;
+                    need.stuck += usize::from(stuck);
                 }
                 need.spread = need.spread.max(spread_vms(job, number));
             }
@@ -312,12 +353,11 @@
 
     /// Parked VMs that can be moved, those that were parked last at the end.
     fn parked(&self, spare: &ServiceId) -> Vec<VmId> {
-        let waves = |vm: &VmId| self.waves.iter().any(|wave| wave.is_busy(vm));
         let free = |row: &&VmRow| {
             row.pool == *spare
                 && row.state == VmState::Up
                 && !self.pools.moves.contains_key(&row.vm)
-                && !waves(&row.vm)
+                && !self.is_in_wave(&row.vm)
         };
         let mut vms: Vec<VmId> = self.vms.values().filter(free).map(|row| row.vm.clone()).collect();
         vms.sort();
@@ -341,7 +381,7 @@
         Some(need.idle.swap_remove(longest).0)
     }
 
-    fn move_vm(&mut self, vm: VmId, to: &ServiceId) {
+    pub(super) fn move_vm(&mut self, vm: VmId, to: &ServiceId) {
         let now = self.now.mono;
         let Some(row) = self.vms.get(&vm) else { return };
         let from = row.pool.clone();
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -220,6 +220,11 @@
         }
     }
 
+    /// True while a VM is emptied or off for a wave.
+    pub(super) fn is_in_wave(&self, vm: &VmId) -> bool {
+        self.waves.iter().any(|wave| wave.is_busy(vm))
+    }
+
     fn runs_on(&self, row: &VmRow) -> usize {
         let key = row.worker.as_ref().and_then(|id| self.worker_index.get(id));
         key.map_or(0, |key| self.workers[*key].runs.len())
--- a/crates/cj-sched/tests/sim/cases.rs
+++ b/crates/cj-sched/tests/sim/cases.rs
@@ -173,6 +173,43 @@
     assert_eq!(grown(&[0, 2_000, 2_010]), 2);
 }
 
+/// Plays a flood of finite tasks that keeps all VMs of the fleet busy. Guards against lasting tasks of another queue that wait for
+/// a VM until the flood is over.
+#[test]
+fn a_flood_leaves_a_vm_for_lasting_tasks() {
+    let mut world = small(3);
+    for n in 0..6 {
+        world.add_worker(&format!("s{n}"), "spare", "rack-9");
+    }
+    world.submit(1, "red", vec![step(120, 8_000, 1_500)]);
+    world.run(2_500);
+    world.submit(2, "blue", vec![lasting(4, 1)]);
+    world.run(6_000);
+    assert_eq!(running(&world, 2), 4);
+    assert_eq!(state(&world, 1), JobState::Running, "the flood goes on");
+}
+
+/// Plays two queues that each ask for more than the fleet has. Guards against the VMs of the fleet going to the one that asks for
+/// more.
+#[test]
+fn floods_share_the_fleet() {
+    let mut world = small(4);
+    for n in 0..8 {
+        world.add_worker(&format!("s{n}"), "spare", "rack-9");
+    }
+    world.submit(1, "red", vec![step(200, 8_000, 700)]);
+    world.submit(2, "blue", vec![step(100, 8_000, 700)]);
+    world.run(4_000);
+    let vms = |name: &str| {
+        world
+            .workers
+            .iter()
+            .filter(|worker| worker.alive && worker.service.as_str() == name)
+            .count()
+    };
+    assert!(vms("blue") >= 4, "red {}, blue {}", vms("red"), vms("blue"));
+}
+
 /// Guards against a pool that takes all parked VMs because one lasting task doesn't fit into the room that is left on several.
 #[test]
 fn a_stuck_task_gets_one_vm() {
--- a/crates/cj-sched/tests/sim/direct.rs
+++ b/crates/cj-sched/tests/sim/direct.rs
@@ -386,3 +386,28 @@
     }
     assert_eq!(moved.len(), 2, "idle VMs are parked once the ends are durable");
 }
+
+/// Plays a pool whose VMs are full of lasting tasks but for one, which is full of finite ones. Guards against a lasting task that
+/// waits for room on the VM where the least is missing, although nothing there can give way.
+#[test]
+fn lasting_tasks_make_room_where_finite_ones_give_way() {
+    let mut bench = Bench::new(&["r1", "r2"], None);
+    let lasting = |count, cores| StepSpec { lasting: true, ..step(count, cores, 0) };
+    bench.submit(1, vec![lasting(1, 5_000)], None);
+    assert_eq!(starts(&bench.after(200)).len(), 1);
+    bench.submit(2, vec![StepSpec { spread: Some(4), ..step(8, 2_000, 60_000) }], None);
+    let actions = bench.after(200);
+    assert_eq!(starts(&actions).len(), 5, "one beside the lasting task, four on the other VM");
+    bench.submit(3, vec![lasting(1, 6_000)], None);
+    let mut stopped = HashSet::new();
+    for _ in 0..20 {
+        for action in bench.after(100) {
+            if let Action::Stop(target, task, _) = action {
+                stopped.insert((target.worker, task));
+            }
+        }
+    }
+    assert_eq!(stopped.len(), 3, "{stopped:?}");
+    let hosts: HashSet<&WorkerId> = stopped.iter().map(|(worker, _)| worker).collect();
+    assert_eq!(hosts.len(), 1);
+}
