Explain a job by its own cell, with the age of the load behind a refusal

Cause: with several owners, explain put delays down to takeovers and pools of other cells, and the line about a refusal had lost the age of the load. Change: owners of other cells and pools of nodes that gave no order for the job are left out; the age is logged again.

--- a/crates/cj-entry/src/front.rs
+++ b/crates/cj-entry/src/front.rs
@@ -316,15 +316,22 @@
         );
     }
 
-    /// Tells which load decided a refusal.
+    /// Tells which load decided a refusal, and how old it is.
     fn log_overload(&self, job: JobKey, queue: &Queue, objective: Duration) {
         let Some(beat) = self.owner_beat() else { return };
         let load = beat.load.iter().find(|(service, _)| *service == queue.service);
         let wait = load.map(|(_, load)| backlog_time(load)).unwrap_or_default();
+        let now = self.node.clock.now();
+        let age = if self.is_followed() {
+            self.heard.get().map(|at| now.saturating_duration_since(at))
+        } else {
+            self.node.roster.borrow().silence(self.id, now)
+        };
         info!(
             target: "decision",
-            "job={job} reason=overload service={} wait_ms={} objective_ms={} epoch={} {}",
-            queue.service, wait.as_millis(), objective.as_millis(), beat.epoch, Position(Some(self))
+            "job={job} reason=overload service={} wait_ms={} objective_ms={} epoch={} {} load_age_ms={}",
+            queue.service, wait.as_millis(), objective.as_millis(), beat.epoch, Position(Some(self)),
+            age.unwrap_or_default().as_millis()
         );
     }
 
--- a/crates/cj-story/src/story.rs
+++ b/crates/cj-story/src/story.rs
@@ -47,15 +47,20 @@
     let pools: HashSet<&str> =
         lines.iter().filter(added).filter_map(|line| line.get("service")).collect();
     let nodes: HashSet<&str> = own.iter().map(|line| line.node()).collect();
+    let cells: HashSet<&str> = own.iter().filter_map(|line| line.get("cell")).collect();
+    let starts = own.iter().filter(|line| line.is("choice", "start"));
+    let owners: HashSet<&str> = starts.map(|line| line.node()).collect();
     let within = lines.iter().filter(|line| (from..=to).contains(&line.at));
     let lines = within.filter_map(|line| {
         if names(line, id) {
             return Some((Part::Own, line));
         }
-        let around = is_about_owner(line)
+        let other_cell = line.get("cell").is_some_and(|cell| !cells.contains(cell));
+        let other_owner = !owners.is_empty() && !owners.contains(line.node());
+        let around = (is_about_owner(line) && (cells.is_empty() || !other_cell))
             || (is_about_link(line) && nodes.contains(line.node()))
             || is_about_worker(line, &workers)
-            || line.get("pool").is_some_and(|pool| pools.contains(pool));
+            || (line.get("pool").is_some_and(|pool| pools.contains(pool)) && !other_owner);
         around.then_some((Part::Around, line))
     });
     Story { lines: lines.collect() }
--- a/crates/cj-story/tests/story.rs
+++ b/crates/cj-story/tests/story.rs
@@ -71,6 +71,22 @@
     assert_eq!(story.lines.iter().filter(|(part, _)| *part == Part::Own).count(), 6);
 }
 
+/// Guards against a delay that is put down to the owner, or the pool, of another cell.
+#[test]
+fn other_cells_are_left_out() {
+    let rows = [
+        "at=100 node=n1 kind=decision job=0e5ba474e38ad43a request=submit queue=q cell=2 owner_age_ms=300 choice=accepted reason=accepted retry_ms=0",
+        "at=700 node=n3 kind=decision cell=1 choice=own epoch=2 offset=8",
+        "at=800 node=n3 kind=decision worker=w1 choice=add service=s",
+        "at=850 node=n4 kind=decision pool=s vms=1 target=9 parked=0 epoch=2",
+        "at=900 node=n3 kind=decision pool=s vms=7 target=7 parked=4 epoch=2",
+        "at=1900 node=n3 kind=decision task=0e5ba474e38ad43a.0.0.0 run=7 worker=w1 choice=start epoch=2",
+    ];
+    let told = told(&rows, JOB);
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert!(told[0].contains("waited 1800 ms for room: pool s has 7 VMs"), "{told:?}");
+}
+
 /// Guards against an id of one job that is found in another one's.
 #[test]
 fn an_id_names_itself_only() {
