--- a/crates/cj-entry/src/front.rs
+++ b/crates/cj-entry/src/front.rs
@@ -40,8 +40,8 @@
 /// Time between two looks whether they were read.
 const READ_CHECK: Duration = Duration::from_millis(10);
 
-/// What is known of the owners' waiting jobs may be this old.
-const WAITING_AGE: Duration = Duration::from_millis(1_900);
+/// An owner whose last heartbeat was read longer ago than this may have other waiting jobs; what it said was up to 0.5 s old then.
+const WAITING_AGE: Duration = Duration::from_millis(1_400);
 
 /// Longest time that a caller without a deadline waits for.
 pub const DEADLINE: Duration = Duration::from_secs(3);
--- a/crates/cj-http/src/listener.rs
+++ b/crates/cj-http/src/listener.rs
@@ -25,7 +25,7 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 /// Time for the last responses to leave the write buffers at a shutdown.
 const FLUSH_GRACE: Duration = Duration::from_millis(500);
-/// Open connections per listener; more wait in the kernel's accept queue.
+/// Open connections of a listener unless it has another limit.
 const MAX_CONNECTIONS: usize = 4096;
 
 /// Shared shutdown flag and count of requests in flight.
@@ -100,6 +100,8 @@
 pub struct Listener {
     socket: TcpListener,
     address: SocketAddr,
+    /// Open connections; more wait in the kernel's accept queue.
+    limit: usize,
 }
 
 impl Listener {
@@ -111,7 +113,12 @@
         };
         let socket = TcpListener::bind(address).await.map_err(failed)?;
         let address = socket.local_addr().map_err(failed)?;
-        Ok(Listener { socket, address })
+        Ok(Listener { socket, address, limit: MAX_CONNECTIONS })
+    }
+
+    /// Keeps at most this many connections open at once.
+    pub fn with_limit(self, limit: usize) -> Self {
+        Listener { limit, ..self }
     }
 
     /// The bound address.
@@ -156,7 +163,7 @@
             }));
         let Ok(service) = factory.new_service(()).await else { return };
         let service = Rc::new(service);
-        let open = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+        let open = Arc::new(Semaphore::new(self.limit));
         let mut tasks = JoinSet::new();
         loop {
             let Ok(permit) = open.clone().acquire_owned().await else { return };
