Size cells by the processor time of their owners, and spread the owners

A node at home in two silent cells claimed both at once, and a node judged the store by its last append to the same cell, of which there are few.

--- a/crates/cj-entry/src/claim.rs
+++ b/crates/cj-entry/src/claim.rs
@@ -116,7 +116,7 @@
 {
     let node = &member.node;
     let (now, roster) = (node.clock.now(), node.roster.borrow());
-    let allowed = allowed_silence(member.outbox.latency()) + ROSTER_GAP;
+    let allowed = allowed_silence(node.append_latency()) + ROSTER_GAP;
     let silent = roster.silence(member.id, now).is_none_or(|silence| silence > allowed);
     silent && !roster.is_bid_for(member.id, &node.settings.node, now)
 }
@@ -172,8 +172,10 @@
         if known {
             let loaded_at = *loaded_at.get_or_insert(now);
             if is_vacant(member, loaded_at) {
+                let owned = node.owned.get();
                 tokio::time::sleep(claim_delay(member)).await;
-                if is_vacant(member, loaded_at) {
+                // A node that has claimed another cell meanwhile waits once more.
+                if node.owned.get() <= owned && is_vacant(member, loaded_at) {
                     return Some(loaded_at);
                 }
             }
@@ -232,7 +234,7 @@
     P: Platform,
     C: Clock + 'static,
 {
-    let allowed = allowed_silence(member.outbox.latency());
+    let allowed = allowed_silence(member.node.append_latency());
     silence(member, loaded_at).is_none_or(|silence| silence > allowed)
 }
 
--- a/crates/cj-entry/src/layout.rs
+++ b/crates/cj-entry/src/layout.rs
@@ -13,11 +13,11 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-/// VMs that one owner can look after when its fleet has a single cell.
-const SINGLE_CELL_VMS: usize = 400;
+/// VMs for each core of its owner that a fleet with a single cell may have.
+const SINGLE_CELL_VMS: f64 = 800.0;
 
-/// VMs of a cell in a larger fleet: its owner has to give the orders of a burst that uses them all.
-const CELL_VMS: usize = 190;
+/// VMs of a cell for each core of its owner in a larger fleet. Other nodes than the strongest may have to own it, or one node several.
+const CELL_VMS: f64 = 560.0;
 
 /// Bandwidth that the orders and listings of a busy VM take, in Mbit/s.
 const VM_MBPS: f64 = 0.03;
@@ -163,9 +163,11 @@
 }
 
 fn cell_count(vms: usize, size: NodeSize) -> u16 {
-    let by_orders = if vms <= SINGLE_CELL_VMS { 1 } else { vms.div_ceil(CELL_VMS) };
-    let by_link = (vms as f64 * VM_MBPS / size.link.max(VM_MBPS)).ceil() as usize;
-    by_orders.max(by_link).min(usize::from(size.cells)) as u16
+    let (vms, cores) = (vms as f64, f64::from(size.cores.0.max(1)) / 1_000.0);
+    let is_single = vms <= SINGLE_CELL_VMS * cores;
+    let by_orders = if is_single { 1.0 } else { (vms / (CELL_VMS * cores)).ceil() };
+    let by_link = (vms * VM_MBPS / size.link.max(VM_MBPS)).ceil();
+    by_orders.max(by_link).min(f64::from(size.cells)) as u16
 }
 
 /// Most VMs of a wave that a cell may take off at once, where `cap` holds for all cells together. `done` tells which cells
--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -178,6 +178,13 @@
         self.stop.notify_waiters();
     }
 
+    /// How long the last append of a caller's record took, whatever its cell: few records of one node go to one cell.
+    pub(crate) fn append_latency(&self) -> Duration {
+        let members = self.members.borrow();
+        let appends = members.iter().map(|member| member.outbox.last_append());
+        appends.max().map(|(_, latency)| latency).unwrap_or_default()
+    }
+
     /// A duration drawn evenly up to `most`.
     pub(crate) fn random_up_to(&self, most: Duration) -> Duration {
         most.mul_f64(self.rng.borrow_mut().random_range(0.0..1.0))
--- a/crates/cj-entry/src/outbox.rs
+++ b/crates/cj-entry/src/outbox.rs
@@ -105,6 +105,8 @@
     sent: Cell<Option<Instant>>,
     /// How long the last answered append took.
     latency: Cell<Duration>,
+    /// When that was noted.
+    noted: Cell<Option<Instant>>,
 }
 
 impl Outbox {
@@ -120,12 +122,14 @@
             pushed: Notify::new(),
             sent: Cell::default(),
             latency: Cell::default(),
+            noted: Cell::default(),
         }
     }
 
     /// Takes note of how long an append took, or has waited for an answer, and decides on the log of the next one.
-    fn note_latency(&self, latency: Duration) {
+    fn note_latency(&self, latency: Duration, now: Instant) {
         self.latency.set(latency);
+        self.noted.set(Some(now));
         let log = self.log.get();
         let next = match log {
             Log::Jobs if latency > OVERFLOW_LATENCY => self.overflow,
@@ -141,9 +145,9 @@
         self.sent.get().is_some_and(|sent| now.saturating_duration_since(sent) > STALLED)
     }
 
-    /// How long the last answered append took.
-    pub(crate) fn latency(&self) -> Duration {
-        self.latency.get()
+    /// When the last append was answered, and how long it took.
+    pub(crate) fn last_append(&self) -> (Option<Instant>, Duration) {
+        (self.noted.get(), self.latency.get())
     }
 
     /// Queues a record. The receiver hears what became of it, when the store has told.
@@ -192,11 +196,11 @@
             let took = clock.now().saturating_duration_since(sent);
             match answer {
                 Ok(_) => {
-                    self.note_latency(took);
+                    self.note_latency(took, clock.now());
                     break Appended::Durable;
                 }
                 Err(StoreError::Unanswered(cause)) => {
-                    self.note_latency(took.max(self.latency.get()));
+                    self.note_latency(took.max(self.latency.get()), clock.now());
                     unanswered += 1;
                     warn!(target: "link", "choice=append_again records={} cause=\"{cause}\"", records.len());
                 }
--- a/crates/cj-entry/tests/entry/layout.rs
+++ b/crates/cj-entry/tests/entry/layout.rs
@@ -55,9 +55,11 @@
     assert!(shares.values().all(|vms| *vms <= most), "{shares:?}");
 }
 
-/// Guards against a cell whose orders don't fit on its owner's link.
+/// Guards against a cell whose orders are more than its owner has processor time or bandwidth for.
 #[test]
-fn narrow_links_make_smaller_cells() {
+fn weak_nodes_and_narrow_links_make_smaller_cells() {
+    let weak = Layout::plan(&fleet(70), NodeSize { cores: Millicores(120), ..STRONG });
+    assert!(weak.cells > 1, "a weak owner can't give the orders of 350 VMs");
     let wide = Layout::plan(&fleet(220), STRONG);
     let narrow = Layout::plan(&fleet(220), NodeSize { link: 2.0, ..STRONG });
     assert!(narrow.cells > wide.cells);
