--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -15,6 +15,7 @@
         scheduler::Scheduler,
         settings::{
             LISTING_GAP, LISTING_RETRY, LISTING_WAIT, QUARANTINE, QUARANTINE_FAILURES, RENEWAL_GAP,
+            STARTUP_GAP,
         },
         work::{Phase, Placed, Stage, TaskRef},
         worker::{ClockReading, Worker, WorkerKey},
@@ -144,15 +145,20 @@
         let stopping = |at: &TaskRef| {
             self.task(*at).placed().is_some_and(|placed| placed.stage == Stage::Stopping)
         };
+        let starting =
+            |at: &TaskRef| self.task(*at).placed().is_some_and(|placed| placed.percent < 100);
         let strays = self.workers[key].strays > 0;
         let unread = self.workers[key].unread;
         let eager = strays
             || unread
             || self.has_finite_run(key)
             || self.workers[key].runs.iter().any(stopping);
+        let starts_up = self.workers[key].runs.iter().any(starting);
         let worker = &mut self.workers[key];
         if eager {
             worker.list_by((sent + LISTING_GAP).max(now + LISTING_GAP / 3));
+        } else if starts_up {
+            worker.list_by(now + STARTUP_GAP);
         } else if !worker.runs.is_empty() {
             worker.list_by(now + RENEWAL_GAP);
         }
--- a/crates/cj-sched/src/sched/orders.rs
+++ b/crates/cj-sched/src/sched/orders.rs
@@ -9,7 +9,7 @@
     sched::{
         event::{Action, OrderAnswer, Refusal, StartOrder, WorkerId},
         scheduler::Scheduler,
-        settings::{HANG, START_TRIES, STOP_RETRY, WORKER_PAUSE},
+        settings::{HANG, LISTING_GAP, START_TRIES, STARTUP_GAP, STOP_RETRY, WORKER_PAUSE},
         work::{Placed, Stage, TaskRef},
         worker::WorkerKey,
     },
@@ -128,7 +128,7 @@
         let key = placed.worker;
         self.note_started(at);
         let lasting = self.jobs[at.job].step_spec(at.step).lasting;
-        let gap = if lasting { super::settings::RENEWAL_GAP } else { super::settings::LISTING_GAP };
+        let gap = if lasting { STARTUP_GAP } else { LISTING_GAP };
         self.workers[key].list_by(now + gap);
     }
 
@@ -201,7 +201,7 @@
         }
         let now = self.now.mono;
         if let Some(&key) = self.worker_index.get(worker) {
-            self.workers[key].list_by(now + super::settings::LISTING_GAP);
+            self.workers[key].list_by(now + LISTING_GAP);
         }
         let Some(at) = self.current(worker, task, run) else { return };
         let placed = self.task_mut(at).placed_mut().expect("current() found a placement");
--- a/crates/cj-sched/src/sched/settings.rs
+++ b/crates/cj-sched/src/sched/settings.rs
@@ -51,6 +51,10 @@
 /// Time between two listings of a VM that runs lasting tasks only.
 pub(super) const RENEWAL_GAP: Duration = Duration::from_millis(900);
 
+/// Time between two listings of a VM with a lasting task that isn't at work yet: others of its step may be interrupted only
+/// once it is.
+pub(super) const STARTUP_GAP: Duration = Duration::from_millis(300);
+
 /// Time between two tries to list a VM that doesn't answer.
 pub(super) const LISTING_RETRY: Duration = Duration::from_millis(350);
 
