--- a/crates/cj-entry/src/metrics.rs
+++ b/crates/cj-entry/src/metrics.rs
@@ -33,7 +33,7 @@
     pub orders: Counter<u64, AtomicU64>,
     /// Times that this node became the owner.
     pub takeovers: Counter<u64, AtomicU64>,
-    /// 1 while this node owns the fleet.
+    /// Cells that this node owns.
     pub owner: Gauge<i64, AtomicI64>,
     /// Version of the configuration in force.
     pub config: Gauge<i64, AtomicI64>,
@@ -62,7 +62,7 @@
             "Times this node became the owner",
             metrics.takeovers.clone(),
         );
-        registry.register("is_owner", "1 while this node owns the fleet", metrics.owner.clone());
+        registry.register("is_owner", "Cells that this node owns", metrics.owner.clone());
         registry.register("config_version", "Configuration in force", metrics.config.clone());
         registry.register("log_lines_dropped", "Log lines dropped", metrics.dropped.clone());
         Metrics { registry, ..metrics }
--- a/crates/cj-sched/src/lib.rs
+++ b/crates/cj-sched/src/lib.rs
@@ -1,7 +1,7 @@
 //! Jobs of steps, their durable records, and the scheduler that places their tasks on VMs.
 //!
 //! Nothing in this crate does I/O. [`Book`] folds the records of the store on every node and answers questions about
-//! jobs. [`Scheduler`] runs on the node that owns the fleet: it takes events, and returns orders for VMs and records for
+//! jobs. [`Scheduler`] runs on the node that owns a cell: it takes events, and returns orders for VMs and records for
 //! the store. Time is passed in.
 
 pub mod book;
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -1,9 +1,10 @@
-//! The scheduler of the node that owns the fleet.
+//! The scheduler of a cell, run by the node that owns it.
 
 mod advice;
 mod event;
 mod listing;
 mod load;
+mod need;
 mod orders;
 mod pace;
 mod persist;
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use cj_types::{Resources, ServiceId, VmId};
+use cj_types::{ServiceId, VmId};
 use log::info;
 
 use crate::{
@@ -18,6 +18,7 @@
     sched::{
         event::{Action, VmAnswer, VmRow, VmState},
         load::open_work,
+        need::{Need, neediest},
         reclaim::Reclaim,
         scheduler::Scheduler,
         settings::TENURE_RESERVE,
@@ -37,24 +38,12 @@
 /// An idle VM that its pool doesn't need may go to another pool after this time.
 const LEND_AFTER: Duration = Duration::from_millis(300);
 
-/// Least VMs of a pool: one may be lost or in maintenance while the other takes work.
-pub(super) const LEAST_VMS: usize = 2;
-
 /// Share of the waiting tasks' demand that is provided for: some of them start as running ones end.
 const PROVIDED: f32 = 1.0;
 
-/// Share of a VM's processors that tasks fill in practice.
-const FILLED: f32 = 0.8;
-
 /// A lasting task that waits this long shows that its pool is too small.
 const STUCK_AFTER: Duration = Duration::from_millis(500);
 
-/// Steps in which the shares of pools are compared.
-const SHARE_STEPS: usize = 1_000;
-
-/// Stuck lasting tasks that one more VM is expected to take.
-const STUCK_PER_VM: usize = 2;
-
 /// Time between two log lines about the sizes of the pools.
 const REPORT_GAP: Duration = Duration::from_secs(1);
 
@@ -88,73 +77,6 @@
     trends: HashMap<ServiceId, Trend>,
 }
 
-/// The pool that gets the next VM: one with a lasting task that finds no worker, else the one that has the least share of what
-/// it needs. So pools that want more than the fleet has share it, and none waits until another has all.
-fn neediest(
-    needs: &BTreeMap<ServiceId, Need>,
-    targets: &BTreeMap<ServiceId, usize>,
-) -> Option<ServiceId> {
-    let wanting = targets.iter().filter(|(service, target)| needs[*service].size < **target);
-    let rank = |(service, target): &(&ServiceId, &usize)| {
-        let need = &needs[*service];
-        (need.stuck == 0, need.size * SHARE_STEPS / **target)
-    };
-    wanting.min_by_key(rank).map(|(service, _)| service.clone())
-}
-
-/// What a pool needs and has.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Need {
-    /// Processors for running and waiting tasks, in thousandths of a core.
-    cores: f32,
-    /// Memory for the same tasks, in MiB.
-    memory: f32,
-    /// Capacity of one VM.
-    unit: Resources,
-    /// Processors for finite tasks that are foreseen, in thousandths of a core.
-    foreseen: f32,
-    /// Processors for lasting tasks.
-    lasting: f32,
-    /// Lasting tasks that have found no worker for a while, less the VMs on their way to the pool.
-    pub(super) stuck: usize,
-    /// VMs that the lasting tasks need because of their spread.
-    spread: usize,
-    /// VMs in the pool or on their way to it.
-    pub(super) size: usize,
-    /// Idle VMs that may leave.
-    idle: Vec<(VmId, WorkerKey, Duration)>,
-}
-
-impl Need {
-    /// VMs for the tasks that run and wait.
-    fn present(&self) -> usize {
-        self.vms_for(self.cores)
-    }
-
-    /// VMs for these tasks and the ones that are foreseen.
-    fn target(&self) -> usize {
-        self.vms_for(self.cores.max(self.lasting + self.foreseen))
-    }
-
-    fn vms_for(&self, cores: f32) -> usize {
-        let share =
-            |amount: f32, unit: u32| (amount / (unit as f32 * FILLED).max(1.0)).ceil() as usize;
-        let cores = share(cores, self.unit.cores.0);
-        let memory = share(self.memory, self.unit.memory.0);
-        let grown = if self.stuck > 0 { self.size + self.stuck.div_ceil(STUCK_PER_VM) } else { 0 };
-        cores.max(memory).max(self.spread).max(LEAST_VMS).max(grown)
-    }
-
-    /// How much it has of what it needs, in thousandths.
-    pub(super) fn share(&self) -> usize {
-        self.size * SHARE_STEPS / self.target()
-    }
-
-    fn surplus(&self) -> usize {
-        self.size.saturating_sub(self.target())
-    }
-}
-
 impl Scheduler {
     /// Lets the plan learn from a job that arrived.
     pub(super) fn note_arrival(&mut self, job: &Job) {
--- a/crates/cj-sched/src/sched/reclaim.rs
+++ b/crates/cj-sched/src/sched/reclaim.rs
@@ -14,7 +14,7 @@
 
 use crate::sched::{
     event::{VmRow, VmState},
-    pool::{LEAST_VMS, Need},
+    need::{LEAST_VMS, Need},
     scheduler::Scheduler,
     worker::WorkerKey,
 };
