--- a/crates/cj-entry/src/layout.rs
+++ b/crates/cj-entry/src/layout.rs
@@ -22,6 +22,9 @@
 /// Bandwidth that the orders and listings of a busy VM take, in Mbit/s.
 const VM_MBPS: f64 = 0.03;
 
+/// Cells of a large fleet that a node follows all the time.
+const HOME_CELLS: usize = 2;
+
 /// A cell.
 #[derive(
     Clone,
@@ -141,9 +144,6 @@
     }
 }
 
-/// Cells of a large fleet that a node follows all the time.
-const HOME_CELLS: usize = 2;
-
 /// VMs of each rack, by the pool that has most VMs of the rack.
 fn racks_by_pool(rows: &[VmRow]) -> BTreeMap<ServiceId, BTreeMap<CompactString, usize>> {
     let mut racks: BTreeMap<CompactString, BTreeMap<&ServiceId, usize>> = BTreeMap::new();
