Judge strong nodes, and the cells that are done with a wave, in one place each

Whether a node is strong was worked out in the layout and again in the claim of a cell; which cells are done with a wave, with the owner's own cell as it knows it, for the shares of the cap and again for the report. Behaviour is unchanged.

--- a/crates/cj-entry/src/announce.rs
+++ b/crates/cj-entry/src/announce.rs
@@ -91,9 +91,7 @@
     let Some(layout) = node.layout.borrow().clone() else { return };
     let waves: Vec<u64> = node.waves.borrow().keys().copied().collect();
     for wave in waves {
-        let mut done = node.roster.borrow().done_with(wave, layout.cells);
-        done[member.id.index()] = member.waves.borrow().contains(&wave);
-        let completed = done.iter().all(|done| *done);
+        let completed = member.cells_done(wave, layout.cells).into_iter().all(|done| done);
         if reported.contains(&(wave, completed)) {
             continue;
         }
--- a/crates/cj-entry/src/claim.rs
+++ b/crates/cj-entry/src/claim.rs
@@ -127,11 +127,8 @@
     C: Clock + 'static,
 {
     let node = &member.node;
-    let strong = node
-        .layout
-        .borrow()
-        .as_ref()
-        .is_some_and(|layout| node.settings.size.cores.0 * 2 >= layout.cores.0);
+    let cores = node.settings.size.cores;
+    let strong = node.layout.borrow().as_ref().is_some_and(|layout| layout.is_strong(cores));
     let spread = if strong { VISITOR_DELAY / 2 } else { VISITOR_DELAY + VISITOR_SPREAD };
     node.random_up_to(spread) + OWNED_DELAY * node.owned.get()
 }
--- a/crates/cj-entry/src/layout.rs
+++ b/crates/cj-entry/src/layout.rs
@@ -107,6 +107,11 @@
         self.cells == 1
     }
 
+    /// True when a node has at least half the processor time of the one that decided on the layout.
+    pub fn is_strong(&self, cores: Millicores) -> bool {
+        cores.0 * 2 >= self.cores.0
+    }
+
     /// All cells.
     pub fn ids(&self) -> impl Iterator<Item = CellId> + use<> {
         (0..self.cells).map(CellId)
@@ -133,7 +138,7 @@
         if self.is_single() {
             return vec![CellId(0)];
         }
-        if cores.0 * 2 < self.cores.0 {
+        if !self.is_strong(cores) {
             return Vec::new();
         }
         let mut cells: Vec<CellId> = self.ids().collect();
--- a/crates/cj-entry/src/member.rs
+++ b/crates/cj-entry/src/member.rs
@@ -101,6 +101,13 @@
         self.jobs.is_fresh(now) && self.overflows.iter().all(|link| link.is_fresh(now))
     }
 
+    /// Whether each of the cells has no VM left to maintain for a wave, as the owner of this one knows it.
+    pub(crate) fn cells_done(&self, wave: u64, cells: u16) -> Vec<bool> {
+        let mut done = self.node.roster.borrow().done_with(wave, cells);
+        done[self.id.index()] = self.waves.borrow().contains(&wave);
+        done
+    }
+
     /// Sends an event to the scheduler, if this node owns the cell.
     pub fn send(&self, event: Event) {
         if let Some(events) = &*self.events.borrow() {
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -275,8 +275,7 @@
         }
         let node = &self.member.node;
         for order in node.waves.borrow().values() {
-            let mut done = node.roster.borrow().done_with(order.number, self.layout.cells);
-            done[self.member.id.index()] = self.member.waves.borrow().contains(&order.number);
+            let done = self.member.cells_done(order.number, self.layout.cells);
             let share = wave_share(order.cap, self.member.id, &done);
             self.scheduler.set_wave_cap(order.number, share);
         }
