Authenticate calls by the keys of client accounts

Cause: the platform product read no key. Ruled out: a bound on config propagation as the cause; versions were in force at all nodes in touch within 100 ms. Change: accounts with digests of their keys in the configuration, public queues, 401 for unknown keys, jobs visible to their own account only, 503 from a node whose configuration may be outdated. A first version of the new test waited for a read that the fake never answered and hung; the fake now answers it.

--- a/crates/cj-bench/src/entry/fleet.rs
+++ b/crates/cj-bench/src/entry/fleet.rs
@@ -8,7 +8,8 @@
 };
 
 use cj_entry::{
-    EntryNode, EntrySettings, Guard, Topic, api::SubmitOutcome, layout::NodeCapacity, owner,
+    EntryNode, EntrySettings, Guard, Topic, access::Caller, api::SubmitOutcome,
+    layout::NodeCapacity, owner,
 };
 use cj_sched::{
     FleetConfig, JobKey, JobSpec, JobState, Pool, Queue, StepSpec, TaskId,
@@ -97,6 +98,7 @@
         stretch: 1_000.0,
         target: Duration::from_millis(600),
         advice: None,
+        public: false,
     }
 }
 
@@ -119,7 +121,8 @@
             store.append(topic, records, Guard::None).expect("no condition");
         }
         let pools = [(service(), Pool { rejects_overload: false, spare: false })].into();
-        let config = FleetConfig { version: Version(1), queues: vec![queue()], pools };
+        let config =
+            FleetConfig { version: Version(1), queues: vec![queue()], pools, accounts: None };
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let (done, first_starts) = (HashMap::new(), HashMap::new());
         let peers = HashMap::new();
@@ -337,6 +340,8 @@
             policies: Policies::default(),
             capacity: NodeCapacity { cores, link_mbps: self.link_mbps, max_cells: MAX_CELLS },
             retention: Duration::from_secs(150),
+            keys_required: false,
+            config_time: Duration::from_secs(3),
             seed: self.rng.borrow_mut().random(),
         };
         let node = EntryNode::new(platform, NodeClock(link.clone(), self.base), settings);
@@ -384,7 +389,7 @@
             self.peers.iter().map(|peer| (peer.node.clone(), peer.link.clone())).collect();
         let mut rng = Pcg64Mcg::seed_from_u64(self.rng.borrow_mut().random());
         let accepted = self.accepted.clone();
-        let queue = queue();
+        let (queue, caller) = (queue(), Caller::default());
         tokio::task::spawn_local(async move {
             loop {
                 let (node, link) = &nodes[rng.random_range(0..nodes.len())];
@@ -394,7 +399,8 @@
                 );
                 if runs {
                     let end = tokio::time::Instant::now() + CALLER_TIMEOUT;
-                    let answer = node.submit(&queue, job, spec(tasks, estimate), end.into_std());
+                    let answer =
+                        node.submit(&queue, &caller, job, spec(tasks, estimate), end.into_std());
                     let answer = tokio::time::timeout_at(end, answer).await;
                     if answer == Ok(SubmitOutcome::Accepted) {
                         accepted.borrow_mut().insert(job);
--- /dev/null
+++ b/crates/cj-entry/src/access.rs
@@ -0,0 +1,88 @@
+//! Authentication of calls by the keys of client accounts.
+//!
+//! A call to a queue that isn't public carries a key of its account. The node looks the key's digest up in the newest
+//! configuration that it has read. A node that hasn't read the operator's topic for a while may hold a configuration whose
+//! keys have been withdrawn since, so it neither serves nor rejects calls by it.
+
+use std::time::Duration;
+
+use cj_sched::{Access, JobKey, KeyDigest, Queue};
+use cj_types::{AccountId, Clock};
+use compact_str::ToCompactString;
+use log::info;
+
+use crate::{node::EntryNode, platform::Platform};
+
+/// Part of the time for applying a configuration that is left for the call itself.
+const CONFIG_AGE_MARGIN: Duration = Duration::from_millis(200);
+
+/// An authenticated caller.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Caller {
+    /// The account that submitted jobs will belong to.
+    pub account: Option<AccountId>,
+    /// The jobs that the caller may see and cancel.
+    pub access: Access,
+}
+
+/// Why a call can't be authenticated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AccessError {
+    /// No account has the key, or the call carries none.
+    UnknownKey,
+    /// The node's configuration may be outdated.
+    OutdatedConfig,
+}
+
+impl<P, C> EntryNode<P, C>
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    /// Authenticates a call to a queue; `None` stands for a queue that no longer exists.
+    ///
+    /// # Errors
+    ///
+    /// An unknown key, or a configuration that may be outdated.
+    pub fn authenticate(
+        &self,
+        queue: Option<&Queue>,
+        key: Option<KeyDigest>,
+    ) -> Result<Caller, AccessError> {
+        let config = self.config.borrow().clone();
+        let accounts = config.as_ref().and_then(|config| config.accounts.as_ref());
+        let holder = key.and_then(|key| accounts?.by_key(key)).map(|account| account.id.clone());
+        let keyless = accounts.is_none() && !self.settings.keys_required;
+        if keyless || queue.is_some_and(|queue| queue.public) {
+            return Ok(Caller { account: holder, access: Access::Open });
+        }
+        if !self.is_config_current() {
+            return Err(AccessError::OutdatedConfig);
+        }
+        let account = holder.ok_or(AccessError::UnknownKey)?;
+        Ok(Caller { account: Some(account.clone()), access: Access::Account(account) })
+    }
+
+    /// Logs and counts a call that wasn't authenticated.
+    pub fn log_denied(&self, queue: &Queue, job: Option<JobKey>, error: AccessError) {
+        let outcome = match error {
+            AccessError::UnknownKey => "unknown_key",
+            AccessError::OutdatedConfig => "outdated_config",
+        };
+        let age = self.operator_topic.age(self.clock.now()).unwrap_or_default();
+        let version = self.config.borrow().as_ref().map(|config| config.version);
+        info!(
+            target: "decision",
+            "job={} request=authenticate queue={} config={} config_age_ms={} choice=refused reason={outcome}",
+            job.map(|job| job.to_compact_string()).unwrap_or_default(), queue.name,
+            version.unwrap_or_default(), age.as_millis()
+        );
+        self.count_answer("authenticate", outcome);
+    }
+
+    /// True while every configuration that has to be in force by now has been read.
+    fn is_config_current(&self) -> bool {
+        let limit = self.settings.config_time.saturating_sub(CONFIG_AGE_MARGIN);
+        self.operator_topic.age(self.clock.now()).is_some_and(|age| age < limit)
+    }
+}
--- a/crates/cj-entry/src/api.rs
+++ b/crates/cj-entry/src/api.rs
@@ -6,14 +6,15 @@
 };
 
 use cj_sched::{
-    JobKey, JobSpec, JobState, Queue, Record, Submission, codec, record::OwnerHeartbeat,
+    Access, JobKey, JobSpec, JobState, Queue, Record, Submission, codec, record::OwnerHeartbeat,
 };
-use cj_types::Clock;
+use cj_types::{AccountId, Clock};
 use compact_str::{CompactString, ToCompactString};
 use log::info;
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    access::Caller,
     admission::{AdmissionDecision, admit, backlog_time},
     follow::FollowState,
     member::CellMember,
@@ -86,6 +87,22 @@
     Unknown,
 }
 
+impl SubmitOutcome {
+    /// The answer when the id belongs to a job of another account. It doesn't differ from a passing refusal, so that a
+    /// caller learns nothing about the jobs of others.
+    const ID_UNAVAILABLE: SubmitOutcome =
+        SubmitOutcome::Refused("store_refused", STORE_RETRY_AFTER);
+}
+
+/// A job in the job index, as far as a caller may know about it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KnownJob {
+    /// The caller may see the job.
+    Visible,
+    /// The job belongs to another account.
+    OfOtherAccount,
+}
+
 impl JobStatus {
     /// The answer when the layout, the store or the owner isn't available.
     pub(crate) const UNAVAILABLE: JobStatus = JobStatus::Unavailable(STORE_RETRY_AFTER);
@@ -113,13 +130,14 @@
     pub async fn submit(
         &self,
         queue: &Queue,
+        caller: &Caller,
         job: JobKey,
         spec: JobSpec,
         deadline: Instant,
     ) -> SubmitOutcome {
         let member = self.member_for(job);
         let answer = match &member {
-            Some(member) => member.decide_submission(queue, job, spec, deadline).await,
+            Some(member) => member.decide_submission(queue, caller, job, spec, deadline).await,
             None => SubmitOutcome::Refused("no_layout", STORE_RETRY_AFTER),
         };
         let version =
@@ -132,18 +150,18 @@
         };
         info!(
             target: "decision",
-            "job={job} request=submit queue={} config={version} {} choice={choice} reason={outcome} retry_ms={}",
-            queue.name, LogContext(member.as_deref()), retry.as_millis()
+            "job={job} request=submit queue={} account={} config={version} {} choice={choice} reason={outcome} retry_ms={}",
+            queue.name, AccountName(caller.account.as_ref()), LogContext(member.as_deref()), retry.as_millis()
         );
         self.count_answer("submit", outcome);
         answer
     }
 
-    /// The state of a job.
-    pub async fn job_status(&self, job: JobKey) -> JobStatus {
+    /// The state of a job, if it is visible with this access.
+    pub async fn job_status(&self, job: JobKey, access: &Access) -> JobStatus {
         let member = self.member_for(job);
         let answer = match &member {
-            Some(member) => member.job_status(job).await,
+            Some(member) => member.job_status(job, access).await,
             None => JobStatus::UNAVAILABLE,
         };
         let outcome = match &answer {
@@ -161,11 +179,11 @@
         answer
     }
 
-    /// Cancels a job; `deadline` limits the wait for the store.
-    pub async fn cancel(&self, job: JobKey, deadline: Instant) -> CancelOutcome {
+    /// Cancels a job if it is visible with this access; `deadline` limits the wait for the store.
+    pub async fn cancel(&self, job: JobKey, access: &Access, deadline: Instant) -> CancelOutcome {
         let member = self.member_for(job);
         let answer = match &member {
-            Some(member) => member.cancel(job, deadline).await,
+            Some(member) => member.cancel(job, access, deadline).await,
             None => CancelOutcome::UNREACHABLE,
         };
         let outcome = match &answer {
@@ -197,11 +215,20 @@
         count
     }
 
-    fn count_answer(&self, request: &'static str, outcome: &'static str) {
+    pub(crate) fn count_answer(&self, request: &'static str, outcome: &'static str) {
         self.metrics.answers.get_or_create(&AnswerLabels { request, outcome }).inc();
     }
 }
 
+/// The name of an account in a log line.
+struct AccountName<'a>(Option<&'a AccountId>);
+
+impl fmt::Display for AccountName<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.0.map_or("none", AccountId::as_str))
+    }
+}
+
 /// The part of a log line that tells the cell of a job and how far the node has read it.
 struct LogContext<'a, P, C>(Option<&'a CellMember<P, C>>);
 
@@ -231,12 +258,15 @@
     async fn decide_submission(
         &self,
         queue: &Queue,
+        caller: &Caller,
         job: JobKey,
         spec: JobSpec,
         deadline: Instant,
     ) -> SubmitOutcome {
-        if self.is_known(job) {
-            return SubmitOutcome::Accepted;
+        match self.known_job(job, &caller.access) {
+            Some(KnownJob::Visible) => return SubmitOutcome::Accepted,
+            Some(KnownJob::OfOtherAccount) => return SubmitOutcome::ID_UNAVAILABLE,
+            None => {}
         }
         if let Err(error) = spec.validate() {
             return SubmitOutcome::Invalid(CompactString::from(error.to_string()));
@@ -249,7 +279,7 @@
         let decision = admit(self.owner_heartbeat().as_ref(), &queue.service, &spec, objective);
         if let AdmissionDecision::Refuse(after) = decision {
             self.log_overload(job, queue, objective);
-            return self.refuse_unless_known(job, after).await;
+            return self.refuse_unless_known(job, &caller.access, after).await;
         }
         let submission = Submission {
             queue: queue.name.clone(),
@@ -259,9 +289,11 @@
             objective,
             received_at: self.node.clock.wall(),
             spec,
+            account: caller.account.clone(),
         };
         let record = Record::Submission(job, Box::new(submission));
-        match self.append(&record, deadline, || self.is_known(job)).await {
+        let is_read = || self.known_job(job, &caller.access) == Some(KnownJob::Visible);
+        match self.append(&record, deadline, is_read).await {
             AppendOutcome::Durable => SubmitOutcome::Accepted,
             AppendOutcome::Refused => SubmitOutcome::Refused("store_refused", STORE_RETRY_AFTER),
             AppendOutcome::Unknown => SubmitOutcome::Unknown,
@@ -271,15 +303,22 @@
     /// Refuses a job because of overload, unless it is known. An earlier attempt of the caller may have been accepted
     /// by another node and the answer lost. So a node that follows the cell first reads the log up to date, and any
     /// other node asks the owner.
-    async fn refuse_unless_known(&self, job: JobKey, after: Duration) -> SubmitOutcome {
+    async fn refuse_unless_known(
+        &self,
+        job: JobKey,
+        access: &Access,
+        after: Duration,
+    ) -> SubmitOutcome {
         if self.is_followed() {
-            return match self.catch_up().await {
-                _ if self.is_known(job) => SubmitOutcome::Accepted,
-                true => SubmitOutcome::Refused("overload", after),
-                false => SubmitOutcome::Unknown,
+            let caught_up = self.catch_up().await;
+            return match self.known_job(job, access) {
+                Some(KnownJob::Visible) => SubmitOutcome::Accepted,
+                Some(KnownJob::OfOtherAccount) => SubmitOutcome::ID_UNAVAILABLE,
+                None if caught_up => SubmitOutcome::Refused("overload", after),
+                None => SubmitOutcome::Unknown,
             };
         }
-        match self.job_status(job).await {
+        match self.job_status(job, access).await {
             JobStatus::State(_) => SubmitOutcome::Accepted,
             JobStatus::Gone => SubmitOutcome::Refused("overload", after),
             JobStatus::Unavailable(_) => SubmitOutcome::Unknown,
@@ -297,8 +336,11 @@
         tokio::time::timeout(CATCH_UP_TIMEOUT, read).await.is_ok()
     }
 
-    fn is_known(&self, job: JobKey) -> bool {
-        self.job_index.borrow().job(job).is_some()
+    /// What a caller has to know about a job in the job index of this node; `None` if it isn't there.
+    fn known_job(&self, job: JobKey, access: &Access) -> Option<KnownJob> {
+        let job_index = self.job_index.borrow();
+        let visible = job_index.job(job)?.is_visible_to(access);
+        Some(if visible { KnownJob::Visible } else { KnownJob::OfOtherAccount })
     }
 
     /// The last known heartbeat of the owner.
@@ -341,45 +383,57 @@
     }
 
     /// The state of a job: from the job index if the cell is followed, else from the owner.
-    async fn job_status(&self, job: JobKey) -> JobStatus {
+    async fn job_status(&self, job: JobKey, access: &Access) -> JobStatus {
         if self.is_followed() {
-            let status = self.local_job_status(job);
+            let status = self.local_job_status(job, access);
             if !matches!(status, JobStatus::Unavailable(_)) || self.is_home {
                 return status;
             }
         }
-        match self.ask_owner(PeerRequest::JobStatus(job)).await {
+        match self.ask_owner(PeerRequest::JobStatus(job, access.clone())).await {
             Some(PeerResponse::JobStatus(answer)) => answer,
             _ => JobStatus::UNAVAILABLE,
         }
     }
 
     /// The state of a job in the job index of this node.
-    pub(crate) fn local_job_status(&self, job: JobKey) -> JobStatus {
-        match self.job_index.borrow().job(job).map(|entry| entry.state()) {
-            Some(state) => JobStatus::State(state),
+    pub(crate) fn local_job_status(&self, job: JobKey, access: &Access) -> JobStatus {
+        match self.job_index.borrow().job(job) {
+            Some(entry) if entry.is_visible_to(access) => JobStatus::State(entry.state()),
+            Some(_) => JobStatus::Gone,
             None if self.is_caught_up() => JobStatus::Gone,
             None => JobStatus::UNAVAILABLE,
         }
     }
 
     /// Cancels a job: on this node if the cell is followed, else through the owner.
-    async fn cancel(&self, job: JobKey, deadline: Instant) -> CancelOutcome {
+    async fn cancel(&self, job: JobKey, access: &Access, deadline: Instant) -> CancelOutcome {
         if self.is_followed() {
-            return self.cancel_locally(job, deadline).await;
+            return self.cancel_locally(job, access, deadline).await;
         }
-        match self.ask_owner(PeerRequest::Cancel(job)).await {
+        match self.ask_owner(PeerRequest::Cancel(job, access.clone())).await {
             Some(PeerResponse::Cancelled(answer @ (CancelOutcome::Done | CancelOutcome::Gone))) => {
                 answer
             }
-            // If the owner doesn't answer, the cancellation is stored all the same; it takes effect when it is read.
-            _ if self.is_store_reachable() => self.append_cancel(job, deadline, || false).await,
+            // If the owner doesn't answer, the cancellation is stored all the same; it takes effect when it is read. That
+            // needs access to all jobs, since this node can't tell to which account the job belongs.
+            _ if *access == Access::Open && self.is_store_reachable() => {
+                self.append_cancel(job, deadline, || false).await
+            }
             _ => CancelOutcome::UNREACHABLE,
         }
     }
 
     /// Cancels a job if it is in the job index of this node.
-    pub(crate) async fn cancel_locally(&self, job: JobKey, deadline: Instant) -> CancelOutcome {
+    pub(crate) async fn cancel_locally(
+        &self,
+        job: JobKey,
+        access: &Access,
+        deadline: Instant,
+    ) -> CancelOutcome {
+        if self.known_job(job, access) == Some(KnownJob::OfOtherAccount) {
+            return CancelOutcome::Gone;
+        }
         let state = self.job_index.borrow().job(job).map(|entry| entry.state());
         match state {
             Some(state) if state.is_final() => return CancelOutcome::Done,
--- a/crates/cj-entry/src/lib.rs
+++ b/crates/cj-entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! every job without asking another node. If there are several, a node follows a few of them and asks the owners of the
 //! others; see [`peer`].
 
+pub mod access;
 pub mod admission;
 pub mod api;
 mod claim;
--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -8,7 +8,7 @@
 };
 
 use cj_sched::{
-    Event, FleetConfig, JobKey,
+    Accounts, Event, FleetConfig, JobKey,
     record::{OwnerHeartbeat, ServiceLoad},
     sched::{Limits, Now, Policies, WaveSpec},
 };
@@ -51,6 +51,10 @@
     pub capacity: NodeCapacity,
     /// How long the state of a finished job remains available.
     pub retention: Duration,
+    /// Calls to queues that aren't public need a key even while the configuration has no accounts.
+    pub keys_required: bool,
+    /// Time within which a published configuration has to be in force.
+    pub config_time: Duration,
     /// Seed of the random number generator.
     pub seed: u64,
 }
@@ -301,8 +305,10 @@
         }
         info!(
             target: "decision",
-            "config={} offset={offset} choice=apply queues={} pools={}",
-            config.version, config.queues.len(), config.pools.len()
+            "config={} offset={offset} choice=apply queues={} pools={} accounts={} shared_keys={}",
+            config.version, config.queues.len(), config.pools.len(),
+            config.accounts.as_ref().map_or(0, Accounts::len),
+            config.accounts.as_ref().map_or(0, Accounts::shared_keys)
         );
         let config = Rc::new(config);
         *self.config.borrow_mut() = Some(config.clone());
--- a/crates/cj-entry/src/peer.rs
+++ b/crates/cj-entry/src/peer.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use cj_sched::{JobKey, codec};
+use cj_sched::{Access, JobKey, codec};
 use cj_types::{Clock, Result};
 use log::warn;
 use serde::{Deserialize, Serialize};
@@ -24,13 +24,14 @@
 const CANCEL_TIMEOUT: Duration = Duration::from_millis(850);
 
 /// A request to another entry node. Log lines print it with `Debug`.
-#[derive(Clone, Copy, derive_more::Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, derive_more::Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerRequest {
-    /// Return the state of the job. Printed as `Look`, the name in log lines.
+    /// Return the state of the job to a caller with this access. Printed as `Look`, the name in log lines.
     #[debug("Look({_0:?})")]
-    JobStatus(JobKey),
-    /// Cancel the job.
-    Cancel(JobKey),
+    JobStatus(JobKey, Access),
+    /// Cancel the job for a caller with this access.
+    #[debug("Cancel({_0:?})")]
+    Cancel(JobKey, Access),
 }
 
 /// A response to another entry node.
@@ -54,17 +55,19 @@
     /// A malformed request.
     pub async fn handle_peer_request(&self, request: &[u8]) -> Result<Vec<u8>> {
         let response = match codec::from_bytes(request)? {
-            PeerRequest::JobStatus(job) => {
+            PeerRequest::JobStatus(job, access) => {
                 let member = self.member_for(job);
                 PeerResponse::JobStatus(
-                    member.map_or(JobStatus::UNAVAILABLE, |member| member.local_job_status(job)),
+                    member.map_or(JobStatus::UNAVAILABLE, |member| {
+                        member.local_job_status(job, &access)
+                    }),
                 )
             }
-            PeerRequest::Cancel(job) => {
+            PeerRequest::Cancel(job, access) => {
                 let followed = self.member_for(job).filter(|member| member.is_followed());
                 PeerResponse::Cancelled(match followed {
                     Some(member) => {
-                        member.cancel_locally(job, self.clock.now() + CANCEL_TIMEOUT).await
+                        member.cancel_locally(job, &access, self.clock.now() + CANCEL_TIMEOUT).await
                     }
                     None => CancelOutcome::UNREACHABLE,
                 })
--- a/crates/cj-entry/tests/entry/api.rs
+++ b/crates/cj-entry/tests/entry/api.rs
@@ -4,11 +4,12 @@
 
 use cj_entry::{
     EntryNode, EntrySettings, FIRST_CELL_JOBS, NewestPage, Page, StoreError,
+    access::Caller,
     api::{CancelOutcome, JobStatus, SubmitOutcome},
     layout::NodeCapacity,
 };
 use cj_sched::{
-    FleetConfig, JobKey, JobSpec, Queue, Record, StepSpec, Submission, codec,
+    Access, FleetConfig, JobKey, JobSpec, Queue, Record, StepSpec, Submission, codec,
     record::ServiceLoad,
     sched::{Limits, Policies},
 };
@@ -20,7 +21,7 @@
     platform::{FakePlatform, after, lost, record},
 };
 
-type Node = Rc<EntryNode<FakePlatform, ManualClock>>;
+pub(crate) type Node = Rc<EntryNode<FakePlatform, ManualClock>>;
 
 pub(crate) fn queue() -> Queue {
     Queue {
@@ -33,6 +34,7 @@
         stretch: 1.5,
         target: Duration::from_millis(600),
         advice: None,
+        public: false,
     }
 }
 
@@ -42,7 +44,7 @@
 }
 
 /// A node that has read an empty store and is up to date.
-async fn node(appends: Vec<crate::platform::Scripted<u64>>) -> Node {
+pub(crate) async fn node(appends: Vec<crate::platform::Scripted<u64>>) -> Node {
     let platform = FakePlatform::new();
     let clock = platform.clock.clone();
     platform.newest.borrow_mut().push_back(after(1, Ok(NewestPage::default())));
@@ -55,6 +57,8 @@
         policies: Policies::default(),
         capacity: NodeCapacity { cores: Millicores(1_000), link_mbps: 1_000.0, max_cells: 1 },
         retention: Duration::from_secs(150),
+        keys_required: false,
+        config_time: Duration::from_secs(3),
         seed: 1,
     };
     let node = EntryNode::new(platform, clock, settings);
@@ -69,7 +73,7 @@
 
 async fn submit(node: &Node) -> SubmitOutcome {
     let deadline = node.clock.now() + Duration::from_secs(3);
-    node.submit(&queue(), JobKey(1), job(), deadline).await
+    node.submit(&queue(), &Caller::default(), JobKey(1), job(), deadline).await
 }
 
 #[actix_rt::test]
@@ -105,7 +109,7 @@
         node(vec![after(400, Ok(0)), after(100, Ok(0)), after(4, Ok(0)), after(4, Ok(0))]).await;
     let deadline = node.clock.now() + Duration::from_secs(3);
     for key in 1..=4 {
-        let answer = node.submit(&queue(), JobKey(key), job(), deadline).await;
+        let answer = node.submit(&queue(), &Caller::default(), JobKey(key), job(), deadline).await;
         assert_eq!(answer, SubmitOutcome::Accepted);
     }
     let topics = node.platform.topics.borrow();
@@ -131,6 +135,7 @@
         objective: Duration::from_secs(1),
         received_at: UnixMillis(0),
         spec: job(),
+        account: None,
     };
     let accepted = codec::entry(&Record::Submission(JobKey(1), Box::new(accepted)));
     let page = |offset, (key, value): &(CompactString, Vec<u8>)| Page {
@@ -151,7 +156,7 @@
     assert_eq!(submitted.await, SubmitOutcome::Accepted);
 
     let deadline = node.clock.now() + Duration::from_secs(3);
-    let answer = node.submit(&queue(), JobKey(2), job(), deadline).await;
+    let answer = node.submit(&queue(), &Caller::default(), JobKey(2), job(), deadline).await;
     assert_eq!(answer, SubmitOutcome::Unknown, "nothing was read since the request");
 }
 
@@ -168,11 +173,14 @@
 #[actix_rt::test]
 async fn reports_a_job_as_gone_only_while_up_to_date() {
     let node = node(Vec::new()).await;
-    assert_eq!(node.job_status(JobKey(9)).await, JobStatus::Gone);
+    assert_eq!(node.job_status(JobKey(9), &Access::Open).await, JobStatus::Gone);
     node.clock.advance(Duration::from_secs(4));
-    assert!(matches!(node.job_status(JobKey(9)).await, JobStatus::Unavailable(_)));
+    assert!(matches!(node.job_status(JobKey(9), &Access::Open).await, JobStatus::Unavailable(_)));
     let deadline = node.clock.now() + Duration::from_secs(3);
-    assert!(matches!(node.cancel(JobKey(9), deadline).await, CancelOutcome::Refused(_)));
+    assert!(matches!(
+        node.cancel(JobKey(9), &Access::Open, deadline).await,
+        CancelOutcome::Refused(_)
+    ));
 }
 
 #[actix_rt::test]
@@ -181,6 +189,6 @@
     let mut spec = job();
     spec.steps[0].after = vec![0];
     let deadline = node.clock.now() + Duration::from_secs(3);
-    let answer = node.submit(&queue(), JobKey(1), spec, deadline).await;
+    let answer = node.submit(&queue(), &Caller::default(), JobKey(1), spec, deadline).await;
     assert!(matches!(answer, SubmitOutcome::Invalid(_)));
 }
--- a/crates/cj-entry/tests/entry/cells.rs
+++ b/crates/cj-entry/tests/entry/cells.rs
@@ -4,13 +4,14 @@
 
 use cj_entry::{
     EntryNode, EntrySettings,
+    access::Caller,
     api::{CancelOutcome, JobStatus, SubmitOutcome},
     layout::{CellId, NodeCapacity},
     owner_directory::CellRecord,
     peer::{PeerRequest, PeerResponse},
 };
 use cj_sched::{
-    FleetConfig, JobKey, JobState, codec,
+    Access, FleetConfig, JobKey, JobState, codec,
     record::ServiceLoad,
     sched::{Limits, Policies},
 };
@@ -49,6 +50,8 @@
         policies: Policies::default(),
         capacity: NodeCapacity { cores: Millicores(120), link_mbps: 20.0, max_cells: 24 },
         retention: Duration::from_secs(150),
+        keys_required: false,
+        config_time: Duration::from_secs(3),
         seed: 1,
     };
     let node = EntryNode::new(platform, clock, settings);
@@ -63,7 +66,7 @@
 
 async fn submit(node: &Node) -> SubmitOutcome {
     let deadline = node.clock.now() + Duration::from_secs(3);
-    node.submit(&queue(), JobKey(1), job(), deadline).await
+    node.submit(&queue(), &Caller::default(), JobKey(1), job(), deadline).await
 }
 
 fn peer_requests(node: &Node) -> Vec<PeerRequest> {
@@ -86,11 +89,14 @@
     let answers =
         [JobStatus::State(JobState::Running), JobStatus::Gone].map(PeerResponse::JobStatus);
     let node = node(0, Vec::new(), answers.to_vec()).await;
-    assert_eq!(node.job_status(JobKey(1)).await, JobStatus::State(JobState::Running));
-    assert_eq!(node.job_status(JobKey(1)).await, JobStatus::Gone);
-    let unanswered = node.job_status(JobKey(1)).await;
+    assert_eq!(
+        node.job_status(JobKey(1), &Access::Open).await,
+        JobStatus::State(JobState::Running)
+    );
+    assert_eq!(node.job_status(JobKey(1), &Access::Open).await, JobStatus::Gone);
+    let unanswered = node.job_status(JobKey(1), &Access::Open).await;
     assert!(matches!(unanswered, JobStatus::Unavailable(_)), "the owner didn't answer");
-    assert_eq!(peer_requests(&node), [PeerRequest::JobStatus(JobKey(1)); 3]);
+    assert_eq!(peer_requests(&node), vec![PeerRequest::JobStatus(JobKey(1), Access::Open); 3]);
 }
 
 /// Guards against telling a caller that its job has not run although another node accepted an earlier attempt.
@@ -111,10 +117,10 @@
 async fn cancellations_are_stored_when_the_owner_does_not_answer() {
     let gone = node(0, Vec::new(), vec![PeerResponse::Cancelled(CancelOutcome::Gone)]).await;
     let deadline = gone.clock.now() + Duration::from_secs(3);
-    assert_eq!(gone.cancel(JobKey(1), deadline).await, CancelOutcome::Gone);
+    assert_eq!(gone.cancel(JobKey(1), &Access::Open, deadline).await, CancelOutcome::Gone);
     let silent = node(0, vec![after(4, Ok(0))], Vec::new()).await;
     let deadline = silent.clock.now() + Duration::from_secs(3);
-    assert_eq!(silent.cancel(JobKey(1), deadline).await, CancelOutcome::Done);
+    assert_eq!(silent.cancel(JobKey(1), &Access::Open, deadline).await, CancelOutcome::Done);
 }
 
 /// Guards against a node answering requests about a cell that it doesn't follow, and against failing on malformed
@@ -123,13 +129,15 @@
 async fn only_followers_answer_peer_requests() {
     let node = node(0, Vec::new(), Vec::new()).await;
     let answer = node
-        .handle_peer_request(&codec::to_bytes(&PeerRequest::JobStatus(JobKey(1))))
+        .handle_peer_request(&codec::to_bytes(&PeerRequest::JobStatus(JobKey(1), Access::Open)))
         .await
         .unwrap();
     let answer: PeerResponse = codec::from_bytes(&answer).unwrap();
     assert!(matches!(answer, PeerResponse::JobStatus(JobStatus::Unavailable(_))));
-    let answer =
-        node.handle_peer_request(&codec::to_bytes(&PeerRequest::Cancel(JobKey(1)))).await.unwrap();
+    let answer = node
+        .handle_peer_request(&codec::to_bytes(&PeerRequest::Cancel(JobKey(1), Access::Open)))
+        .await
+        .unwrap();
     let answer: PeerResponse = codec::from_bytes(&answer).unwrap();
     assert!(matches!(answer, PeerResponse::Cancelled(CancelOutcome::Refused(_))));
     for malformed in [&b""[..], b"\x01", b"\x01\x09\x01", b"\xff\xff"] {
--- a/crates/cj-entry/tests/entry/main.rs
+++ b/crates/cj-entry/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the entry node with a scripted platform and a clock that the tests control.
 
+mod access;
 mod admission;
 mod api;
 mod cells;
--- a/crates/cj-entry/tests/entry/platform.rs
+++ b/crates/cj-entry/tests/entry/platform.rs
@@ -53,8 +53,8 @@
     /// Scripted responses of other nodes, and the requests to them so far.
     pub(crate) peer_responses: RefCell<VecDeque<Result<Bytes, CompactString>>>,
     pub(crate) peer_requests: RefCell<Vec<(CompactString, Vec<u8>)>>,
-    /// Overflow logs that were read; they are empty, and answer one read each.
-    overflows_read: RefCell<HashSet<Topic>>,
+    /// Overflow logs and the operator's topic, if they were read; they are empty, and answer one read each.
+    empty_topics_read: RefCell<HashSet<Topic>>,
 }
 
 impl FakePlatform {
@@ -70,7 +70,7 @@
             heartbeats: RefCell::default(),
             peer_responses: RefCell::default(),
             peer_requests: RefCell::default(),
-            overflows_read: RefCell::default(),
+            empty_topics_read: RefCell::default(),
         }
     }
 
@@ -111,7 +111,9 @@
                 let next = 1 + records.len() as u64;
                 Ok(Page { records, next, end: next })
             }
-            Topic::Jobs(..) if self.overflows_read.borrow_mut().insert(topic) => {
+            Topic::Jobs(..) | Topic::Operator
+                if self.empty_topics_read.borrow_mut().insert(topic) =>
+            {
                 Ok(Page::default())
             }
             _ => std::future::pending().await,
@@ -121,7 +123,7 @@
     async fn newest(&self, topic: Topic, _: Option<&str>) -> Result<NewestPage, StoreError> {
         match topic {
             FIRST_CELL_JOBS => self.next(&self.newest).await,
-            Topic::Jobs(..) => Ok(NewestPage::default()),
+            Topic::Jobs(..) | Topic::Operator => Ok(NewestPage::default()),
             Topic::Cells => {
                 let (key, value) = CellRecord::Layout(self.layout.borrow().clone()).entry();
                 Ok(NewestPage { records: vec![record(0, &key, value)], after: None, end: 1 })
--- a/crates/cj-sched/src/codec.rs
+++ b/crates/cj-sched/src/codec.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::record::{Record, RecordKey};
+use crate::record::{Record, RecordKey, Submission};
 
 /// First byte of each value. It changes when the fields of a record change.
 const FORMAT_VERSION: u8 = 1;
@@ -46,7 +46,9 @@
         return Ok(Record::Drop(key));
     }
     match key {
-        RecordKey::Submission(job) => Ok(Record::Submission(job, Box::new(from_bytes(value)?))),
+        RecordKey::Submission(job) => {
+            Ok(Record::Submission(job, Box::new(decode_submission(value)?)))
+        }
         RecordKey::Progress(job, number) => Ok(Record::Progress(job, number, from_bytes(value)?)),
         RecordKey::Cancel(job) => Ok(Record::Cancel(job, from_bytes(value)?)),
         RecordKey::Wave(number) => Ok(Record::Wave(number, from_bytes(value)?)),
@@ -54,6 +56,12 @@
     }
 }
 
+/// Decodes a submission. One that was stored before accounts existed lacks the last field, whose absent value is encoded
+/// as 0.
+fn decode_submission(value: &[u8]) -> Result<Submission> {
+    from_bytes(value).or_else(|error| from_bytes(&[value, &[0]].concat()).map_err(|_| error))
+}
+
 /// Decodes a body that is preceded by the version byte.
 ///
 /// # Errors
--- a/crates/cj-sched/src/config.rs
+++ b/crates/cj-sched/src/config.rs
@@ -2,9 +2,11 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use cj_types::{ServiceId, Version};
+use cj_types::{AccountId, ServiceId, Version};
 use compact_str::CompactString;
 
+use crate::account::{Account, Accounts};
+
 /// Timing of the policy service that a queue asks for the workers that may run a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Advice {
@@ -37,6 +39,8 @@
     pub target: Duration,
     /// Set when an external policy service decides which workers may run a step.
     pub advice: Option<Advice>,
+    /// Calls need no account key.
+    pub public: bool,
 }
 
 /// A pool: the VMs of a service.
@@ -57,6 +61,8 @@
     pub queues: Vec<Queue>,
     /// All pools by service.
     pub pools: BTreeMap<ServiceId, Pool>,
+    /// The client accounts; `None` if calls need no key.
+    pub accounts: Option<Accounts>,
 }
 
 impl FleetConfig {
@@ -66,6 +72,11 @@
         self.queues.iter().filter(matching).max_by_key(|queue| queue.prefix.len())
     }
 
+    /// The account with this name.
+    pub fn account(&self, id: &AccountId) -> Option<&Account> {
+        self.accounts.as_ref()?.get(id)
+    }
+
     /// The queue with this name.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|queue| queue.name == name)
--- a/crates/cj-sched/src/job_index.rs
+++ b/crates/cj-sched/src/job_index.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    account::Access,
     job::JobKey,
     record::{Outcome, OwnerHeartbeat, Progress, Record, RecordKey, Submission, WaveProgress},
 };
@@ -93,6 +94,13 @@
         self.submission.as_ref()
     }
 
+    /// True if a caller with this access may see the job.
+    pub fn is_visible_to(&self, access: &Access) -> bool {
+        self.submission
+            .as_ref()
+            .is_some_and(|submission| access.allows(submission.account.as_ref()))
+    }
+
     /// Progress of an occurrence, if any is recorded.
     pub fn progress(&self, occurrence: u32) -> Option<&Progress> {
         self.progress.get(occurrence as usize).map(|versioned| &versioned.progress)
--- a/crates/cj-sched/src/lib.rs
+++ b/crates/cj-sched/src/lib.rs
@@ -4,6 +4,7 @@
 //! queries about jobs. On the node that owns a cell, [`Scheduler`] handles events and returns commands for workers and
 //! VMs, and records for the store. The current time is passed in.
 
+pub mod account;
 pub mod codec;
 pub mod config;
 pub mod job;
@@ -11,6 +12,7 @@
 pub mod record;
 pub mod sched;
 
+pub use account::{Access, Account, AccountCap, Accounts, KeyDigest, Weight};
 pub use config::{Advice, FleetConfig, Pool, Queue};
 pub use job::{Demand, JobKey, JobSpec, Schedule, StepSpec, TaskId};
 pub use job_index::{JobEntry, JobIndex, JobState, Log, OVERFLOW_LOGS, Owner};
--- a/crates/cj-sched/src/record.rs
+++ b/crates/cj-sched/src/record.rs
@@ -3,7 +3,7 @@
 
 use std::{fmt, str::FromStr, time::Duration};
 
-use cj_types::{Error, Millicores, NodeId, Result, ServiceId, UnixMillis, VmId};
+use cj_types::{AccountId, Error, Millicores, NodeId, Result, ServiceId, UnixMillis, VmId};
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
@@ -75,6 +75,8 @@
     pub received_at: UnixMillis,
     /// The job.
     pub spec: JobSpec,
+    /// The account that the job belongs to. Records of earlier releases end before this field.
+    pub account: Option<AccountId>,
 }
 
 /// Final state of an occurrence.
--- a/crates/cj-sched/tests/job_index.rs
+++ b/crates/cj-sched/tests/job_index.rs
@@ -22,6 +22,7 @@
         objective: Duration::from_secs(1),
         received_at: UnixMillis(1_000),
         spec: JobSpec { text: String::new(), steps: vec![StepSpec::default()], schedule: None },
+        account: None,
     };
     Record::Submission(JOB, Box::new(submission))
 }
--- a/crates/cj-sched/tests/sim/decisions.rs
+++ b/crates/cj-sched/tests/sim/decisions.rs
@@ -43,9 +43,15 @@
         stretch: 1.5,
         target: Duration::from_millis(600),
         advice,
+        public: false,
     };
     let pool = (service("red"), Pool { rejects_overload: true, spare: false });
-    Rc::new(FleetConfig { version: Version(1), queues: vec![queue], pools: [pool].into() })
+    Rc::new(FleetConfig {
+        version: Version(1),
+        queues: vec![queue],
+        pools: [pool].into(),
+        accounts: None,
+    })
 }
 
 impl Harness {
@@ -175,6 +181,7 @@
         objective: Duration::from_secs(3),
         received_at: UnixMillis(START_UNIX_MS),
         spec: JobSpec { text: String::new(), steps, schedule },
+        account: None,
     }
 }
 
--- a/crates/cj-sched/tests/sim/logs.rs
+++ b/crates/cj-sched/tests/sim/logs.rs
@@ -184,6 +184,7 @@
             objective: Duration::from_secs(4),
             received_at: self.clocks().wall,
             spec: JobSpec { text: String::new(), steps, schedule: None },
+            account: None,
         };
         let log = self.caller_log();
         self.append(log, Record::Submission(job, Box::new(submission)));
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -171,12 +171,14 @@
         stretch: 1.6,
         target: Duration::from_millis(600),
         advice: None,
+        public: false,
     };
     let pool = |name: &str, spare| (service(name), Pool { rejects_overload: false, spare });
     FleetConfig {
         version: Version(1),
         queues: vec![queue("red"), queue("blue")],
         pools: [pool("red", false), pool("blue", false), pool("spare", true)].into(),
+        accounts: None,
     }
 }
 
--- a/crates/cj-types/src/ids.rs
+++ b/crates/cj-types/src/ids.rs
@@ -95,6 +95,8 @@
     RegionId = "region name";
     /// A caller as named in its requests.
     CallerId = "caller name";
+    /// A client account, whose keys authenticate calls.
+    AccountId = "account name";
     /// Key chosen by a caller to identify a job; submissions with the same key create one job.
     IdempotencyKey = "idempotency key";
     /// A stream of the platform's log.
