Count what each account has running, and start nothing beyond its cap

Ruled out: a check at submission, since jobs run in waves of tasks and long after their submission. Change: a ledger at the owner of a cell. Runs count from the decision to start until surely over: stopping runs, runs without a task, unanswered starts for as long as they may be carried out, and until all workers are listed the capacity of the others where earlier owners may have started jobs of the account. Several cells share a cap in equal fixed parts. Pools call for no VMs for work that a cap holds back; the first time that a job is held back is logged.

--- a/crates/cj-sched/src/job_index.rs
+++ b/crates/cj-sched/src/job_index.rs
@@ -131,7 +131,7 @@
     }
 
     /// When the state became final.
-    fn ended_at(&self) -> Option<UnixMillis> {
+    pub fn ended_at(&self) -> Option<UnixMillis> {
         if !self.state().is_final() {
             return None;
         }
--- a/crates/cj-sched/src/sched/commands.rs
+++ b/crates/cj-sched/src/sched/commands.rs
@@ -87,6 +87,11 @@
     /// Stops a run that belongs to no task.
     pub(super) fn stop_orphan(&mut self, key: WorkerKey, task: TaskId, run: u64) {
         self.workers[key].orphan_runs += 1;
+        let charge = match self.find_task(&task) {
+            Some(at) => self.charge_of(at),
+            None => self.charge_of_ended(&task),
+        };
+        self.charge_orphan(key, charge);
         self.send_stop(key, task, run);
     }
 
--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -138,6 +138,7 @@
         started_at: Option<u64>,
         evidence: IncarnationEvidence,
     ) {
+        self.refund_orphans(key);
         let worker = &mut self.workers[key];
         let runs = worker.runs.clone();
         info!(
--- /dev/null
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -0,0 +1,247 @@
+//! What each account has running, and what it may start under its cap.
+//!
+//! A run counts from the decision to start it until it is surely over: also while it is being stopped, while it belongs to
+//! no task any more, and while its unanswered start command may still be carried out. Runs of earlier owners count as soon
+//! as they are listed. Until all workers are listed, an account whose jobs earlier owners may have started counts the
+//! capacity of the others as used.
+
+use std::{collections::HashMap, time::Instant};
+
+use cj_types::{AccountId, Resources};
+use log::info;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::{
+    account::{Account, AccountCap, Weight},
+    config::FleetConfig,
+    sched::{
+        event::VmState,
+        scheduler::Scheduler,
+        work::{Job, TaskRef},
+        worker::WorkerKey,
+    },
+};
+
+new_key_type! {
+    /// Slot of an account in the ledger.
+    pub(super) struct AccountSlot;
+}
+
+/// Resources that a run uses for an account.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Charge {
+    pub(super) account: AccountSlot,
+    pub(super) demand: Resources,
+}
+
+/// What an account uses and what it may use.
+#[derive(Clone, Debug)]
+pub(super) struct AccountUsage {
+    id: AccountId,
+    pub(super) weight: Weight,
+    /// This cell's part of the cap.
+    cap: AccountCap,
+    /// Used by runs that are ordered and not surely over.
+    pub(super) used: Resources,
+    /// Demand of tasks that earlier owners may have running.
+    unsettled: Resources,
+}
+
+impl AccountUsage {
+    /// Usage in the worst case, if unlisted workers may run up to `unlisted` for earlier owners.
+    fn possible_usage(&self, unlisted: Resources) -> Resources {
+        self.used.plus(self.unsettled.at_most(unlisted))
+    }
+
+    /// True if `count` tasks with this demand may be started together. While less than half of the cap is used, one task may
+    /// exceed it, so that a task that is larger than the rest of the cap isn't held back for ever.
+    pub(super) fn allows(&self, demand: Resources, count: u32, unlisted: Resources) -> bool {
+        let used = self.possible_usage(unlisted);
+        let room = self.cap.room(used);
+        let total = demand.times(count);
+        total.fits(room) || (self.cap.is_half_free(used) && total.minus(demand).fits(room))
+    }
+}
+
+/// The accounts of all known jobs.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ledger {
+    accounts: SlotMap<AccountSlot, AccountUsage>,
+    slots: HashMap<AccountId, AccountSlot>,
+    /// Number of cells that share each cap.
+    cells: u32,
+}
+
+impl Ledger {
+    /// The slot of an account, which is added if it isn't known.
+    pub(super) fn slot(&mut self, id: &AccountId, config: &FleetConfig) -> AccountSlot {
+        if let Some(&slot) = self.slots.get(id) {
+            return slot;
+        }
+        let mut usage = AccountUsage {
+            id: id.clone(),
+            weight: Weight::DEFAULT,
+            cap: AccountCap::UNLIMITED,
+            used: Resources::default(),
+            unsettled: Resources::default(),
+        };
+        if let Some(account) = config.account(id) {
+            self.apply(&mut usage, account);
+        }
+        let slot = self.accounts.insert(usage);
+        self.slots.insert(id.clone(), slot);
+        slot
+    }
+
+    fn apply(&self, usage: &mut AccountUsage, account: &Account) {
+        usage.weight = account.weight;
+        usage.cap = account.cap.divided_by(self.cells);
+    }
+
+    /// Applies a configuration. An account that was removed keeps its cap for the jobs that it has.
+    pub(super) fn configure(&mut self, config: &FleetConfig) {
+        let mut accounts = std::mem::take(&mut self.accounts);
+        for usage in accounts.values_mut() {
+            let Some(account) = config.account(&usage.id) else { continue };
+            let before = usage.cap;
+            self.apply(usage, account);
+            if usage.cap != before {
+                info!(
+                    target: "decision",
+                    "account={} choice=set_cap config={} cap=\"{}\" used=\"{}\"",
+                    usage.id, config.version, usage.cap, usage.used
+                );
+            }
+        }
+        self.accounts = accounts;
+    }
+
+    pub(super) fn usage(&self, slot: AccountSlot) -> &AccountUsage {
+        &self.accounts[slot]
+    }
+
+    pub(super) fn charge(&mut self, charge: Charge) {
+        let usage = &mut self.accounts[charge.account];
+        usage.used = usage.used.plus(charge.demand);
+    }
+
+    pub(super) fn refund(&mut self, charge: Charge) {
+        let usage = &mut self.accounts[charge.account];
+        usage.used = usage.used.minus(charge.demand);
+    }
+}
+
+/// Room of each account under its cap, while the demand of waiting tasks is summed up.
+#[derive(Debug, Default)]
+pub(super) struct CapRoom {
+    left: HashMap<AccountSlot, Resources>,
+}
+
+impl CapRoom {
+    /// Takes the demand of a waiting task out of the room of its account. Returns false if the cap holds the task back.
+    pub(super) fn take(
+        &mut self,
+        ledger: &Ledger,
+        account: Option<AccountSlot>,
+        demand: Resources,
+    ) -> bool {
+        let Some(slot) = account else { return true };
+        let usage = ledger.usage(slot);
+        let left = self.left.entry(slot).or_insert_with(|| usage.cap.room(usage.used));
+        let fits = demand.fits(*left);
+        if fits {
+            *left = left.minus(demand);
+        }
+        fits
+    }
+}
+
+impl Scheduler {
+    /// Sets the number of cells that share the caps.
+    pub fn set_cells(&mut self, cells: u16) {
+        self.ledger.cells = u32::from(cells);
+        let config = self.config.clone();
+        self.ledger.configure(&config);
+    }
+
+    /// What a run of a task is charged to; `None` if its job belongs to no account.
+    pub(super) fn charge_of(&self, at: TaskRef) -> Option<Charge> {
+        let job = &self.jobs[at.job];
+        Some(Charge { account: job.account?, demand: job.step_spec(at.step).demand })
+    }
+
+    /// Counts the open tasks of a job as running, since an earlier owner may have started them.
+    pub(super) fn add_unsettled(&mut self, job: &Job) {
+        let Some(slot) = job.account else { return };
+        let mut demand = Resources::default();
+        for occurrence in &job.occurrences {
+            for (number, step) in occurrence.steps.iter().enumerate() {
+                let open = step.tasks.iter().filter(|task| !task.is_done()).count() as u32;
+                demand = demand.plus(job.step_spec(number as u32).demand.times(open));
+            }
+        }
+        let unsettled = &mut self.ledger.accounts[slot].unsettled;
+        *unsettled = unsettled.plus(demand);
+    }
+
+    /// Most that runs of earlier owners can use on workers that this owner hasn't listed yet.
+    pub(super) fn unlisted_capacity(&self) -> Resources {
+        if self.now.mono > self.lease_horizon {
+            return Resources::default();
+        }
+        if !self.vms_known {
+            return AccountCap::UNLIMITED.limits();
+        }
+        let unlisted = self.workers.values().filter(|worker| !worker.runs_known());
+        let unregistered = self.vms.values().filter(|row| {
+            let worker = row.worker.as_ref().filter(|_| row.state == VmState::Up);
+            worker.is_some_and(|id| !self.worker_keys.contains_key(id))
+        });
+        let capacities = unlisted.map(|worker| worker.capacity);
+        let capacities = capacities.chain(unregistered.map(|row| row.capacity));
+        capacities.fold(Resources::default(), Resources::plus)
+    }
+
+    /// True if the cap of the job's account allows `count` idle tasks of a step to start together. Logs the first time that
+    /// the job is held back.
+    pub(super) fn cap_allows(&mut self, at: TaskRef, count: u32) -> bool {
+        let Some(Charge { account, demand }) = self.charge_of(at) else { return true };
+        let usage = self.ledger.usage(account);
+        if usage.allows(demand, count, self.unlisted) {
+            return true;
+        }
+        let job = &self.jobs[at.job];
+        if !job.held {
+            info!(
+                target: "decision",
+                "job={} account={} choice=hold reason=account_cap config={} cap=\"{}\" used=\"{}\" unlisted=\"{}\" epoch={}",
+                job.key, usage.id, self.config.version, usage.cap, usage.used,
+                usage.unsettled.at_most(self.unlisted), self.epoch
+            );
+            self.jobs[at.job].held = true;
+        }
+        false
+    }
+
+    /// Counts a run that belongs to no task any more until it is listed as ended.
+    pub(super) fn charge_orphan(&mut self, key: WorkerKey, charge: Option<Charge>) {
+        let Some(charge) = charge else { return };
+        self.ledger.charge(charge);
+        self.workers[key].orphans.push(charge);
+    }
+
+    /// Stops counting the runs on a worker that belong to no task, because they have ended or are counted anew.
+    pub(super) fn refund_orphans(&mut self, key: WorkerKey) {
+        for charge in std::mem::take(&mut self.workers[key].orphans) {
+            self.ledger.refund(charge);
+        }
+    }
+
+    /// Stops counting lost runs whose start commands can no longer be carried out.
+    pub(super) fn refund_late_starts(&mut self, now: Instant) {
+        let expired = self.unanswered_starts.extract_if(.., |start| start.is_expired(now));
+        for charge in expired.filter_map(|start| start.charge) {
+            self.ledger.refund(charge);
+        }
+    }
+}
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -123,6 +123,7 @@
         let ends_read = unread.is_none();
         let mut listed_tasks = HashSet::with_capacity(listing.running.len());
         self.workers[key].orphan_runs = 0;
+        self.refund_orphans(key);
         for row in listing.running {
             if self.is_unread(&row.task) {
                 unread = Some(row.task);
@@ -141,7 +142,8 @@
     /// True when an earlier owner may have read the submission of the task's job but this owner hasn't: the overflow
     /// logs of submissions are read independently of the log of the owner's records.
     fn is_unread(&self, task: &TaskId) -> bool {
-        let known = self.job_slots.contains_key(&task.job) || self.ended_jobs.contains(&task.job);
+        let known =
+            self.job_slots.contains_key(&task.job) || self.ended_jobs.contains_key(&task.job);
         !known && self.is_catching_up()
     }
 
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -8,6 +8,7 @@
 mod event;
 mod evidence;
 mod forecast;
+mod ledger;
 mod listing;
 mod load;
 mod ownership;
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -85,6 +85,7 @@
         }
         self.place_due = false;
         self.placed_at = now;
+        self.unlisted = self.unlisted_capacity();
         let mut candidates = self.candidates();
         candidates.sort_by_key(|candidate| candidate.rank);
         let mut blocked = HashMap::<ServiceId, usize>::new();
@@ -138,7 +139,7 @@
         rank(job, occurrence, self.estimate_occurrence(job, occurrence), self.now.wall)
     }
 
-    /// Starts the idle tasks of a step. Returns false if one of them found no worker.
+    /// Starts the idle tasks of a step that the cap of the account allows. Returns false if one of them found no worker.
     fn place_step(&mut self, at: TaskRef) -> bool {
         if self.needs_advice(at) && !self.ensure_tickets(at) {
             return true;
@@ -152,6 +153,9 @@
             (0..tasks.len()).filter(|&n| tasks[n].is_idle()).map(|n| n as u32).collect();
         for index in idle {
             let at = TaskRef { index, ..at };
+            if !self.cap_allows(at, 1) {
+                return true;
+            }
             let Some(key) = self.choose_worker(at) else {
                 if self.jobs[at.job].step_spec(at.step).long_running {
                     self.make_room(at);
@@ -184,6 +188,9 @@
     /// Starts all tasks of a gang or none; their runs share one run number. Returns false if they don't all fit.
     fn place_gang(&mut self, at: TaskRef) -> bool {
         let count = self.jobs[at.job].step_spec(at.step).count;
+        if !self.cap_allows(at, count) {
+            return true;
+        }
         let members = || (0..count).map(|index| TaskRef { index, ..at });
         let run = members().map(|member| self.next_run(member)).max().unwrap_or_default();
         let Some(chosen) = self.choose_gang(at, count) else { return false };
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -20,6 +20,7 @@
         event::{Action, VmAnswer, VmRow, VmState},
         evidence::Incarnation,
         forecast::DemandForecast,
+        ledger::CapRoom,
         reclaim::PoolDrain,
         scheduler::Scheduler,
         work::{Job, JobSlot, Phase},
@@ -222,8 +223,9 @@
             demand.pool_size += 1;
             demand.idle.extend(self.idle_vm(row));
         }
+        let mut room = CapRoom::default();
         for slot in self.jobs.keys() {
-            self.add_demand(slot, &mut demands);
+            self.add_demand(slot, &mut demands, &mut room);
         }
         for (service, demand) in &mut demands {
             let forecast = self.pools.forecasts.get(service).filter(|_| self.policies.forecast);
@@ -267,8 +269,13 @@
         Some((row.vm.clone(), key, self.now.mono.saturating_duration_since(*since)))
     }
 
-    /// Adds the demand of a job to that of its pool.
-    fn add_demand(&self, slot: JobSlot, demands: &mut BTreeMap<ServiceId, PoolDemand>) {
+    /// Adds the demand of a job to that of its pool, without the tasks that the cap of its account holds back.
+    fn add_demand(
+        &self,
+        slot: JobSlot,
+        demands: &mut BTreeMap<ServiceId, PoolDemand>,
+        room: &mut CapRoom,
+    ) {
         let job = &self.jobs[slot];
         let Some(demand) = demands.get_mut(self.service_of(&job.submission)) else { return };
         if job.is_over() {
@@ -286,9 +293,11 @@
                 for task in &step.tasks {
                     let share = match &task.phase {
                         Phase::Placed(_) => 1.0,
+                        Phase::Done => 0.0,
+                        Phase::Idle if !(ready || spec.long_running) => 0.0,
+                        Phase::Idle if !room.take(&self.ledger, job.account, spec.demand) => 0.0,
                         Phase::Idle if spec.long_running => 1.0,
-                        Phase::Idle if ready => READY_DEMAND_SHARE,
-                        Phase::Idle | Phase::Done => 0.0,
+                        Phase::Idle => READY_DEMAND_SHARE,
                     };
                     let cores = per_task.cores.0 as f32 * share;
                     demand.cores += cores;
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -1,12 +1,12 @@
 //! The scheduler's state: handles events, runs the periodic checks and returns the actions to carry out.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use cj_types::{ServiceId, UnixMillis, VmId};
+use cj_types::{Resources, ServiceId, UnixMillis, VmId};
 use compact_str::CompactString;
 use log::info;
 use slotmap::SlotMap;
@@ -14,13 +14,14 @@
 use crate::{
     config::FleetConfig,
     job::{JobKey, TaskId},
-    job_index::JobIndex,
+    job_index::{JobEntry, JobIndex},
     record::{Outcome, Progress, Submission},
     sched::{
         estimate::RunTimeEstimator,
         event::{Action, Event, VmRow, WorkerId, WorkerRegistration},
         evidence::{IncarnationEvidence, RunEvidence, VmShutdown},
-        ownership::OwnershipLease,
+        ledger::{Charge, Ledger},
+        ownership::{OWNERSHIP_LEASE, OwnershipLease},
         policy::Policies,
         pool::PoolPlan,
         settings::{Limits, MAX_READ_LAG},
@@ -37,11 +38,18 @@
 const COMMAND_LIFETIME: Duration = Duration::from_secs(15);
 
 /// A lost run whose start command went unanswered.
-struct UnansweredStart {
+pub(super) struct UnansweredStart {
     worker: WorkerId,
     task: TaskId,
     run: u64,
     lost_at: Instant,
+    pub(super) charge: Option<Charge>,
+}
+
+impl UnansweredStart {
+    pub(super) fn is_expired(&self, now: Instant) -> bool {
+        now >= self.lost_at + COMMAND_LIFETIME
+    }
 }
 
 /// Readings of both clocks at the same moment.
@@ -61,8 +69,9 @@
     pub(super) config: Rc<FleetConfig>,
     pub(super) jobs: SlotMap<JobSlot, Job>,
     pub(super) job_slots: HashMap<JobKey, JobSlot>,
-    /// Jobs that ended before or during this ownership, kept until this owner has read all older submissions.
-    pub(super) ended_jobs: HashSet<JobKey>,
+    /// Jobs that ended before or during this ownership, with their submissions if known, kept until this owner has read
+    /// all older submissions.
+    pub(super) ended_jobs: HashMap<JobKey, Option<Rc<Submission>>>,
     pub(super) workers: SlotMap<WorkerKey, Worker>,
     pub(super) worker_keys: HashMap<WorkerId, WorkerKey>,
     pub(super) vms: BTreeMap<VmId, VmRow>,
@@ -83,9 +92,13 @@
     pub(super) ownership: OwnershipLease,
     pub(super) policies: Policies,
     /// Lost runs whose start command may still reach a later incarnation of the worker.
-    unanswered_starts: Vec<UnansweredStart>,
+    pub(super) unanswered_starts: Vec<UnansweredStart>,
     /// Estimators of run times by queue.
     pub(super) estimators: HashMap<CompactString, RunTimeEstimator>,
+    /// What each account has running.
+    pub(super) ledger: Ledger,
+    /// Most that runs of earlier owners can use on workers that weren't listed yet, at the last placement pass.
+    pub(super) unlisted: Resources,
     pub(super) write: super::persist::WriteState,
     pub(super) actions: Vec<Action>,
     /// A change may allow tasks to be placed, so a placement pass is due.
@@ -115,7 +128,7 @@
             config,
             jobs: SlotMap::with_key(),
             job_slots: HashMap::new(),
-            ended_jobs: HashSet::new(),
+            ended_jobs: HashMap::new(),
             workers: SlotMap::with_key(),
             worker_keys: HashMap::new(),
             vms: BTreeMap::new(),
@@ -131,6 +144,8 @@
             policies: Policies::default(),
             unanswered_starts: Vec::new(),
             estimators: HashMap::new(),
+            ledger: Ledger::default(),
+            unlisted: Resources::default(),
             write: Default::default(),
             actions: Vec::new(),
             place_due: true,
@@ -138,11 +153,10 @@
             checked_at: now.mono,
             now,
         };
-        scheduler.ended_jobs = index
-            .jobs()
-            .filter(|(_, entry)| entry.state().is_final())
-            .map(|(key, _)| key)
-            .collect();
+        scheduler.ledger.configure(&scheduler.config);
+        for (key, entry) in index.jobs().filter(|(_, entry)| entry.state().is_final()) {
+            scheduler.add_ended_job(key, entry);
+        }
         for (key, entry) in index.open_jobs() {
             let Some(submission) = entry.submission() else { continue };
             let progress = |number| entry.progress(number);
@@ -164,7 +178,7 @@
             Event::Submitted { job, submission, fresh, recorded } => {
                 self.add_job(job, submission, fresh, &recorded);
             }
-            Event::Ended(job) => self.mark_ended(job),
+            Event::Ended(job) => self.mark_ended(job, None),
             Event::Cancelled(job) => self.cancel(job),
             Event::Config(config) => self.configure(config),
             Event::Registered(registration) => self.register_worker(registration),
@@ -204,8 +218,9 @@
         self.plan_pools();
         self.pace_tasks();
         if !self.is_catching_up() {
-            self.ended_jobs = HashSet::new();
+            self.ended_jobs = HashMap::new();
         }
+        self.refund_late_starts(self.now.mono);
     }
 
     fn add_job(
@@ -216,7 +231,7 @@
         recorded: &[Progress],
     ) {
         // The submission of an ended job may arrive again, when it was read before the records that end the job.
-        if self.job_slots.contains_key(&key) || self.ended_jobs.contains(&key) {
+        if self.job_slots.contains_key(&key) || self.ended_jobs.contains_key(&key) {
             return;
         }
         let progress = |number: u32| recorded.get(number as usize);
@@ -226,8 +241,13 @@
         self.place_due = true;
     }
 
-    fn insert_job(&mut self, job: Job) {
+    fn insert_job(&mut self, mut job: Job) {
         let key = job.key;
+        let account = job.submission.account.clone();
+        job.account = account.map(|id| self.ledger.slot(&id, &self.config));
+        if !job.fresh {
+            self.add_unsettled(&job);
+        }
         let slot = self.jobs.insert(job);
         self.job_slots.insert(key, slot);
     }
@@ -273,10 +293,10 @@
         let Some(job) = self.jobs.get(slot) else { return };
         let written = job.occurrences.iter().all(|occurrence| !occurrence.dirty);
         if job.is_over() && job.active_runs == 0 && written && !self.write.has_pending(slot) {
-            let key = job.key;
+            let (key, submission) = (job.key, job.submission.clone());
             self.jobs.remove(slot);
             self.job_slots.remove(&key);
-            self.mark_ended(key);
+            self.mark_ended(key, Some(submission));
         }
     }
 
@@ -286,14 +306,34 @@
     }
 
     /// Records that a job has ended, as long as runs of it that an earlier owner started may still be listed.
-    fn mark_ended(&mut self, key: JobKey) {
+    fn mark_ended(&mut self, key: JobKey, submission: Option<Rc<Submission>>) {
         if self.is_catching_up() {
-            self.ended_jobs.insert(key);
+            self.ended_jobs.entry(key).or_insert(submission);
         }
     }
 
+    /// Records a job that ended before this ownership. If that was a moment ago, its runs may still be stopping.
+    fn add_ended_job(&mut self, key: JobKey, entry: &JobEntry) {
+        self.ended_jobs.insert(key, entry.submission().cloned());
+        let recent = entry.ended_at().is_some_and(|at| at + OWNERSHIP_LEASE > self.now.wall);
+        let (true, Some(submission)) = (recent, entry.submission()) else { return };
+        let progress = |number| entry.progress(number);
+        let mut job = Job::new(key, submission.clone(), false, self.now.mono, progress);
+        job.account = submission.account.as_ref().map(|id| self.ledger.slot(id, &self.config));
+        self.add_unsettled(&job);
+    }
+
+    /// What a run of a task of an ended job is charged to.
+    pub(super) fn charge_of_ended(&mut self, task: &TaskId) -> Option<Charge> {
+        let submission = self.ended_jobs.get(&task.job)?.clone()?;
+        let demand = submission.spec.steps.get(task.step as usize)?.demand;
+        let account = self.ledger.slot(submission.account.as_ref()?, &self.config);
+        Some(Charge { account, demand })
+    }
+
     fn configure(&mut self, config: Rc<FleetConfig>) {
         if config.version >= self.config.version {
+            self.ledger.configure(&config);
             self.config = config;
             self.place_due = true;
         }
@@ -341,6 +381,9 @@
 
     /// Records the placement of a task on a worker.
     pub(super) fn assign(&mut self, at: TaskRef, placement: super::work::Placement) {
+        if let Some(charge) = self.charge_of(at) {
+            self.ledger.charge(charge);
+        }
         let demand = self.jobs[at.job].step_spec(at.step).allocation();
         let worker = &mut self.workers[placement.worker];
         worker.used = worker.used.plus(demand);
@@ -355,12 +398,16 @@
     /// Removes the placement of a task, which becomes idle.
     pub(super) fn release(&mut self, at: TaskRef) {
         let now = self.now.mono;
+        let charge = self.charge_of(at);
         let job = &mut self.jobs[at.job];
         let demand = job.step_spec(at.step).allocation();
         let task = job.task_mut(at);
         let Phase::Placed(placement) = std::mem::replace(&mut task.phase, Phase::Idle) else {
             return;
         };
+        if let Some(charge) = charge {
+            self.ledger.refund(charge);
+        }
         task.idle_since = now;
         job.active_runs -= 1;
         if let Some(worker) = self.workers.get_mut(placement.worker) {
@@ -401,20 +448,18 @@
     /// Remembers a run that is being lost, if its start command may still be carried out.
     pub(super) fn remember_start(&mut self, at: TaskRef) {
         let now = self.now.mono;
-        self.unanswered_starts.retain(|start| now < start.lost_at + COMMAND_LIFETIME);
         if !self.may_still_start(at) {
             return;
         }
         let task = self.jobs[at.job].task_id(at);
         let Some(placement) = self.task(at).placement() else { return };
         let Some(worker) = self.workers.get(placement.worker) else { return };
-        let worker = worker.id.clone();
-        self.unanswered_starts.push(UnansweredStart {
-            worker,
-            task,
-            run: placement.run,
-            lost_at: now,
-        });
+        let (worker, run) = (worker.id.clone(), placement.run);
+        let charge = self.charge_of(at);
+        if let Some(charge) = charge {
+            self.ledger.charge(charge);
+        }
+        self.unanswered_starts.push(UnansweredStart { worker, task, run, lost_at: now, charge });
     }
 
     /// Stops the unanswered starts on a new incarnation of a worker: it then refuses these runs, also when their start
@@ -455,6 +500,11 @@
             !worker.registered && worker.runs.is_empty() && unresponsive(worker) && ended(worker)
         };
         let lease_horizon = self.lease_horizon;
+        let gone: Vec<_> =
+            self.workers.iter().filter(|(_, worker)| left(worker)).map(|(key, _)| key).collect();
+        for key in gone {
+            self.refund_orphans(key);
+        }
         self.workers.retain(|_, worker| !(left(worker) && now > lease_horizon));
         let workers = &self.workers;
         self.worker_keys.retain(|_, key| workers.contains_key(*key));
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -9,7 +9,7 @@
 use crate::{
     job::{JobKey, JobSpec, StepSpec, TaskId},
     record::{Failures, Outcome, Progress, StepProgress, Submission},
-    sched::{event::Ticket, worker::WorkerKey},
+    sched::{event::Ticket, ledger::AccountSlot, worker::WorkerKey},
 };
 
 new_key_type! {
@@ -240,6 +240,10 @@
     pub(super) cancelled: bool,
     /// Number of runs on workers, including those being stopped.
     pub(super) active_runs: u32,
+    /// The account that its runs are charged to.
+    pub(super) account: Option<AccountSlot>,
+    /// The cap of its account has held it back, which was logged.
+    pub(super) held: bool,
 }
 
 impl Job {
@@ -257,7 +261,16 @@
         let occurrences = (0..spec.occurrences())
             .map(|number| Occurrence::new(spec, number, progress(number), now))
             .collect();
-        Job { key, submission, fresh, occurrences, cancelled: false, active_runs: 0 }
+        Job {
+            key,
+            submission,
+            fresh,
+            occurrences,
+            cancelled: false,
+            active_runs: 0,
+            account: None,
+            held: false,
+        }
     }
 
     pub(super) fn has_failed(&self) -> bool {
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -8,6 +8,7 @@
 
 use crate::sched::{
     event::{Target, WorkerId, WorkerRegistration},
+    ledger::Charge,
     settings::{MIN_CLOCK_RATE, RUN_LEASE},
     work::TaskRef,
 };
@@ -53,6 +54,8 @@
     pub(super) runs: Vec<TaskRef>,
     /// Number of runs there that belong to no task. They use capacity until they end, so it gets no new tasks before.
     pub(super) orphan_runs: usize,
+    /// What these runs are charged to.
+    pub(super) orphans: Vec<Charge>,
     /// Ends up to this number are processed.
     pub(super) ends_processed: u64,
     /// The effects of the ends up to this number are durable.
@@ -109,6 +112,7 @@
             used: Resources::default(),
             runs: Vec::new(),
             orphan_runs: 0,
+            orphans: Vec::new(),
             ends_processed: 0,
             ends_durable: 0,
             ends_acknowledged: 0,
--- a/crates/cj-sched/tests/sim/logs.rs
+++ b/crates/cj-sched/tests/sim/logs.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::accounts::account_of;
 use crate::world::{Owner, SimEvent, World, service};
 
 /// Probability that a caller's record goes to the overflow log while that is in use.
@@ -184,7 +185,7 @@
             objective: Duration::from_secs(4),
             received_at: self.clocks().wall,
             spec: JobSpec { text: String::new(), steps, schedule: None },
-            account: None,
+            account: self.config.accounts.as_ref().and_then(|_| account_of(key)),
         };
         let log = self.caller_log();
         self.append(log, Record::Submission(job, Box::new(submission)));
--- a/crates/cj-sched/tests/sim/random.rs
+++ b/crates/cj-sched/tests/sim/random.rs
@@ -57,14 +57,22 @@
         }
         7 if world.workers[index].alive => world.drain(index),
         6 => world.workers[index].fails_all = world.rng.random_bool(0.3),
+        8 if world.config.accounts.is_some() => {
+            let percent = [40, 100, 150][world.rng.random_range(0..3)];
+            world.set_accounts(percent);
+        }
         _ => {}
     }
 }
 
-/// Simulates this number of jobs under random faults. Some records of callers go to an overflow log if `use_overflow` is set.
-fn simulate(seed: u64, use_overflow: bool, jobs: u64) -> World {
+/// Simulates this number of jobs under random faults. Some records of callers go to an overflow log if `use_overflow` is set,
+/// and most jobs belong to accounts with changing caps if `use_accounts` is set.
+fn simulate(seed: u64, use_overflow: bool, use_accounts: bool, jobs: u64) -> World {
     let mut world = World::new(seed);
     world.logs.use_overflow = use_overflow;
+    if use_accounts {
+        world.set_accounts(100);
+    }
     log::info!(target: "sim", "seed={seed} begins");
     world.faults =
         Faults { lost_call: 0.01, lost_answer: 0.02, delayed_call: 0.02, failed_run: 0.02 };
@@ -121,6 +129,10 @@
             world.restart(index);
         }
     }
+    if world.config.accounts.is_some() {
+        // The lowest caps let jobs of the small account run one after the other only.
+        world.set_accounts(100);
+    }
     world.take_over(true);
     world.run_for(ms);
 }
@@ -138,7 +150,7 @@
 fn keeps_guarantees_under_random_faults() {
     let mut event_count = 0;
     for seed in 0..SEEDS {
-        let world = simulate(seed, false, JOBS);
+        let world = simulate(seed, false, false, JOBS);
         assert_all_jobs_final(&world, seed);
         assert!(world.checks.starts > 50, "seed {seed}: {} starts", world.checks.starts);
         event_count += world.event_count;
@@ -151,7 +163,18 @@
 #[test]
 fn keeps_guarantees_while_overflow_logs_are_read_late() {
     for seed in 0..SEEDS {
-        let world = simulate(seed, true, JOBS);
+        let world = simulate(seed, true, false, JOBS);
+        assert_all_jobs_final(&world, seed);
+        assert!(world.checks.starts > 50, "seed {seed}: {} starts", world.checks.starts);
+    }
+}
+
+/// Guards against accounts that have more running than their caps allow, and against jobs that caps hold back for ever: under
+/// takeovers, delayed and unanswered orders, restarted workers, and caps that fall below what is running.
+#[test]
+fn keeps_caps_of_accounts() {
+    for seed in 0..SEEDS {
+        let world = simulate(seed, seed.is_multiple_of(3), true, JOBS);
         assert_all_jobs_final(&world, seed);
         assert!(world.checks.starts > 50, "seed {seed}: {} starts", world.checks.starts);
     }
@@ -165,10 +188,15 @@
     let (from, to) = range.split_once("..").expect("SIM_SEEDS is FROM..TO");
     let jobs = std::env::var("SIM_JOBS").map_or(JOBS, |jobs| jobs.parse().unwrap());
     for seed in from.parse::<u64>().unwrap()..to.parse::<u64>().unwrap() {
-        for use_overflow in [false, true] {
-            let world = simulate(seed, use_overflow, jobs);
+        for (use_overflow, use_accounts) in
+            [(false, false), (true, false), (false, true), (true, true)]
+        {
+            let world = simulate(seed, use_overflow, use_accounts, jobs);
             assert_all_jobs_final(&world, seed);
-            println!("seed {seed}, overflows {use_overflow}: {} events", world.event_count);
+            println!(
+                "seed {seed}, overflows {use_overflow}, accounts {use_accounts}: {} events",
+                world.event_count
+            );
         }
     }
 }
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -21,7 +21,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::logs::Logs;
+use crate::{accounts::Caps, logs::Logs};
 use cj_standin::{task_checks::TaskChecks, task_worker::TaskWorker};
 
 /// Wall-clock time at the start of the simulation, in Unix ms.
@@ -138,6 +138,8 @@
     pub(crate) run_times: HashMap<TaskId, u64>,
     /// Time that VMs spent in pools other than the spare pool, summed over all VMs, in ms.
     pub(crate) pool_vm_ms: u64,
+    /// Caps before the last change of the configuration.
+    pub(crate) caps: Caps,
     /// Policies of the schedulers of later takeovers.
     pub(crate) policies: Policies,
 }
@@ -205,6 +207,7 @@
             wave_completed: false,
             run_times: HashMap::new(),
             pool_vm_ms: 0,
+            caps: Caps::default(),
             policies: Policies::default(),
         }
     }
@@ -460,6 +463,7 @@
                 let fails = self.rng.random_bool(self.faults.failed_run);
                 let result = self.workers[index].start(&command, token, now, run_ms, fails);
                 if result == Ok(true) {
+                    self.check_cap(command.task, &command.submission);
                     self.checks.check_start(
                         &command,
                         &worker,
--- a/crates/cj-types/src/quantities.rs
+++ b/crates/cj-types/src/quantities.rs
@@ -83,6 +83,24 @@
         }
     }
 
+    /// The lower of each resource.
+    pub fn at_most(self, other: Resources) -> Resources {
+        Resources {
+            cores: self.cores.min(other.cores),
+            memory: self.memory.min(other.memory),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
+    /// Each resource `count` times, saturating at the maximum value.
+    pub fn times(self, count: u32) -> Resources {
+        Resources {
+            cores: Millicores(self.cores.0.saturating_mul(count)),
+            memory: Mebibytes(self.memory.0.saturating_mul(count)),
+            accelerators: Accelerators(self.accelerators.0.saturating_mul(count)),
+        }
+    }
+
     /// Difference of each resource, saturating at zero.
     pub fn minus(self, other: Resources) -> Resources {
         Resources {
