Let a task exceed its account's cap only as the last one to start

Ruled out: runs of earlier owners and delayed orders; all runs were of the same owner. Change: the exception needs all other runs of the account to be confirmed.

--- a/crates/cj-sched/src/sched/commands.rs
+++ b/crates/cj-sched/src/sched/commands.rs
@@ -30,6 +30,7 @@
             worker,
             run,
             stage: Stage::Starting,
+            confirmed: false,
             command_pending: true,
             command_at: now,
             unanswered: 0,
@@ -139,6 +140,7 @@
     /// Marks a run as running after the worker has carried out its start command.
     fn mark_running(&mut self, at: TaskRef) {
         let now = self.now.mono;
+        self.confirm_start(at);
         let placement = self.task_mut(at).placement_mut().expect("called for a placed task");
         placement.stage = Stage::Running;
         let key = placement.worker;
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -43,6 +43,8 @@
     cap: AccountCap,
     /// Used by runs that are ordered and not surely over.
     pub(super) used: Resources,
+    /// Number of these runs of which it isn't known whether they have started yet.
+    unconfirmed: u32,
     /// Demand of tasks that earlier owners may have running.
     unsettled: Resources,
 }
@@ -54,12 +56,14 @@
     }
 
     /// True if `count` tasks with this demand may be started together. While less than half of the cap is used, one task may
-    /// exceed it, so that a task that is larger than the rest of the cap isn't held back for ever.
+    /// exceed it, so that a task that is larger than the rest of the cap isn't held back for ever. It has to be the last one
+    /// to start, so all others must have started by then.
     pub(super) fn allows(&self, demand: Resources, count: u32, unlisted: Resources) -> bool {
         let used = self.possible_usage(unlisted);
         let room = self.cap.room(used);
         let total = demand.times(count);
-        total.fits(room) || (self.cap.is_half_free(used) && total.minus(demand).fits(room))
+        let may_exceed = self.unconfirmed == 0 && self.cap.is_half_free(used);
+        total.fits(room) || (may_exceed && total.minus(demand).fits(room))
     }
 }
 
@@ -83,6 +87,7 @@
             weight: Weight::DEFAULT,
             cap: AccountCap::UNLIMITED,
             used: Resources::default(),
+            unconfirmed: 0,
             unsettled: Resources::default(),
         };
         if let Some(account) = config.account(id) {
@@ -125,6 +130,16 @@
         usage.used = usage.used.plus(charge.demand);
     }
 
+    /// Counts a run that may start later.
+    pub(super) fn add_unconfirmed(&mut self, account: AccountSlot) {
+        self.accounts[account].unconfirmed += 1;
+    }
+
+    /// Records that a run has started or can't start any more.
+    pub(super) fn confirm(&mut self, account: AccountSlot) {
+        self.accounts[account].unconfirmed -= 1;
+    }
+
     pub(super) fn refund(&mut self, charge: Charge) {
         let usage = &mut self.accounts[charge.account];
         usage.used = usage.used.minus(charge.demand);
@@ -223,6 +238,16 @@
         false
     }
 
+    /// Records that a placed run has started.
+    pub(super) fn confirm_start(&mut self, at: TaskRef) {
+        let account = self.jobs[at.job].account;
+        let Some(placement) = self.task_mut(at).placement_mut() else { return };
+        let known = std::mem::replace(&mut placement.confirmed, true);
+        if let (false, Some(account)) = (known, account) {
+            self.ledger.confirm(account);
+        }
+    }
+
     /// Counts a run that belongs to no task any more until it is listed as ended.
     pub(super) fn charge_orphan(&mut self, key: WorkerKey, charge: Option<Charge>) {
         let Some(charge) = charge else { return };
@@ -242,6 +267,7 @@
         let expired = self.unanswered_starts.extract_if(.., |start| start.is_expired(now));
         for charge in expired.filter_map(|start| start.charge) {
             self.ledger.refund(charge);
+            self.ledger.confirm(charge.account);
         }
     }
 }
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -212,6 +212,7 @@
         };
         match started {
             Some(started) => {
+                self.confirm_start(at);
                 self.task_mut(at).checkpoint = row.checkpoint;
                 if started {
                     self.mark_started(at);
@@ -241,6 +242,7 @@
             worker: key,
             run: row.run,
             stage: Stage::Running,
+            confirmed: true,
             command_pending: false,
             command_at: now,
             unanswered: 0,
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -383,6 +383,9 @@
     pub(super) fn assign(&mut self, at: TaskRef, placement: super::work::Placement) {
         if let Some(charge) = self.charge_of(at) {
             self.ledger.charge(charge);
+            if !placement.confirmed {
+                self.ledger.add_unconfirmed(charge.account);
+            }
         }
         let demand = self.jobs[at.job].step_spec(at.step).allocation();
         let worker = &mut self.workers[placement.worker];
@@ -407,6 +410,9 @@
         };
         if let Some(charge) = charge {
             self.ledger.refund(charge);
+            if !placement.confirmed {
+                self.ledger.confirm(charge.account);
+            }
         }
         task.idle_since = now;
         job.active_runs -= 1;
@@ -458,6 +464,7 @@
         let charge = self.charge_of(at);
         if let Some(charge) = charge {
             self.ledger.charge(charge);
+            self.ledger.add_unconfirmed(charge.account);
         }
         self.unanswered_starts.push(UnansweredStart { worker, task, run, lost_at: now, charge });
     }
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -43,6 +43,8 @@
     pub(super) worker: WorkerKey,
     pub(super) run: u64,
     pub(super) stage: Stage,
+    /// The worker is known to have started it.
+    pub(super) confirmed: bool,
     /// A command for the run is unanswered.
     pub(super) command_pending: bool,
     /// When the last command for the run was sent or answered.
