Settle the simulation with caps that let all jobs end

Change: the caps are raised when the faults end, so that a job that is held back for ever still shows. The ledger's number of cells is 1 until it is set.

--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -68,7 +68,7 @@
 }
 
 /// The accounts of all known jobs.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Ledger {
     accounts: SlotMap<AccountSlot, AccountUsage>,
     slots: HashMap<AccountId, AccountSlot>,
@@ -76,6 +76,12 @@
     cells: u32,
 }
 
+impl Default for Ledger {
+    fn default() -> Self {
+        Ledger { accounts: SlotMap::with_key(), slots: HashMap::new(), cells: 1 }
+    }
+}
+
 impl Ledger {
     /// The slot of an account, which is added if it isn't known.
     pub(super) fn slot(&mut self, id: &AccountId, config: &FleetConfig) -> AccountSlot {
@@ -93,6 +99,11 @@
         if let Some(account) = config.account(id) {
             self.apply(&mut usage, account);
         }
+        info!(
+            target: "decision",
+            "account={id} choice=add config={} weight={} cap=\"{}\" cells={}",
+            config.version, usage.weight, usage.cap, self.cells
+        );
         let slot = self.accounts.insert(usage);
         self.slots.insert(id.clone(), slot);
         slot
--- a/crates/cj-sched/tests/sim/random.rs
+++ b/crates/cj-sched/tests/sim/random.rs
@@ -130,8 +130,8 @@
         }
     }
     if world.config.accounts.is_some() {
-        // The lowest caps let jobs of the small account run one after the other only.
-        world.set_accounts(100);
+        // With the usual cap, the tasks of the small account run one after the other, which may take longer than `ms`.
+        world.set_accounts(400);
     }
     world.take_over(true);
     world.run_for(ms);
