Bound the forecast of a pool by the size of the fleet

Cause: targets of up to 1,790 VMs were published in a fleet of 349, which says nothing to an operator and lets one forecast outweigh another without limit. No gain; kept because a target is now a number of VMs that can exist.

--- a/crates/cj-sched/src/sched/demand.rs
+++ b/crates/cj-sched/src/sched/demand.rs
@@ -37,6 +37,8 @@
     pub(super) spread_vms: usize,
     /// VMs in the pool or moving to it.
     pub(super) pool_size: usize,
+    /// VMs in all pools and the spare pool.
+    pub(super) fleet_size: usize,
     /// Most VMs that the pool required recently.
     pub(super) recent_vms: usize,
     /// Idle VMs that may leave the pool, with their workers and idle times.
@@ -49,9 +51,10 @@
         self.vms_for(self.cores)
     }
 
-    /// VMs for the running and waiting tasks, or for the forecast ones if these require more.
+    /// VMs for the running and waiting tasks, or for the forecast ones if these require more and the fleet has them.
     pub(super) fn target(&self) -> usize {
-        self.vms_for(self.cores.max(self.long_running + self.forecast))
+        let forecast = self.vms_for(self.long_running + self.forecast);
+        self.required_now().max(forecast.min(self.fleet_size))
     }
 
     fn vms_for(&self, cores: f32) -> usize {
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -231,8 +231,10 @@
             let forecast = self.pools.forecasts.get(service).filter(|_| self.policies.forecast);
             demand.forecast = forecast.map_or(0.0, |forecast| forecast.demand(self.now.mono));
         }
+        let fleet_size = self.vms.values().filter(|row| row.state != VmState::Down).count();
         // Tasks that don't use an idle VM of their pool wait for something that more VMs don't provide.
         for demand in demands.values_mut() {
+            demand.fleet_size = fleet_size;
             if demand.idle.iter().any(|(_, _, idle)| *idle > UNPLACED_AFTER) {
                 demand.unplaced = 0;
             }
