Count unlisted capacity as used by every account

Cause: seed 288 with overflow logs and accounts (found by a search of 0..700): a new owner listed a run of a job whose submission it hadn't read, so it didn't know its account, and counted none of it for the account's jobs that it had read. Ruled out: the exception for large tasks; all runs were confirmed. Change: capacity of workers that aren't listed, or that list unread jobs, counts as used by each account, not only by those with jobs of earlier owners. The bookkeeping for the latter goes. Measured: seed 288 fails before and passes after; it is a test of its own. Costs a wait of a few hundred ms after a takeover for accounts whose cap is below the capacity that isn't listed yet.

--- a/crates/cj-sched/src/job_index.rs
+++ b/crates/cj-sched/src/job_index.rs
@@ -131,7 +131,7 @@
     }
 
     /// When the state became final.
-    pub fn ended_at(&self) -> Option<UnixMillis> {
+    fn ended_at(&self) -> Option<UnixMillis> {
         if !self.state().is_final() {
             return None;
         }
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -2,8 +2,8 @@
 //!
 //! A run counts from the decision to start it until it is surely over: also while it is being stopped, while it belongs to
 //! no task any more, and while its unanswered start command may still be carried out. Runs of earlier owners count as soon
-//! as they are listed. Until all workers are listed, an account whose jobs earlier owners may have started counts the
-//! capacity of the others as used.
+//! as they are listed. Until all workers are listed, the capacity of the others counts as used by each account, since their runs may
+//! belong to any, also to jobs whose submissions this owner hasn't read yet.
 
 use std::{collections::HashMap, time::Instant};
 
@@ -14,12 +14,7 @@
 use crate::{
     account::{Account, AccountCap, Weight},
     config::FleetConfig,
-    sched::{
-        event::VmState,
-        scheduler::Scheduler,
-        work::{Job, TaskRef},
-        worker::WorkerKey,
-    },
+    sched::{event::VmState, scheduler::Scheduler, work::TaskRef, worker::WorkerKey},
 };
 
 new_key_type! {
@@ -45,21 +40,14 @@
     pub(super) used: Resources,
     /// Number of these runs of which it isn't known whether they have started yet.
     unconfirmed: u32,
-    /// Demand of tasks that earlier owners may have running.
-    unsettled: Resources,
 }
 
 impl AccountUsage {
-    /// Usage in the worst case, if unlisted workers may run up to `unlisted` for earlier owners.
-    fn possible_usage(&self, unlisted: Resources) -> Resources {
-        self.used.plus(self.unsettled.at_most(unlisted))
-    }
-
     /// True if `count` tasks with this demand may be started together. While less than half of the cap is used, one task may
     /// exceed it, so that a task that is larger than the rest of the cap isn't held back for ever. It has to be the last one
-    /// to start, so all others must have started by then.
+    /// to start, so all others must have started by then. `unlisted` is what unlisted runs may use.
     pub(super) fn allows(&self, demand: Resources, count: u32, unlisted: Resources) -> bool {
-        let used = self.possible_usage(unlisted);
+        let used = self.used.plus(unlisted);
         let room = self.cap.room(used);
         let total = demand.times(count);
         let may_exceed = self.unconfirmed == 0 && self.cap.is_half_free(used);
@@ -94,7 +82,6 @@
             cap: AccountCap::UNLIMITED,
             used: Resources::default(),
             unconfirmed: 0,
-            unsettled: Resources::default(),
         };
         if let Some(account) = config.account(id) {
             self.apply(&mut usage, account);
@@ -196,31 +183,19 @@
         Some(Charge { account: job.account?, demand: job.step_spec(at.step).demand })
     }
 
-    /// Counts the open tasks of a job as running, since an earlier owner may have started them.
-    pub(super) fn add_unsettled(&mut self, job: &Job) {
-        let Some(slot) = job.account else { return };
-        let mut demand = Resources::default();
-        for occurrence in &job.occurrences {
-            for (number, step) in occurrence.steps.iter().enumerate() {
-                let open = step.tasks.iter().filter(|task| !task.is_done()).count() as u32;
-                demand = demand.plus(job.step_spec(number as u32).demand.times(open));
-            }
-        }
-        let unsettled = &mut self.ledger.accounts[slot].unsettled;
-        *unsettled = unsettled.plus(demand);
-    }
-
-    /// Most that runs of earlier owners can use on workers that this owner hasn't listed yet.
+    /// Most that runs of earlier owners can use of which this owner doesn't know the account: on workers that it hasn't
+    /// listed, as long as their leases may last, and on those that listed runs of jobs that it hasn't read.
     pub(super) fn unlisted_capacity(&self) -> Resources {
-        if self.now.mono > self.lease_horizon {
-            return Resources::default();
-        }
-        if !self.vms_known {
+        let leases_over = self.now.mono > self.lease_horizon;
+        if !leases_over && !self.vms_known {
             return AccountCap::UNLIMITED.limits();
         }
-        let unlisted = self.workers.values().filter(|worker| !worker.runs_known());
+        let unlisted = self
+            .workers
+            .values()
+            .filter(|worker| worker.unread_submission || !(worker.reconciled || leases_over));
         let unregistered = self.vms.values().filter(|row| {
-            let worker = row.worker.as_ref().filter(|_| row.state == VmState::Up);
+            let worker = row.worker.as_ref().filter(|_| row.state == VmState::Up && !leases_over);
             worker.is_some_and(|id| !self.worker_keys.contains_key(id))
         });
         let capacities = unlisted.map(|worker| worker.capacity);
@@ -241,8 +216,7 @@
             info!(
                 target: "decision",
                 "job={} account={} choice=hold reason=account_cap config={} cap=\"{}\" used=\"{}\" unlisted=\"{}\" epoch={}",
-                job.key, usage.id, self.config.version, usage.cap, usage.used,
-                usage.unsettled.at_most(self.unlisted), self.epoch
+                job.key, usage.id, self.config.version, usage.cap, usage.used, self.unlisted, self.epoch
             );
             self.jobs[at.job].held = true;
         }
--- a/crates/cj-sched/tests/sim/random.rs
+++ b/crates/cj-sched/tests/sim/random.rs
@@ -180,6 +180,14 @@
     }
 }
 
+/// Guards against a new owner that starts tasks of an account although a worker runs tasks of the same account whose submission
+/// the owner hasn't read yet.
+#[test]
+fn counts_runs_of_unread_submissions_under_every_cap() {
+    let world = simulate(288, true, true, JOBS);
+    assert_all_jobs_final(&world, 288);
+}
+
 /// Runs the seeds of the environment variable SIM_SEEDS, given as FROM..TO, for longer searches by hand; does nothing without it.
 /// SIM_JOBS is the number of jobs per seed; 2,000 jobs make more than 100,000 events.
 #[test]
