Let one cell alone exceed the cap of an account by a task

Cause: read while weighing the parts of a cap: with a part below the size of a task, each of N cells could use the exception for one large task, so all together could exceed the cap by N tasks. Change: the exception holds in one cell for each account, drawn by its name.

--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -205,7 +205,7 @@
             Scheduler::new(ownership.epoch, limits, config, &job_index, lease_horizon, now);
         let first_lease = OwnershipLease::from_heartbeat(ownership.sent_at);
         scheduler.set_ownership(first_lease);
-        scheduler.set_cells(layout.cells);
+        scheduler.set_cell(member.id.0, layout.cells);
         scheduler.set_policies(node.settings.policies);
         for wave in node.waves.borrow().values() {
             let progress = job_index.wave(wave.number);
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::HashMap, time::Instant};
 
-use cj_types::{AccountId, Resources};
+use cj_types::{AccountId, Resources, rendezvous};
 use log::info;
 use slotmap::{SlotMap, new_key_type};
 
@@ -36,6 +36,8 @@
     pub(super) weight: Weight,
     /// This cell's part of the cap.
     cap: AccountCap,
+    /// A single task may exceed the cap in this cell.
+    may_exceed: bool,
     /// Used by runs that are ordered and not surely over.
     pub(super) used: Resources,
     /// Number of these runs of which it isn't known whether they have started yet.
@@ -50,7 +52,7 @@
         let used = self.used.plus(unlisted);
         let room = self.cap.room(used);
         let total = demand.times(count);
-        let may_exceed = self.unconfirmed == 0 && self.cap.is_half_free(used);
+        let may_exceed = self.may_exceed && self.unconfirmed == 0 && self.cap.is_half_free(used);
         total.fits(room) || (may_exceed && total.minus(demand).fits(room))
     }
 }
@@ -60,13 +62,15 @@
 pub(super) struct Ledger {
     accounts: SlotMap<AccountSlot, AccountUsage>,
     slots: HashMap<AccountId, AccountSlot>,
-    /// Number of cells that share each cap.
-    cells: u32,
+    /// This cell.
+    cell: u16,
+    /// Number of cells that share each cap in equal parts.
+    cells: u16,
 }
 
 impl Default for Ledger {
     fn default() -> Self {
-        Ledger { accounts: SlotMap::with_key(), slots: HashMap::new(), cells: 1 }
+        Ledger { accounts: SlotMap::with_key(), slots: HashMap::new(), cell: 0, cells: 1 }
     }
 }
 
@@ -80,6 +84,7 @@
             id: id.clone(),
             weight: Weight::DEFAULT,
             cap: AccountCap::UNLIMITED,
+            may_exceed: false,
             used: Resources::default(),
             unconfirmed: 0,
         };
@@ -98,7 +103,11 @@
 
     fn apply(&self, usage: &mut AccountUsage, account: &Account) {
         usage.weight = account.weight;
-        usage.cap = account.cap.divided_by(self.cells);
+        usage.cap = account.cap.divided_by(u32::from(self.cells));
+        // Only one cell may do so for each account, so that all cells together exceed the cap by one task at most.
+        let home =
+            rendezvous::weight(account.id.as_str().as_bytes(), b"cap") % u64::from(self.cells);
+        usage.may_exceed = home == u64::from(self.cell);
     }
 
     /// Applies a configuration. An account that was removed keeps its cap for the jobs that it has.
@@ -170,9 +179,10 @@
 }
 
 impl Scheduler {
-    /// Sets the number of cells that share the caps.
-    pub fn set_cells(&mut self, cells: u16) {
-        self.ledger.cells = u32::from(cells);
+    /// Sets which of how many cells this is; they share the caps.
+    pub fn set_cell(&mut self, cell: u16, cells: u16) {
+        self.ledger.cell = cell;
+        self.ledger.cells = cells.max(1);
         let config = self.config.clone();
         self.ledger.configure(&config);
     }
