Give each account its weighted share of a full pool

Cause: a tenant's weight is its share when all is full; nothing used it. Change: dominant-resource shares by account in each pool. In each placement pass, steps of accounts above 1.8 times their share are placed after the other steps of the same priority and timeliness; what is left is theirs. Switch: share.

--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -21,6 +21,7 @@
 mod reclaim;
 mod scheduler;
 mod settings;
+mod share;
 mod wave;
 mod work;
 mod worker;
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -17,9 +17,11 @@
     job::StepSpec,
     record::Outcome,
     sched::{
+        ledger::Charge,
         rank::{Rank, rank, submission_rank},
         scheduler::Scheduler,
         settings::{MAX_BLOCKED_STEPS, PREEMPTION_DELAY},
+        share::PoolShares,
         work::{Job, JobSlot, Stage, TaskRef},
         worker::{Worker, WorkerKey},
     },
@@ -88,13 +90,63 @@
         self.unlisted = self.unlisted_capacity();
         let mut candidates = self.candidates();
         candidates.sort_by_key(|candidate| candidate.rank);
+        let mut pools = if self.policies.share { self.pool_shares() } else { HashMap::new() };
+        for candidate in &candidates {
+            let pool = pools.get_mut(&candidate.service);
+            if let (Some(pool), Some(account)) = (pool, self.jobs[candidate.at.job].account) {
+                pool.add_account(&self.ledger, account);
+            }
+        }
         let mut blocked = HashMap::<ServiceId, usize>::new();
-        for candidate in candidates {
-            let blocked_steps = blocked.entry(candidate.service.clone()).or_default();
-            if *blocked_steps < MAX_BLOCKED_STEPS && !self.place_step(candidate.at) {
-                *blocked_steps += 1;
+        for group in candidates.chunk_by(|a, b| a.rank.group() == b.rank.group()) {
+            self.place_group(group, &mut pools, &mut blocked);
+        }
+    }
+
+    /// Places steps of the same importance, those of accounts above their share of the pool after the others.
+    fn place_group(
+        &mut self,
+        group: &[Candidate],
+        pools: &mut HashMap<ServiceId, PoolShares>,
+        blocked: &mut HashMap<ServiceId, usize>,
+    ) {
+        let mut deferred = Vec::new();
+        for candidate in group {
+            let account = self.jobs[candidate.at.job].account;
+            let pool = pools.get(&candidate.service);
+            if pool.zip(account).is_some_and(|(pool, account)| pool.is_over(&self.ledger, account))
+            {
+                deferred.push(candidate);
+                continue;
             }
+            let started = self.place_candidate(candidate, blocked);
+            let charge = self.charge_of(candidate.at);
+            if let (Some(pool), Some(charge)) = (pools.get_mut(&candidate.service), charge) {
+                let demand = charge.demand.times(started);
+                pool.add_run(&self.ledger, Charge { demand, ..charge });
+            }
+        }
+        for candidate in deferred {
+            self.place_candidate(candidate, blocked);
+        }
+    }
+
+    /// Starts the tasks of a step that fit, unless too many steps of its service found no room in this pass. Returns how many
+    /// it started.
+    fn place_candidate(
+        &mut self,
+        candidate: &Candidate,
+        blocked: &mut HashMap<ServiceId, usize>,
+    ) -> u32 {
+        let blocked_steps = blocked.entry(candidate.service.clone()).or_default();
+        if *blocked_steps >= MAX_BLOCKED_STEPS {
+            return 0;
+        }
+        let before = self.jobs[candidate.at.job].active_runs;
+        if !self.place_step(candidate.at) {
+            *blocked_steps += 1;
         }
+        self.jobs[candidate.at.job].active_runs - before
     }
 
     fn candidates(&mut self) -> Vec<Candidate> {
--- a/crates/cj-sched/src/sched/policy.rs
+++ b/crates/cj-sched/src/sched/policy.rs
@@ -15,6 +15,8 @@
     pub forecast: bool,
     /// A busy pool gives up a VM for long-running tasks that find none; see `reclaim`.
     pub reclaim: bool,
+    /// Accounts above their share of a full pool wait for the others; see `share`.
+    pub share: bool,
     /// Finite tasks are preempted by long-running ones.
     pub preempt: bool,
     /// Workers that fail or hang get tasks only as a last resort.
@@ -36,6 +38,7 @@
     ("pack", |policies| &mut policies.pack),
     ("foresee", |policies| &mut policies.forecast),
     ("reclaim", |policies| &mut policies.reclaim),
+    ("share", |policies| &mut policies.share),
     ("preempt", |policies| &mut policies.preempt),
     ("quarantine", |policies| &mut policies.quarantine),
     ("speed", |policies| &mut policies.speed),
@@ -50,6 +53,7 @@
             pack: true,
             forecast: true,
             reclaim: true,
+            share: true,
             preempt: true,
             quarantine: true,
             speed: true,
--- a/crates/cj-sched/src/sched/rank.rs
+++ b/crates/cj-sched/src/sched/rank.rs
@@ -40,6 +40,13 @@
     order: i64,
 }
 
+impl Rank {
+    /// Steps that differ in this are placed in its order, whatever their accounts have.
+    pub(super) fn group(self) -> (u32, Timeliness) {
+        (self.priority, self.timeliness)
+    }
+}
+
 /// Rank of an occurrence of a job.
 pub(super) fn rank(job: &Job, occurrence: u32, estimate: TimeEstimate, wall: UnixMillis) -> Rank {
     let priority = job.submission.priority;
