Drain VMs of well-covered pools for those that lack most

Cause: a pool at its peak keeps all its VMs until its last task has started, since only idle VMs move. In a flood of the shifted deployment one pool held 276 VMs for a backlog of 15,000 cores while another wanted 8,000 and had 33 for 10 s. Change: when a pool lacks VMs and the share that it has of what it requires is below another's by a factor of 2.5, the VM of that pool whose tasks end first is drained for it. Switch: balance.

--- a/crates/cj-sched/src/sched/compact.rs
+++ b/crates/cj-sched/src/sched/compact.rs
@@ -169,7 +169,7 @@
     }
 
     /// Number of VMs of a pool that drain for others.
-    fn pool_drains_from(&self, from: &ServiceId) -> usize {
+    pub(super) fn pool_drains_from(&self, from: &ServiceId) -> usize {
         let in_pool = |vm: &&VmId| self.vms.get(*vm).is_some_and(|row| row.pool == *from);
         self.pools.drains.keys().filter(in_pool).count()
     }
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -1,6 +1,7 @@
 //! The scheduler of a cell, which runs on the node that owns the cell.
 
 mod advice;
+mod balance;
 mod commands;
 mod compact;
 mod demand;
--- a/crates/cj-sched/src/sched/policy.rs
+++ b/crates/cj-sched/src/sched/policy.rs
@@ -15,6 +15,9 @@
     pub forecast: bool,
     /// A busy pool gives up a VM for long-running tasks that find none; see `reclaim`.
     pub reclaim: bool,
+    /// Pools that together require more than the fleet has give up VMs to those with less of what they require; see
+    /// `balance`.
+    pub balance: bool,
     /// Accounts above their share of a full pool wait for the others; see `share`.
     pub share: bool,
     /// Finite tasks are preempted by long-running ones.
@@ -38,6 +41,7 @@
     ("pack", |policies| &mut policies.pack),
     ("foresee", |policies| &mut policies.forecast),
     ("reclaim", |policies| &mut policies.reclaim),
+    ("balance", |policies| &mut policies.balance),
     ("share", |policies| &mut policies.share),
     ("preempt", |policies| &mut policies.preempt),
     ("quarantine", |policies| &mut policies.quarantine),
@@ -53,6 +57,7 @@
             pack: true,
             forecast: true,
             reclaim: true,
+            balance: true,
             share: true,
             preempt: true,
             quarantine: true,
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -126,6 +126,7 @@
                     if !self.compact_for(&demands, &service) {
                         self.reclaim(&demands, &service);
                     }
+                    self.balance(&demands, &service);
                     // Other pools may still take VMs from this one.
                     targets.remove(&service);
                 }
