Balance pools by the work that can still be in time

Cause: in a flood the pool of the flooded queue kept its VMs for a backlog that was late anyway, while fresh jobs of other pools waited. Change: waiting tasks of jobs that were ranked as late don't count in the coverage of a pool when VMs are drained for others.

--- a/crates/cj-sched/src/sched/balance.rs
+++ b/crates/cj-sched/src/sched/balance.rs
@@ -3,6 +3,7 @@
 //! While tasks of a pool wait, its VMs don't become idle, so a pool at its peak would keep all it has until its last task has
 //! started, and the pool whose peak begins would wait. So VMs of the pool that has most of what it requires are drained for
 //! the one that has least. Their tasks run to their end, and the VM whose tasks end first goes first.
+//! Waiting tasks of jobs that will be late anyway don't count: a pool gets VMs for what its callers can still gain.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -32,7 +33,7 @@
 /// What a pool requires and has, as input to [`choose_donor`].
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PoolState {
-    /// VMs for the running and waiting tasks.
+    /// VMs for the running tasks, and the waiting ones of jobs that can still be in time.
     pub(super) required: usize,
     /// VMs in the pool, or moving or draining to it, without those that drain for other pools.
     pub(super) size: usize,
@@ -92,7 +93,7 @@
     fn pool_state(&self, service: &ServiceId, demand: &PoolDemand) -> PoolState {
         let draining = self.pool_drains_from(service);
         PoolState {
-            required: demand.required_now(),
+            required: demand.required_in_time(),
             size: (demand.pool_size + self.pool_drains_for(service)).saturating_sub(draining),
             min_size: demand.spread_vms.max(MIN_VMS),
             draining,
--- a/crates/cj-sched/src/sched/demand.rs
+++ b/crates/cj-sched/src/sched/demand.rs
@@ -23,7 +23,9 @@
 pub(super) struct PoolDemand {
     /// Processors for running and waiting tasks, in millicores.
     pub(super) cores: f32,
-    /// Memory for the same tasks, in MiB.
+    /// The part of `cores` for waiting tasks of jobs that are expected to miss their latency objectives.
+    pub(super) late: f32,
+    /// Memory for all of these tasks, in MiB.
     pub(super) memory: f32,
     /// Capacity of one VM.
     pub(super) vm_capacity: Resources,
@@ -51,6 +53,11 @@
         self.vms_for(self.cores)
     }
 
+    /// VMs for the running tasks, and the waiting ones of jobs that can still meet their latency objectives.
+    pub(super) fn required_in_time(&self) -> usize {
+        self.vms_for(self.cores - self.late)
+    }
+
     /// VMs for the running and waiting tasks, or for the forecast ones if these require more and the fleet has them.
     pub(super) fn target(&self) -> usize {
         let forecast = self.vms_for(self.long_running + self.forecast);
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -18,7 +18,7 @@
     record::Outcome,
     sched::{
         ledger::Charge,
-        rank::{Rank, rank, submission_rank},
+        rank::{Rank, Timeliness, rank, submission_rank},
         scheduler::Scheduler,
         settings::{MAX_BLOCKED_STEPS, PREEMPTION_DELAY},
         share::PoolShares,
@@ -90,6 +90,9 @@
         self.unlisted = self.unlisted_capacity();
         let mut candidates = self.candidates();
         candidates.sort_by_key(|candidate| candidate.rank);
+        for candidate in &candidates {
+            self.jobs[candidate.at.job].in_time = candidate.rank.timeliness == Timeliness::InTime;
+        }
         let mut pools = if self.policies.share { self.pool_shares() } else { HashMap::new() };
         for candidate in &candidates {
             let pool = pools.get_mut(&candidate.service);
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -304,6 +304,7 @@
                     };
                     let cores = per_task.cores.0 as f32 * share;
                     demand.cores += cores;
+                    demand.late += if task.is_idle() && !job.in_time { cores } else { 0.0 };
                     demand.long_running += if spec.long_running { cores } else { 0.0 };
                     demand.memory += per_task.memory.0 as f32 * share;
                     let waited = self.now.mono.saturating_duration_since(task.idle_since);
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -246,6 +246,8 @@
     pub(super) account: Option<AccountSlot>,
     /// The cap of its account has held it back, which was logged.
     pub(super) held: bool,
+    /// It was expected to meet its latency objective when it was last ranked.
+    pub(super) in_time: bool,
 }
 
 impl Job {
@@ -272,6 +274,7 @@
             active_runs: 0,
             account: None,
             held: false,
+            in_time: true,
         }
     }
 
