--- a/crates/cj-sched/src/sched/balance.rs
+++ b/crates/cj-sched/src/sched/balance.rs
@@ -114,7 +114,7 @@
             let ends =
                 runs.map(|&at| self.remaining_run_time(at, self.task(at).placement()?).into());
             let drain_time: Duration = ends.max().flatten().unwrap_or_default();
-            (drain_time <= MAX_DRAIN_TIME).then(|| (drain_time, &row.vm, key))
+            (drain_time <= MAX_DRAIN_TIME).then_some((drain_time, &row.vm, key))
         });
         let (_, vm, key) = candidates.min_by_key(|(drain_time, ..)| *drain_time)?;
         Some((vm.clone(), key))
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -128,6 +128,11 @@
         self.accounts = accounts;
     }
 
+    /// True while no known job belongs to an account.
+    pub(super) fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
     pub(super) fn usage(&self, slot: AccountSlot) -> &AccountUsage {
         &self.accounts[slot]
     }
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -93,7 +93,8 @@
         for candidate in &candidates {
             self.jobs[candidate.at.job].in_time = candidate.rank.timeliness == Timeliness::InTime;
         }
-        let mut pools = if self.policies.share { self.pool_shares() } else { HashMap::new() };
+        let shared = self.policies.share && !self.ledger.is_empty();
+        let mut pools = if shared { self.pool_shares() } else { HashMap::new() };
         for candidate in &candidates {
             let pool = pools.get_mut(&candidate.service);
             if let (Some(pool), Some(account)) = (pool, self.jobs[candidate.at.job].account) {
--- a/crates/cj-sched/src/sched/share.rs
+++ b/crates/cj-sched/src/sched/share.rs
@@ -5,7 +5,7 @@
 //! their share wait until those of the others are placed; what these leave is theirs again. So an account that floods a
 //! pool with jobs holds back its own jobs and not those of others.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, hash_map::Entry};
 
 use cj_types::{Resources, ServiceId};
 
@@ -36,8 +36,8 @@
 
     /// Counts an account as one that has tasks in the pool.
     pub(super) fn add_account(&mut self, ledger: &Ledger, account: AccountSlot) {
-        if !self.used.contains_key(&account) {
-            self.used.insert(account, Resources::default());
+        if let Entry::Vacant(entry) = self.used.entry(account) {
+            entry.insert(Resources::default());
             self.weights += ledger.usage(account).weight.value();
         }
     }
