Bound what unlisted workers may run for an account by its open jobs

Change: once the owner's markers in the overflow logs are read, no submission that an earlier owner acted on is unread, so an account has at most its open tasks of such jobs on unlisted workers.

--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -253,6 +253,7 @@
     fn run_scheduler(&mut self) {
         let now = self.member.node.now();
         self.update_wave_caps();
+        self.update_submissions_read();
         for action in self.scheduler.poll(now) {
             match action {
                 Action::Write(number, records) => {
@@ -274,6 +275,14 @@
         }
     }
 
+    /// Tells the scheduler once all submissions are read that earlier owners may have acted on.
+    fn update_submissions_read(&mut self) {
+        let job_index = self.member.job_index.borrow();
+        if (0..OVERFLOW_LOGS).all(|log| job_index.has_ownership_start(log, self.writer.epoch)) {
+            self.scheduler.set_submissions_read();
+        }
+    }
+
     /// Sets this cell's share of the caps of all waves in the scheduler.
     fn update_wave_caps(&mut self) {
         if self.layout.is_single() {
--- a/crates/cj-sched/src/job_index.rs
+++ b/crates/cj-sched/src/job_index.rs
@@ -131,7 +131,7 @@
     }
 
     /// When the state became final.
-    fn ended_at(&self) -> Option<UnixMillis> {
+    pub fn ended_at(&self) -> Option<UnixMillis> {
         if !self.state().is_final() {
             return None;
         }
@@ -341,6 +341,12 @@
         self.ownership_starts.iter().map(|start| start.epoch).fold(self.epoch(), u64::max)
     }
 
+    /// True if the start of this ownership, or of a later one, has been read in an overflow log. All submissions in it that
+    /// earlier owners may have acted on have been read, too.
+    pub fn has_ownership_start(&self, number: u8, epoch: u64) -> bool {
+        self.ownership_starts[usize::from(number)].epoch >= epoch
+    }
+
     /// A job whose submission is known.
     pub fn job(&self, job: JobKey) -> Option<&JobEntry> {
         self.jobs.get(&job).filter(|entry| entry.submission.is_some())
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -2,8 +2,8 @@
 //!
 //! A run counts from the decision to start it until it is surely over: also while it is being stopped, while it belongs to
 //! no task any more, and while its unanswered start command may still be carried out. Runs of earlier owners count as soon
-//! as they are listed. Until all workers are listed, the capacity of the others counts as used by each account, since their runs may
-//! belong to any, also to jobs whose submissions this owner hasn't read yet.
+//! as they are listed. Until all workers are listed, the others may run tasks of earlier owners: as many of the account's open
+//! tasks as they have room for, or anything as long as submissions that earlier owners may have acted on are unread.
 
 use std::{collections::HashMap, time::Instant};
 
@@ -14,7 +14,12 @@
 use crate::{
     account::{Account, AccountCap, Weight},
     config::FleetConfig,
-    sched::{event::VmState, scheduler::Scheduler, work::TaskRef, worker::WorkerKey},
+    sched::{
+        event::VmState,
+        scheduler::Scheduler,
+        work::{Job, TaskRef},
+        worker::WorkerKey,
+    },
 };
 
 new_key_type! {
@@ -42,6 +47,8 @@
     pub(super) used: Resources,
     /// Number of these runs of which it isn't known whether they have started yet.
     unconfirmed: u32,
+    /// Demand of the tasks that earlier owners may have running.
+    unsettled: Resources,
 }
 
 impl AccountUsage {
@@ -87,6 +94,7 @@
             may_exceed: false,
             used: Resources::default(),
             unconfirmed: 0,
+            unsettled: Resources::default(),
         };
         if let Some(account) = config.account(id) {
             self.apply(&mut usage, account);
@@ -218,12 +226,39 @@
         capacities.fold(Resources::default(), Resources::plus)
     }
 
+    /// Sets that all submissions that earlier owners may have acted on have been read.
+    pub fn set_submissions_read(&mut self) {
+        self.submissions_read = true;
+    }
+
+    /// Most that runs which this owner hasn't listed can use for an account.
+    fn unlisted_usage(&self, account: AccountSlot) -> Resources {
+        if !self.submissions_read {
+            return self.unlisted;
+        }
+        self.unlisted.at_most(self.ledger.usage(account).unsettled)
+    }
+
+    /// Counts the open tasks of a job as possibly running, since an earlier owner may have started them.
+    pub(super) fn add_unsettled(&mut self, job: &Job) {
+        let Some(account) = job.account else { return };
+        let unsettled = &mut self.ledger.accounts[account].unsettled;
+        for occurrence in &job.occurrences {
+            for (number, step) in occurrence.steps.iter().enumerate() {
+                let open = step.tasks.iter().filter(|task| !task.is_done()).count() as u32;
+                let demand = job.step_spec(number as u32).demand.times(open);
+                *unsettled = unsettled.plus(demand);
+            }
+        }
+    }
+
     /// True if the cap of the job's account allows `count` idle tasks of a step to start together. Logs the first time that
     /// the job is held back.
     pub(super) fn cap_allows(&mut self, at: TaskRef, count: u32) -> bool {
         let Some(Charge { account, demand }) = self.charge_of(at) else { return true };
         let usage = self.ledger.usage(account);
-        if usage.allows(demand, count, self.unlisted) {
+        let unlisted = self.unlisted_usage(account);
+        if usage.allows(demand, count, unlisted) {
             return true;
         }
         let job = &self.jobs[at.job];
@@ -231,7 +266,7 @@
             info!(
                 target: "decision",
                 "job={} account={} choice=hold reason=account_cap config={} cap=\"{}\" used=\"{}\" unlisted=\"{}\" epoch={}",
-                job.key, usage.id, self.config.version, usage.cap, usage.used, self.unlisted, self.epoch
+                job.key, usage.id, self.config.version, usage.cap, usage.used, unlisted, self.epoch
             );
             self.jobs[at.job].held = true;
         }
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -14,14 +14,14 @@
 use crate::{
     config::FleetConfig,
     job::{JobKey, TaskId},
-    job_index::JobIndex,
+    job_index::{JobEntry, JobIndex},
     record::{Outcome, Progress, Submission},
     sched::{
         estimate::RunTimeEstimator,
         event::{Action, Event, VmRow, WorkerId, WorkerRegistration},
         evidence::{IncarnationEvidence, RunEvidence, VmShutdown},
         ledger::{Charge, Ledger},
-        ownership::OwnershipLease,
+        ownership::{OWNERSHIP_LEASE, OwnershipLease},
         policy::Policies,
         pool::PoolPlan,
         settings::{Limits, MAX_READ_LAG},
@@ -99,6 +99,8 @@
     pub(super) ledger: Ledger,
     /// Most that runs of earlier owners can use on workers that weren't listed yet, at the last placement pass.
     pub(super) unlisted: Resources,
+    /// All submissions that earlier owners may have acted on have been read.
+    pub(super) submissions_read: bool,
     pub(super) write: super::persist::WriteState,
     pub(super) actions: Vec<Action>,
     /// A change may allow tasks to be placed, so a placement pass is due.
@@ -146,6 +148,7 @@
             estimators: HashMap::new(),
             ledger: Ledger::default(),
             unlisted: Resources::default(),
+            submissions_read: false,
             write: Default::default(),
             actions: Vec::new(),
             place_due: true,
@@ -155,7 +158,7 @@
         };
         scheduler.ledger.configure(&scheduler.config);
         for (key, entry) in index.jobs().filter(|(_, entry)| entry.state().is_final()) {
-            scheduler.ended_jobs.insert(key, entry.submission().cloned());
+            scheduler.add_ended_job(key, entry);
         }
         for (key, entry) in index.open_jobs() {
             let Some(submission) = entry.submission() else { continue };
@@ -245,6 +248,9 @@
         let key = job.key;
         let account = job.submission.account.clone();
         job.account = account.map(|id| self.ledger.slot(&id, &self.config));
+        if !job.fresh {
+            self.add_unsettled(&job);
+        }
         let slot = self.jobs.insert(job);
         self.job_slots.insert(key, slot);
     }
@@ -309,6 +315,17 @@
         }
     }
 
+    /// Records a job that ended before this ownership. If that was a moment ago, its runs may still be stopping.
+    fn add_ended_job(&mut self, key: JobKey, entry: &JobEntry) {
+        self.ended_jobs.insert(key, entry.submission().cloned());
+        let recent = entry.ended_at().is_some_and(|at| at + OWNERSHIP_LEASE > self.now.wall);
+        let (true, Some(submission)) = (recent, entry.submission()) else { return };
+        let progress = |number| entry.progress(number);
+        let mut job = Job::new(key, submission.clone(), false, self.now.mono, progress);
+        job.account = submission.account.as_ref().map(|id| self.ledger.slot(id, &self.config));
+        self.add_unsettled(&job);
+    }
+
     /// What a run of a task of an ended job is charged to.
     pub(super) fn charge_of_ended(&mut self, task: &TaskId) -> Option<Charge> {
         let submission = self.ended_jobs.get(&task.job)?.clone()?;
--- a/crates/cj-sched/tests/sim/logs.rs
+++ b/crates/cj-sched/tests/sim/logs.rs
@@ -89,6 +89,9 @@
         );
         scheduler.set_ownership(OwnershipLease::from_heartbeat(now.mono));
         scheduler.set_policies(self.policies);
+        if !self.logs.use_overflow {
+            scheduler.set_submissions_read();
+        }
         let confirmed_at = self.now;
         let owner = Owner {
             scheduler,
@@ -170,6 +173,9 @@
                 _ => {}
             }
         }
+        if reader.job_index.has_ownership_start(0, reader.epoch) {
+            reader.scheduler.set_submissions_read();
+        }
         if reader.active {
             self.run_actions(owner);
         }
--- a/crates/cj-types/src/quantities.rs
+++ b/crates/cj-types/src/quantities.rs
@@ -83,6 +83,15 @@
         }
     }
 
+    /// The lower of each resource.
+    pub fn at_most(self, other: Resources) -> Resources {
+        Resources {
+            cores: self.cores.min(other.cores),
+            memory: self.memory.min(other.memory),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Each resource `count` times, saturating at the maximum value.
     pub fn times(self, count: u32) -> Resources {
         Resources {
