--- /dev/null
+++ b/crates/cj-sched/src/sched/late_start.rs
@@ -0,0 +1,83 @@
+//! Start commands that went unanswered and may still be carried out by a later incarnation of the worker.
+
+use std::time::{Duration, Instant};
+
+use crate::{
+    job::TaskId,
+    sched::{
+        event::WorkerId,
+        ledger::Charge,
+        scheduler::Scheduler,
+        work::{Stage, TaskRef},
+        worker::WorkerKey,
+    },
+};
+
+/// A command that went unanswered is carried out within this time or never.
+const COMMAND_LIFETIME: Duration = Duration::from_secs(15);
+
+/// A lost run whose start command went unanswered.
+pub(super) struct UnansweredStart {
+    worker: WorkerId,
+    task: TaskId,
+    run: u64,
+    lost_at: Instant,
+    charge: Option<Charge>,
+}
+
+impl UnansweredStart {
+    fn is_expired(&self, now: Instant) -> bool {
+        now >= self.lost_at + COMMAND_LIFETIME
+    }
+}
+
+impl Scheduler {
+    /// True when a start command for the run went unanswered. A later incarnation under the same id would carry it out,
+    /// since it has no state of the earlier one; only a stop that it answers rules that out.
+    pub(super) fn may_still_start(&self, at: TaskRef) -> bool {
+        let placement = self.task(at).placement();
+        placement.is_some_and(|p| p.stage == Stage::Starting || p.unanswered > 0)
+    }
+
+    /// Remembers a run that is being lost, if its start command may still be carried out.
+    pub(super) fn remember_start(&mut self, at: TaskRef) {
+        let now = self.now.mono;
+        if !self.may_still_start(at) {
+            return;
+        }
+        let task = self.jobs[at.job].task_id(at);
+        let Some(placement) = self.task(at).placement() else { return };
+        let Some(worker) = self.workers.get(placement.worker) else { return };
+        let (worker, run) = (worker.id.clone(), placement.run);
+        let charge = self.charge_of(at);
+        if let Some(charge) = charge {
+            self.ledger.charge(charge);
+            self.ledger.add_unconfirmed(charge.account);
+        }
+        self.unanswered_starts.push(UnansweredStart { worker, task, run, lost_at: now, charge });
+    }
+
+    /// Stops the unanswered starts on a new incarnation of a worker: it then refuses these runs, also when their start
+    /// commands arrive later.
+    pub(super) fn stop_unanswered_starts(&mut self, key: WorkerKey) {
+        let id = self.workers[key].id.clone();
+        let stops: Vec<_> = self
+            .unanswered_starts
+            .iter()
+            .filter(|start| start.worker == id)
+            .map(|start| (start.task, start.run))
+            .collect();
+        for (task, run) in stops {
+            self.stop_orphan(key, task, run);
+        }
+    }
+
+    /// Stops counting lost runs whose start commands can no longer be carried out.
+    pub(super) fn refund_late_starts(&mut self, now: Instant) {
+        let expired = self.unanswered_starts.extract_if(.., |start| start.is_expired(now));
+        for charge in expired.filter_map(|start| start.charge) {
+            self.ledger.refund(charge);
+            self.ledger.confirm(charge.account);
+        }
+    }
+}
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -5,7 +5,7 @@
 //! as they are listed. Until all workers are listed, the others may run tasks of earlier owners: as many of the account's open
 //! tasks as they have room for, or anything as long as submissions that earlier owners may have acted on are unread.
 
-use std::{collections::HashMap, time::Instant};
+use std::collections::HashMap;
 
 use cj_types::{AccountId, Resources, rendezvous};
 use log::info;
@@ -296,13 +296,4 @@
             self.ledger.refund(charge);
         }
     }
-
-    /// Stops counting lost runs whose start commands can no longer be carried out.
-    pub(super) fn refund_late_starts(&mut self, now: Instant) {
-        let expired = self.unanswered_starts.extract_if(.., |start| start.is_expired(now));
-        for charge in expired.filter_map(|start| start.charge) {
-            self.ledger.refund(charge);
-            self.ledger.confirm(charge.account);
-        }
-    }
 }
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -14,17 +14,18 @@
 use crate::{
     config::FleetConfig,
     job::{JobKey, TaskId},
-    job_index::{JobEntry, JobIndex},
+    job_index::JobIndex,
     record::{Outcome, Progress, Submission},
     sched::{
         estimate::RunTimeEstimator,
         event::{Action, Event, VmRow, WorkerId, WorkerRegistration},
         evidence::{IncarnationEvidence, RunEvidence, VmShutdown},
-        ledger::{Charge, Ledger},
-        ownership::{OWNERSHIP_LEASE, OwnershipLease},
+        late_start::UnansweredStart,
+        ledger::Ledger,
+        ownership::OwnershipLease,
         policy::Policies,
         pool::PoolPlan,
-        settings::{Limits, MAX_READ_LAG},
+        settings::Limits,
         wave::Wave,
         work::{Job, JobSlot, Phase, Stage, Task, TaskRef},
         worker::{Worker, WorkerKey},
@@ -34,24 +35,6 @@
 /// Interval of the periodic checks, which go over all runs.
 const CHECK_INTERVAL: Duration = Duration::from_millis(40);
 
-/// A command that went unanswered is carried out within this time or never.
-const COMMAND_LIFETIME: Duration = Duration::from_secs(15);
-
-/// A lost run whose start command went unanswered.
-pub(super) struct UnansweredStart {
-    worker: WorkerId,
-    task: TaskId,
-    run: u64,
-    lost_at: Instant,
-    pub(super) charge: Option<Charge>,
-}
-
-impl UnansweredStart {
-    pub(super) fn is_expired(&self, now: Instant) -> bool {
-        now >= self.lost_at + COMMAND_LIFETIME
-    }
-}
-
 /// Readings of both clocks at the same moment.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
@@ -303,37 +286,6 @@
         }
     }
 
-    /// True while this owner may not have read all submissions that an earlier owner read.
-    pub(super) fn is_catching_up(&self) -> bool {
-        self.now.mono < self.lease_horizon + MAX_READ_LAG
-    }
-
-    /// Records that a job has ended, as long as runs of it that an earlier owner started may still be listed.
-    fn mark_ended(&mut self, key: JobKey, submission: Option<Rc<Submission>>) {
-        if self.is_catching_up() {
-            self.ended_jobs.entry(key).or_insert(submission);
-        }
-    }
-
-    /// Records a job that ended before this ownership. If that was a moment ago, its runs may still be stopping.
-    fn add_ended_job(&mut self, key: JobKey, entry: &JobEntry) {
-        self.ended_jobs.insert(key, entry.submission().cloned());
-        let recent = entry.ended_at().is_some_and(|at| at + OWNERSHIP_LEASE > self.now.wall);
-        let (true, Some(submission)) = (recent, entry.submission()) else { return };
-        let progress = |number| entry.progress(number);
-        let mut job = Job::new(key, submission.clone(), false, self.now.mono, progress);
-        job.account = submission.account.as_ref().map(|id| self.ledger.slot(id, &self.config));
-        self.add_unsettled(&job);
-    }
-
-    /// What a run of a task of an ended job is charged to.
-    pub(super) fn charge_of_ended(&mut self, task: &TaskId) -> Option<Charge> {
-        let submission = self.ended_jobs.get(&task.job)?.clone()?;
-        let demand = submission.spec.steps.get(task.step as usize)?.demand;
-        let account = self.ledger.slot(submission.account.as_ref()?, &self.config);
-        Some(Charge { account, demand })
-    }
-
     fn configure(&mut self, config: Rc<FleetConfig>) {
         if config.version >= self.config.version {
             self.ledger.configure(&config);
@@ -447,46 +399,6 @@
         open && !job.is_over() && !job.task(at).is_done()
     }
 
-    /// True when a start command for the run went unanswered. A later incarnation under the same id would carry it out,
-    /// since it has no state of the earlier one; only a stop that it answers rules that out.
-    pub(super) fn may_still_start(&self, at: TaskRef) -> bool {
-        let placement = self.task(at).placement();
-        placement.is_some_and(|p| p.stage == Stage::Starting || p.unanswered > 0)
-    }
-
-    /// Remembers a run that is being lost, if its start command may still be carried out.
-    pub(super) fn remember_start(&mut self, at: TaskRef) {
-        let now = self.now.mono;
-        if !self.may_still_start(at) {
-            return;
-        }
-        let task = self.jobs[at.job].task_id(at);
-        let Some(placement) = self.task(at).placement() else { return };
-        let Some(worker) = self.workers.get(placement.worker) else { return };
-        let (worker, run) = (worker.id.clone(), placement.run);
-        let charge = self.charge_of(at);
-        if let Some(charge) = charge {
-            self.ledger.charge(charge);
-            self.ledger.add_unconfirmed(charge.account);
-        }
-        self.unanswered_starts.push(UnansweredStart { worker, task, run, lost_at: now, charge });
-    }
-
-    /// Stops the unanswered starts on a new incarnation of a worker: it then refuses these runs, also when their start
-    /// commands arrive later.
-    fn stop_unanswered_starts(&mut self, key: WorkerKey) {
-        let id = self.workers[key].id.clone();
-        let stops: Vec<_> = self
-            .unanswered_starts
-            .iter()
-            .filter(|start| start.worker == id)
-            .map(|start| (start.task, start.run))
-            .collect();
-        for (task, run) in stops {
-            self.stop_orphan(key, task, run);
-        }
-    }
-
     /// Gives up the runs on unresponsive workers whose leases have ended, and removes the workers that have left.
     fn expire_leases(&mut self) {
         let now = self.now.mono;
