Show jobs of accounts through a public queue only if they were submitted there

Cause: found while reading the change: a caller of a public queue had access to all jobs, so with a foreign id in the path it could see and cancel a job that an account had submitted to a queue with keys. Change: access of a public queue covers its own jobs and those without an account. Without accounts nothing changes.

--- a/crates/cj-entry/src/access.rs
+++ b/crates/cj-entry/src/access.rs
@@ -53,8 +53,11 @@
         let accounts = config.as_ref().and_then(|config| config.accounts.as_ref());
         let holder = key.and_then(|key| accounts?.by_key(key)).map(|account| account.id.clone());
         let keyless = accounts.is_none() && !self.settings.keys_required;
-        if keyless || queue.is_some_and(|queue| queue.public) {
-            return Ok(Caller { account: holder, access: Access::Open });
+        if keyless {
+            return Ok(Caller::default());
+        }
+        if let Some(queue) = queue.filter(|queue| queue.public) {
+            return Ok(Caller { account: holder, access: Access::PublicQueue(queue.name.clone()) });
         }
         if !self.is_config_current() {
             return Err(AccessError::OutdatedConfig);
--- a/crates/cj-entry/tests/entry/access.rs
+++ b/crates/cj-entry/tests/entry/access.rs
@@ -75,7 +75,8 @@
     assert_eq!(node.authenticate(Some(&queue()), old), unknown, "all accounts were removed");
 
     let public = Queue { public: true, ..queue() };
-    assert_eq!(node.authenticate(Some(&public), None), Ok(Caller::default()));
+    let anyone = Caller { account: None, access: Access::PublicQueue("q".into()) };
+    assert_eq!(node.authenticate(Some(&public), None), Ok(anyone));
 }
 
 /// Guards against a node that serves withdrawn keys, or rejects new ones, because it can't read the configuration.
@@ -118,8 +119,11 @@
         SubmitOutcome::Accepted
     );
 
-    assert_eq!(node.job_status(JobKey(1), &blue.access).await, JobStatus::Gone);
-    assert_eq!(node.cancel(JobKey(1), &blue.access, deadline).await, CancelOutcome::Gone);
+    let elsewhere = Access::PublicQueue("a public queue".into());
+    for access in [&blue.access, &elsewhere] {
+        assert_eq!(node.job_status(JobKey(1), access).await, JobStatus::Gone);
+        assert_eq!(node.cancel(JobKey(1), access, deadline).await, CancelOutcome::Gone);
+    }
     let reused = node.submit(&queue(), &blue, JobKey(1), job(), deadline).await;
     assert!(matches!(reused, SubmitOutcome::Refused("store_refused", _)), "{reused:?}");
     assert_eq!(node.platform.appended.get(), 0, "nothing is stored");
--- a/crates/cj-sched/src/account.rs
+++ b/crates/cj-sched/src/account.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, fmt};
 
 use cj_types::{Accelerators, AccountId, Error, Mebibytes, Millicores, Resources, Result};
-use compact_str::format_compact;
+use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
 /// Maximum number of accounts in a configuration.
@@ -218,19 +218,22 @@
 /// Which jobs a caller may see and cancel.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Access {
-    /// All jobs of the queue: it is public, or the configuration has no accounts.
+    /// All jobs: the configuration has no accounts.
     #[default]
     Open,
+    /// The jobs of this public queue, and those that belong to no account.
+    PublicQueue(CompactString),
     /// The jobs of this account, and those that belong to no account.
     Account(AccountId),
 }
 
 impl Access {
-    /// True if a caller with this access may see a job of `owner`.
-    pub fn allows(&self, owner: Option<&AccountId>) -> bool {
-        match (self, owner) {
+    /// True if a caller with this access may see a job of this queue and account.
+    pub fn allows(&self, queue: &str, account: Option<&AccountId>) -> bool {
+        match (self, account) {
             (Access::Open, _) | (_, None) => true,
-            (Access::Account(own), Some(owner)) => own == owner,
+            (Access::PublicQueue(public), Some(_)) => public == queue,
+            (Access::Account(own), Some(account)) => own == account,
         }
     }
 }
--- a/crates/cj-sched/src/job_index.rs
+++ b/crates/cj-sched/src/job_index.rs
@@ -96,9 +96,8 @@
 
     /// True if a caller with this access may see the job.
     pub fn is_visible_to(&self, access: &Access) -> bool {
-        self.submission
-            .as_ref()
-            .is_some_and(|submission| access.allows(submission.account.as_ref()))
+        let submission = self.submission.as_ref();
+        submission.is_some_and(|job| access.allows(&job.queue, job.account.as_ref()))
     }
 
     /// Progress of an occurrence, if any is recorded.
--- a/crates/cj-sched/tests/accounts.rs
+++ b/crates/cj-sched/tests/accounts.rs
@@ -68,8 +68,13 @@
 fn access_is_limited_to_jobs_of_the_account() {
     let [red, blue] = ["red", "blue"].map(|name| AccountId::try_from(name).unwrap());
     let access = Access::Account(red.clone());
-    assert!(access.allows(Some(&red)) && access.allows(None) && !access.allows(Some(&blue)));
-    assert!(Access::Open.allows(Some(&red)));
+    assert!(access.allows("q", Some(&red)) && access.allows("q", None));
+    assert!(!access.allows("q", Some(&blue)));
+    assert!(Access::Open.allows("q", Some(&red)));
+    // A job of an account is visible through a public queue only if it was submitted there.
+    let public = Access::PublicQueue("q".into());
+    assert!(public.allows("q", Some(&red)) && public.allows("other", None));
+    assert!(!public.allows("other", Some(&red)));
 }
 
 /// Guards against jobs that are lost in an upgrade, because their records were stored before accounts existed.
