Read the change once more: counts that can't underflow, one stored submission for the tests

Change: subtractions of counts saturate, since a panic would end a daemon; the tests of access and of the interface share the submission that they store; a comment says what it is about.

--- a/crates/cj-entry/tests/entry/access.rs
+++ b/crates/cj-entry/tests/entry/access.rs
@@ -11,10 +11,10 @@
     Access, Account, AccountCap, Accounts, FleetConfig, JobKey, KeyDigest, Queue, Record,
     Submission, Weight, codec,
 };
-use cj_types::{AccountId, Clock, ServiceId, UnixMillis, Version};
+use cj_types::{AccountId, Clock, Version};
 
 use crate::{
-    api::{Node, job, node, queue},
+    api::{Node, job, node, queue, submission},
     platform::{after, record},
 };
 
@@ -95,16 +95,7 @@
 #[actix_rt::test]
 async fn jobs_of_other_accounts_do_not_exist_for_a_caller() {
     let node = node(Vec::new()).await;
-    let submission = Submission {
-        queue: "q".into(),
-        service: ServiceId::try_from("s").unwrap(),
-        priority: 0,
-        max_attempts: 2,
-        objective: Duration::from_secs(1),
-        received_at: UnixMillis(0),
-        spec: job(),
-        account: Some(account_id("red")),
-    };
+    let submission = Submission { account: Some(account_id("red")), ..submission() };
     let (key, value) = codec::entry(&Record::Submission(JobKey(1), Box::new(submission)));
     let page = Page { records: vec![record(0, &key, value)], next: 1, end: 1 };
     node.platform.reads.borrow_mut().push_back(after(1, Ok(page)));
--- a/crates/cj-entry/tests/entry/api.rs
+++ b/crates/cj-entry/tests/entry/api.rs
@@ -43,6 +43,20 @@
     JobSpec { text: String::new(), steps: vec![step], schedule: None }
 }
 
+/// The stored submission of a job without an account.
+pub(crate) fn submission() -> Submission {
+    Submission {
+        queue: "q".into(),
+        service: ServiceId::try_from("s").unwrap(),
+        priority: 0,
+        max_attempts: 2,
+        objective: Duration::from_secs(1),
+        received_at: UnixMillis(0),
+        spec: job(),
+        account: None,
+    }
+}
+
 /// A node that has read an empty store and is up to date.
 pub(crate) async fn node(appends: Vec<crate::platform::Scripted<u64>>) -> Node {
     let platform = FakePlatform::new();
@@ -127,16 +141,7 @@
         heartbeat.load = vec![(ServiceId::try_from("s").unwrap(), load)];
         codec::entry(&Record::Owner(heartbeat))
     };
-    let accepted = Submission {
-        queue: "q".into(),
-        service: ServiceId::try_from("s").unwrap(),
-        priority: 0,
-        max_attempts: 2,
-        objective: Duration::from_secs(1),
-        received_at: UnixMillis(0),
-        spec: job(),
-        account: None,
-    };
+    let accepted = submission();
     let accepted = codec::entry(&Record::Submission(JobKey(1), Box::new(accepted)));
     let page = |offset, (key, value): &(CompactString, Vec<u8>)| Page {
         records: vec![record(offset, key, value.clone())],
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -109,10 +109,12 @@
         slot
     }
 
+    /// Sets what the configuration says of an account.
     fn apply(&self, usage: &mut AccountUsage, account: &Account) {
         usage.weight = account.weight;
         usage.cap = account.cap.divided_by(u32::from(self.cells));
-        // Only one cell may do so for each account, so that all cells together exceed the cap by one task at most.
+        // A task may exceed the cap of an account in one cell only, so that all cells together exceed it by one task at
+        // most.
         let home =
             rendezvous::weight(account.id.as_str().as_bytes(), b"cap") % u64::from(self.cells);
         usage.may_exceed = home == u64::from(self.cell);
@@ -157,7 +159,8 @@
 
     /// Records that a run has started or can't start any more.
     pub(super) fn confirm(&mut self, account: AccountSlot) {
-        self.accounts[account].unconfirmed -= 1;
+        let unconfirmed = &mut self.accounts[account].unconfirmed;
+        *unconfirmed = unconfirmed.saturating_sub(1);
     }
 
     pub(super) fn refund(&mut self, charge: Charge) {
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -150,7 +150,7 @@
         if !self.place_step(candidate.at) {
             *blocked_steps += 1;
         }
-        self.jobs[candidate.at.job].active_runs - before
+        self.jobs[candidate.at.job].active_runs.saturating_sub(before)
     }
 
     fn candidates(&mut self) -> Vec<Candidate> {
