Share what balance and reclaim, and the lookups of accounts, have in common

Cause: reading the diff: the filter of VMs that may be drained stood in balance and in reclaim, the account of a submission was looked up in three places, and late starts got a clock that the scheduler has. Change: drainable_worker() and account_of(); three methods of the ledger say what they do. No decision changes.

--- a/crates/cj-sched/src/sched/balance.rs
+++ b/crates/cj-sched/src/sched/balance.rs
@@ -12,7 +12,6 @@
 
 use crate::sched::{
     demand::{MIN_VMS, PoolDemand},
-    event::VmState,
     scheduler::Scheduler,
     worker::WorkerKey,
 };
@@ -102,18 +101,15 @@
 
     /// The VM of a pool whose tasks are expected to end first.
     fn soonest_empty(&self, from: &ServiceId) -> Option<(VmId, WorkerKey)> {
-        let rows = self.vms.values().filter(|row| row.pool == *from && row.state == VmState::Up);
+        let rows = self.vms.values().filter(|row| row.pool == *from);
         let candidates = rows.filter_map(|row| {
-            let key = *self.worker_keys.get(row.worker.as_ref()?)?;
-            let worker = &self.workers[key];
-            let usable = worker.accepts_tasks(self.now.mono)
-                && !self.is_moving(&row.vm)
-                && !self.is_in_wave(&row.vm)
-                && !self.hosts_long_running(worker);
-            let runs = usable.then(|| worker.runs.iter())?;
-            let ends =
-                runs.map(|&at| self.remaining_run_time(at, self.task(at).placement()?).into());
-            let drain_time: Duration = ends.max().flatten().unwrap_or_default();
+            let key = self.drainable_worker(row)?;
+            let runs = self.workers[key].runs.iter();
+            let remaining = runs.filter_map(|&at| {
+                let placed = self.task(at).placement()?;
+                Some(self.remaining_run_time(at, placed))
+            });
+            let drain_time = remaining.max().unwrap_or_default();
             (drain_time <= MAX_DRAIN_TIME).then_some((drain_time, &row.vm, key))
         });
         let (_, vm, key) = candidates.min_by_key(|(drain_time, ..)| *drain_time)?;
--- a/crates/cj-sched/src/sched/ended_jobs.rs
+++ b/crates/cj-sched/src/sched/ended_jobs.rs
@@ -32,7 +32,7 @@
         let (true, Some(submission)) = (recent, entry.submission()) else { return };
         let progress = |number| entry.progress(number);
         let mut job = Job::new(key, submission.clone(), false, self.now.mono, progress);
-        job.account = submission.account.as_ref().map(|id| self.ledger.slot(id, &self.config));
+        job.account = self.account_of(submission);
         self.add_unsettled(&job);
     }
 
@@ -40,7 +40,7 @@
     pub(super) fn charge_of_ended(&mut self, task: &TaskId) -> Option<Charge> {
         let submission = self.ended_jobs.get(&task.job)?.clone()?;
         let demand = submission.spec.steps.get(task.step as usize)?.demand;
-        let account = self.ledger.slot(submission.account.as_ref()?, &self.config);
+        let account = self.account_of(&submission)?;
         Some(Charge { account, demand })
     }
 }
--- a/crates/cj-sched/src/sched/late_start.rs
+++ b/crates/cj-sched/src/sched/late_start.rs
@@ -73,7 +73,8 @@
     }
 
     /// Stops counting lost runs whose start commands can no longer be carried out.
-    pub(super) fn refund_late_starts(&mut self, now: Instant) {
+    pub(super) fn refund_late_starts(&mut self) {
+        let now = self.now.mono;
         let expired = self.unanswered_starts.extract_if(.., |start| start.is_expired(now));
         for charge in expired.filter_map(|start| start.charge) {
             self.ledger.refund(charge);
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -14,6 +14,7 @@
 use crate::{
     account::{Account, AccountCap, Weight},
     config::FleetConfig,
+    record::Submission,
     sched::{
         event::VmState,
         scheduler::Scheduler,
@@ -143,10 +144,12 @@
         self.accounts.is_empty()
     }
 
+    /// What an account uses.
     pub(super) fn usage(&self, slot: AccountSlot) -> &AccountUsage {
         &self.accounts[slot]
     }
 
+    /// Counts a run as running.
     pub(super) fn charge(&mut self, charge: Charge) {
         let usage = &mut self.accounts[charge.account];
         usage.used = usage.used.plus(charge.demand);
@@ -163,6 +166,7 @@
         *unconfirmed = unconfirmed.saturating_sub(1);
     }
 
+    /// Stops counting a run, which is surely over.
     pub(super) fn refund(&mut self, charge: Charge) {
         let usage = &mut self.accounts[charge.account];
         usage.used = usage.used.minus(charge.demand);
@@ -203,6 +207,12 @@
         self.ledger.configure(&config);
     }
 
+    /// Slot of the account that a job belongs to.
+    pub(super) fn account_of(&mut self, submission: &Submission) -> Option<AccountSlot> {
+        let id = submission.account.as_ref()?;
+        Some(self.ledger.slot(id, &self.config))
+    }
+
     /// What a run of a task is charged to; `None` if its job belongs to no account.
     pub(super) fn charge_of(&self, at: TaskRef) -> Option<Charge> {
         let job = &self.jobs[at.job];
--- a/crates/cj-sched/src/sched/reclaim.rs
+++ b/crates/cj-sched/src/sched/reclaim.rs
@@ -60,22 +60,28 @@
         demands: &BTreeMap<ServiceId, PoolDemand>,
         to: &ServiceId,
     ) -> Option<(VmId, WorkerKey)> {
-        let free = |row: &&VmRow| {
-            row.state == VmState::Up && !self.is_moving(&row.vm) && !self.is_in_wave(&row.vm)
-        };
         let candidate = |row: &VmRow| {
             let demand = demands.get(&row.pool).filter(|demand| demand.pool_size > MIN_VMS)?;
-            let key = *self.worker_keys.get(row.worker.as_ref()?)?;
-            let worker = &self.workers[key];
-            let usable = worker.accepts_tasks(self.now.mono) && !self.hosts_long_running(worker);
-            let rank = (std::cmp::Reverse(demand.coverage()), worker.runs.len());
-            usable.then(|| (rank, row.vm.clone(), key))
+            let key = self.drainable_worker(row)?;
+            let rank = (std::cmp::Reverse(demand.coverage()), self.workers[key].runs.len());
+            Some((rank, row.vm.clone(), key))
         };
-        let others = self.vms.values().filter(free).filter(|row| row.pool != *to);
+        let others = self.vms.values().filter(|row| row.pool != *to);
         let best = others.filter_map(candidate).min_by_key(|(rank, ..)| *rank);
         best.map(|(_, vm, key)| (vm, key))
     }
 
+    /// The worker on a VM that may be drained for another pool: it takes tasks, and runs only finite ones.
+    pub(super) fn drainable_worker(&self, row: &VmRow) -> Option<WorkerKey> {
+        let stays =
+            row.state == VmState::Up && !self.is_moving(&row.vm) && !self.is_in_wave(&row.vm);
+        let id = row.worker.as_ref().filter(|_| stays)?;
+        let key = *self.worker_keys.get(id)?;
+        let worker = &self.workers[key];
+        let usable = worker.accepts_tasks(self.now.mono) && !self.hosts_long_running(worker);
+        usable.then_some(key)
+    }
+
     /// Moves the VMs that are empty, and ends drains that take too long or whose VM is taken by a wave or another move.
     pub(super) fn update_pool_drains(&mut self) {
         let now = self.now.mono;
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -206,7 +206,7 @@
         if !self.is_catching_up() {
             self.ended_jobs = HashMap::new();
         }
-        self.refund_late_starts(self.now.mono);
+        self.refund_late_starts();
     }
 
     fn add_job(
@@ -229,8 +229,7 @@
 
     fn insert_job(&mut self, mut job: Job) {
         let key = job.key;
-        let account = job.submission.account.clone();
-        job.account = account.map(|id| self.ledger.slot(&id, &self.config));
+        job.account = self.account_of(&job.submission);
         if !job.fresh {
             self.add_unsettled(&job);
         }
