Log and measure the age of the configuration behind each answer

Requests without a queue, counts, submissions and refused keys now log config and config_age_ms, and config_age_seconds is a metric. Answers are unchanged.

--- a/crates/cj-entry/src/access.rs
+++ b/crates/cj-entry/src/access.rs
@@ -4,10 +4,10 @@
 //! configuration that it has read. A node that hasn't read the operator's topic for a while may hold a configuration whose
 //! keys have been withdrawn since, so it neither serves nor rejects calls by it.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use cj_sched::{Access, JobKey, KeyDigest, Queue};
-use cj_types::{AccountId, Clock};
+use cj_types::{AccountId, Clock, Version};
 use compact_str::ToCompactString;
 use log::info;
 
@@ -34,11 +34,34 @@
     OutdatedConfig,
 }
 
+/// The configuration that a request was answered by, as log lines show it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConfigContext {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Time since the operator's topic was last read completely; `None` if it never was.
+    pub age: Option<Duration>,
+}
+
+impl fmt::Display for ConfigContext {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let age = self.age.map_or(-1, |age| age.as_millis() as i64);
+        write!(f, "config={} config_age_ms={age}", self.version)
+    }
+}
+
 impl<P, C> EntryNode<P, C>
 where
     P: Platform,
     C: Clock + 'static,
 {
+    /// The configuration in force and its age.
+    pub fn config_context(&self) -> ConfigContext {
+        let version = self.config.borrow().as_ref().map(|config| config.version);
+        let age = self.operator_topic.age(self.clock.now());
+        ConfigContext { version: version.unwrap_or_default(), age }
+    }
+
     /// Authenticates a call to a queue; `None` stands for a queue that no longer exists.
     ///
     /// # Errors
@@ -72,17 +95,24 @@
             AccessError::UnknownKey => "unknown_key",
             AccessError::OutdatedConfig => "outdated_config",
         };
-        let age = self.operator_topic.age(self.clock.now()).unwrap_or_default();
-        let version = self.config.borrow().as_ref().map(|config| config.version);
         info!(
             target: "decision",
-            "job={} request=authenticate queue={} config={} config_age_ms={} choice=refused reason={outcome}",
-            job.map(|job| job.to_compact_string()).unwrap_or_default(), queue.name,
-            version.unwrap_or_default(), age.as_millis()
+            "job={} request=authenticate queue={} {} choice=refused reason={outcome}",
+            job.map(|job| job.to_compact_string()).unwrap_or_default(), queue.name, self.config_context()
         );
         self.count_answer("authenticate", outcome);
     }
 
+    /// Logs and counts a request that no queue of the configuration matches.
+    pub fn log_no_queue(&self, job: Option<JobKey>) {
+        info!(
+            target: "decision",
+            "job={} request=route {} choice=refused reason=no_queue",
+            job.map(|job| job.to_compact_string()).unwrap_or_default(), self.config_context()
+        );
+        self.count_answer("route", "no_queue");
+    }
+
     /// True while every configuration that has to be in force by now has been read.
     fn is_config_current(&self) -> bool {
         let limit = self.settings.config_time.saturating_sub(CONFIG_AGE_MARGIN);
--- a/crates/cj-entry/src/api.rs
+++ b/crates/cj-entry/src/api.rs
@@ -140,8 +140,6 @@
             Some(member) => member.decide_submission(queue, caller, job, spec, deadline).await,
             None => SubmitOutcome::Refused("no_layout", STORE_RETRY_AFTER),
         };
-        let version =
-            self.config.borrow().as_ref().map(|config| config.version).unwrap_or_default();
         let (choice, outcome, retry) = match &answer {
             SubmitOutcome::Accepted => ("accepted", "accepted", Duration::ZERO),
             SubmitOutcome::Invalid(_) => ("invalid", "invalid", Duration::ZERO),
@@ -150,8 +148,9 @@
         };
         info!(
             target: "decision",
-            "job={job} request=submit queue={} account={} config={version} {} choice={choice} reason={outcome} retry_ms={}",
-            queue.name, AccountName(caller.account.as_ref()), LogContext(member.as_deref()), retry.as_millis()
+            "job={job} request=submit queue={} account={} {} {} choice={choice} reason={outcome} retry_ms={}",
+            queue.name, AccountName(caller.account.as_ref()), self.config_context(),
+            LogContext(member.as_deref()), retry.as_millis()
         );
         self.count_answer("submit", outcome);
         answer
@@ -211,7 +210,12 @@
             let member = members.first().filter(|member| member.is_caught_up());
             member.map(|member| member.job_index.borrow().queued_jobs(&queue.name))
         };
-        self.count_answer("waiting", if count.is_some() { "count" } else { "unavailable" });
+        let outcome = if count.is_some() { "count" } else { "unavailable" };
+        info!(
+            target: "decision",
+            "request=waiting queue={} {} choice={outcome}", queue.name, self.config_context()
+        );
+        self.count_answer("waiting", outcome);
         count
     }
 
--- a/crates/cj-entry/src/metrics.rs
+++ b/crates/cj-entry/src/metrics.rs
@@ -1,6 +1,9 @@
 //! Metrics of an entry node.
 
-use std::sync::atomic::{AtomicI64, AtomicU64};
+use std::{
+    sync::atomic::{AtomicI64, AtomicU64},
+    time::Duration,
+};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -37,6 +40,8 @@
     pub owned_cells: Gauge<i64, AtomicI64>,
     /// Version of the configuration in force.
     pub config_version: Gauge<i64, AtomicI64>,
+    /// Seconds since the operator's topic was last read completely; -1 before the first read.
+    config_age: Gauge<f64, AtomicU64>,
     /// Number of log lines dropped because the output was too slow.
     dropped_lines: Gauge<i64, AtomicI64>,
 }
@@ -51,6 +56,7 @@
             takeovers: Counter::default(),
             owned_cells: Gauge::default(),
             config_version: Gauge::default(),
+            config_age: Gauge::default(),
             dropped_lines: Gauge::default(),
             registry: Registry::default(),
         };
@@ -68,6 +74,11 @@
             "Configuration in force",
             metrics.config_version.clone(),
         );
+        registry.register(
+            "config_age_seconds",
+            "Time since the configuration was last read",
+            metrics.config_age.clone(),
+        );
         registry.register("log_lines_dropped", "Log lines dropped", metrics.dropped_lines.clone());
         Metrics { registry, ..metrics }
     }
@@ -79,6 +90,11 @@
         self.dropped_lines.set(lines as i64);
     }
 
+    /// Sets the time since the operator's topic was last read completely; `None` if it never was.
+    pub fn set_config_age(&self, age: Option<Duration>) {
+        self.config_age.set(age.map_or(-1.0, |age| age.as_secs_f64()));
+    }
+
     /// Renders the metrics in the Prometheus text format.
     pub fn render(&self) -> String {
         let mut out = String::new();
