Count an empty read only up to the end of its wait

Cause: a read without records counted up to its arrival, but the store made the answer at the end of the wait. An answer that was held up on its way was taken for a fresh one.

Change: it counts up to the end of the wait, or to its arrival if that is earlier.

empty_answers_are_as_old_as_the_end_of_their_wait failed before: an answer after 4.2 s to a read that waits 1.5 s counted as fresh.

--- a/crates/cj-entry/src/follow.rs
+++ b/crates/cj-entry/src/follow.rs
@@ -185,9 +185,10 @@
                     apply(Update::Record { record, in_order: true });
                 }
                 state.next.set(page.next);
-                // An empty answer was made at the end of the wait. An answer with records may have been on its way for
-                // long, so it counts only up to the time of the request.
-                let caught_up_at = if page.records.is_empty() { clock.now() } else { sent };
+                // Any answer may have been on its way for long. An empty one was made at the end of the wait, so it counts
+                // up to then; one with records counts only up to the time of the request.
+                let waited = if page.records.is_empty() { READ_WAIT } else { Duration::ZERO };
+                let caught_up_at = (sent + waited).min(clock.now());
                 let reached = page.next >= page.end;
                 state.record_read(topic, Ok(reached.then_some(caught_up_at)));
                 if reached {
--- a/crates/cj-entry/tests/entry/follow.rs
+++ b/crates/cj-entry/tests/entry/follow.rs
@@ -69,6 +69,17 @@
     assert!(!state.is_fresh(platform.clock.now()));
 }
 
+/// Guards against a configuration or a job log that counts as up to date because an old empty answer arrived late.
+#[actix_rt::test]
+async fn empty_answers_are_as_old_as_the_end_of_their_wait() {
+    let platform = FakePlatform::new();
+    let state = FollowState::default();
+    platform.newest.borrow_mut().push_back(after(10, Ok(newest(5))));
+    platform.reads.borrow_mut().push_back(after(4_200, Ok(page(5, 0, 5))));
+    run(&platform, &state).await;
+    assert!(!state.is_fresh(platform.clock.now()));
+}
+
 /// Guards against skipping records: the topic has to be loaded again after a gap, and a failed read has to be retried.
 #[actix_rt::test]
 async fn reloads_after_a_gap_and_retries_after_an_error() {
