Answer by the configuration only while it is surely current

Cause: without client accounts a node answered by whatever configuration it had, however long ago it had last read the operator's topic: 404 for an unknown route, the count of a removed one, accepted jobs of a queue that may have moved. Only calls that need a key were checked.

Ruled out: a version that goes back (a node keeps the highest it has read; no log shows an older one applied).

Change: submissions, counts, paths without a job and 404 need a configuration that was read within the time in which a new one has to be in force; otherwise the answer is 503 with Retry-After, not run. The state of a job and its cancellation don't depend on the configuration and are answered as before. The node isn't ready meanwhile. The operator's topic is read with a wait of 0.8 s instead of 1.5 s, so that a lost answer is noticed within the bound, and after a gap without a wait, so that the node serves again at once.

--- a/crates/cj-entry/src/access.rs
+++ b/crates/cj-entry/src/access.rs
@@ -1,8 +1,10 @@
-//! Authentication of calls by the keys of client accounts.
+//! Whether the node's configuration is current, and authentication of calls by the keys of client accounts.
+//!
+//! A node that hasn't read the operator's topic for a while may hold a configuration that has been replaced since: queues
+//! were added, moved or removed, keys withdrawn. It neither serves nor rejects calls by it, but asks the caller to retry.
 //!
 //! A call to a queue that isn't public carries a key of its account. The node looks the key's digest up in the newest
-//! configuration that it has read. A node that hasn't read the operator's topic for a while may hold a configuration whose
-//! keys have been withdrawn since, so it neither serves nor rejects calls by it.
+//! configuration that it has read.
 
 use std::{fmt, time::Duration};
 
@@ -25,13 +27,26 @@
     pub access: Access,
 }
 
-/// Why a call can't be authenticated.
+/// Why a call isn't passed on to a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AccessError {
     /// No account has the key, or the call carries none.
     UnknownKey,
     /// The node's configuration may be outdated.
     OutdatedConfig,
+    /// The configuration has no queue for the call.
+    NoQueue,
+}
+
+impl AccessError {
+    /// Name in log lines and metrics.
+    fn label(self) -> &'static str {
+        match self {
+            AccessError::UnknownKey => "unknown_key",
+            AccessError::OutdatedConfig => "outdated_config",
+            AccessError::NoQueue => "no_queue",
+        }
+    }
 }
 
 /// The configuration that a request was answered by, as log lines show it.
@@ -82,39 +97,34 @@
         if let Some(queue) = queue.filter(|queue| queue.public) {
             return Ok(Caller { account: holder, access: Access::PublicQueue(queue.name.clone()) });
         }
-        if !self.is_config_current() {
-            return Err(AccessError::OutdatedConfig);
-        }
+        self.require_current_config()?;
         let account = holder.ok_or(AccessError::UnknownKey)?;
         Ok(Caller { account: Some(account.clone()), access: Access::Account(account) })
     }
 
-    /// Logs and counts a call that wasn't authenticated.
-    pub fn log_denied(&self, queue: &Queue, job: Option<JobKey>, error: AccessError) {
-        let outcome = match error {
-            AccessError::UnknownKey => "unknown_key",
-            AccessError::OutdatedConfig => "outdated_config",
-        };
-        info!(
-            target: "decision",
-            "job={} request=authenticate queue={} {} choice=refused reason={outcome}",
-            job.map(|job| job.to_compact_string()).unwrap_or_default(), queue.name, self.config_context()
-        );
-        self.count_answer("authenticate", outcome);
+    /// Checks that a call may be answered by the node's configuration.
+    ///
+    /// # Errors
+    ///
+    /// A configuration that may be outdated.
+    pub fn require_current_config(&self) -> Result<(), AccessError> {
+        if self.is_config_current() { Ok(()) } else { Err(AccessError::OutdatedConfig) }
     }
 
-    /// Logs and counts a request that no queue of the configuration matches.
-    pub fn log_no_queue(&self, job: Option<JobKey>) {
+    /// Logs and counts a call that isn't passed on to a queue; `None` stands for a queue that the configuration lacks.
+    pub fn log_denied(&self, queue: Option<&Queue>, job: Option<JobKey>, error: AccessError) {
+        let reason = error.label();
         info!(
             target: "decision",
-            "job={} request=route {} choice=refused reason=no_queue",
-            job.map(|job| job.to_compact_string()).unwrap_or_default(), self.config_context()
+            "job={} request=authenticate queue={} {} choice=refused reason={reason}",
+            job.map(|job| job.to_compact_string()).unwrap_or_default(),
+            queue.map_or("none", |queue| queue.name.as_str()), self.config_context()
         );
-        self.count_answer("route", "no_queue");
+        self.count_answer("authenticate", reason);
     }
 
     /// True while every configuration that has to be in force by now has been read.
-    fn is_config_current(&self) -> bool {
+    pub(crate) fn is_config_current(&self) -> bool {
         let limit = self.settings.config_time.saturating_sub(CONFIG_AGE_MARGIN);
         self.operator_topic.age(self.clock.now()).is_some_and(|age| age < limit)
     }
--- a/crates/cj-entry/src/follow.rs
+++ b/crates/cj-entry/src/follow.rs
@@ -13,6 +13,10 @@
 /// Longest time that a read waits for new records.
 const READ_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Longest time that a read of the operator's topic waits. It is shorter because the time of the last answer limits which
+/// requests may be answered, and a lost answer is noticed only after the wait.
+const OPERATOR_READ_WAIT: Duration = Duration::from_millis(800);
+
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
@@ -163,6 +167,13 @@
     }
 }
 
+/// How long a read waits for new records, if the topic was last read completely `age` ago. After a gap it doesn't wait, so
+/// that an empty topic counts as up to date again at once.
+fn read_wait(topic: Topic, age: Option<Duration>) -> Duration {
+    let wait = if topic == Topic::Operator { OPERATOR_READ_WAIT } else { READ_WAIT };
+    if age.is_some_and(|age| age < wait) { wait } else { Duration::ZERO }
+}
+
 /// Reads further records in order, until the store no longer retains the next one.
 async fn tail<P, C, W, F>(
     platform: &P,
@@ -179,7 +190,8 @@
 {
     loop {
         let sent = clock.now();
-        match platform.read(topic, state.next.get(), READ_WAIT).await {
+        let wait = read_wait(topic, state.age(sent));
+        match platform.read(topic, state.next.get(), wait).await {
             Ok(page) => {
                 for record in &page.records {
                     apply(Update::Record { record, in_order: true });
@@ -187,7 +199,7 @@
                 state.next.set(page.next);
                 // Any answer may have been on its way for long. An empty one was made at the end of the wait, so it counts
                 // up to then; one with records counts only up to the time of the request.
-                let waited = if page.records.is_empty() { READ_WAIT } else { Duration::ZERO };
+                let waited = if page.records.is_empty() { wait } else { Duration::ZERO };
                 let caught_up_at = (sent + waited).min(clock.now());
                 let reached = page.next >= page.end;
                 state.record_read(topic, Ok(reached.then_some(caught_up_at)));
--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -149,7 +149,8 @@
 
     /// True when the node can take submissions.
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.config.borrow().is_some() && self.is_current()
+        let has_config = self.config.borrow().is_some() && self.is_config_current();
+        !self.stopping.get() && has_config && self.is_current()
     }
 
     /// True while the topic of the cells is read up to date, or the job log if there is only one cell.
--- a/crates/cj-entry/tests/entry/access.rs
+++ b/crates/cj-entry/tests/entry/access.rs
@@ -91,6 +91,18 @@
     }
 }
 
+/// Guards against a 404 for a queue that was added, and jobs accepted for one that was moved or removed, at a node that can't
+/// read the operator's topic. Without accounts nothing else checks the age of the configuration.
+#[actix_rt::test]
+async fn a_node_without_accounts_answers_only_by_a_current_configuration() {
+    let node = current_node().await;
+    assert_eq!(node.require_current_config(), Ok(()));
+    assert!(node.is_ready());
+    node.clock.advance(node.settings.config_time);
+    assert_eq!(node.require_current_config(), Err(AccessError::OutdatedConfig));
+    assert!(!node.is_ready(), "callers are sent to a node that refuses them");
+}
+
 /// Guards against callers that see, cancel or overwrite jobs of another account, or learn that they exist.
 #[actix_rt::test]
 async fn jobs_of_other_accounts_do_not_exist_for_a_caller() {
