Give up tasks that crash the workers that start them

Cause: the unexpected end of a worker counted for nothing against the tasks on it. mark_lost made them idle again, and they were placed at once beside others; only runs that a worker lists as failed count.

Change: a run that the worker hadn't listed 0.5 s after its start is a suspect when the worker ends and that wasn't planned. Its task then starts alone, on a worker that has just answered, whose other runs have settled, and that gets no new ones meanwhile. After three crashes with the last one alone, or four at all, its job fails. A task that runs on loses the suspicion. The count is in the record of the job's progress, and the start of a suspect is counted before it is sent, so a new owner goes on from there. Releases before this ignore the new field, and their records are read as before.

--- a/crates/cj-sched/src/codec.rs
+++ b/crates/cj-sched/src/codec.rs
@@ -4,7 +4,7 @@
 use compact_str::CompactString;
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::record::{Record, RecordKey, Submission};
+use crate::record::{Record, RecordKey};
 
 /// First byte of each value. It changes when the fields of a record change.
 const FORMAT_VERSION: u8 = 1;
@@ -47,18 +47,23 @@
     }
     match key {
         RecordKey::Submission(job) => {
-            Ok(Record::Submission(job, Box::new(decode_submission(value)?)))
+            Ok(Record::Submission(job, Box::new(decode_extended(value)?)))
+        }
+        RecordKey::Progress(job, number) => {
+            Ok(Record::Progress(job, number, decode_extended(value)?))
         }
-        RecordKey::Progress(job, number) => Ok(Record::Progress(job, number, from_bytes(value)?)),
         RecordKey::Cancel(job) => Ok(Record::Cancel(job, from_bytes(value)?)),
         RecordKey::Wave(number) => Ok(Record::Wave(number, from_bytes(value)?)),
         RecordKey::Owner => Ok(Record::Owner(from_bytes(value)?)),
     }
 }
 
-/// Decodes a submission. One that was stored before accounts existed lacks the last field, whose absent value is encoded
-/// as 0.
-fn decode_submission(value: &[u8]) -> Result<Submission> {
+/// Decodes a body to which a field was added at the end. A value of an earlier release lacks that field, whose absent or empty
+/// value is encoded as 0.
+fn decode_extended<T>(value: &[u8]) -> Result<T>
+where
+    T: DeserializeOwned,
+{
     from_bytes(value).or_else(|error| from_bytes(&[value, &[0]].concat()).map_err(|_| error))
 }
 
--- a/crates/cj-sched/src/job_index.rs
+++ b/crates/cj-sched/src/job_index.rs
@@ -53,7 +53,7 @@
     /// All tasks are done.
     #[display("completed")]
     Completed,
-    /// A task reached its maximum number of failed runs.
+    /// A task reached its maximum number of failed runs, or crashes the workers that start it.
     #[display("failed")]
     Failed,
     /// The caller cancelled the job.
--- a/crates/cj-sched/src/record.rs
+++ b/crates/cj-sched/src/record.rs
@@ -87,7 +87,7 @@
     Open,
     /// All tasks are done.
     Completed,
-    /// A task reached its maximum number of failed runs.
+    /// A task reached its maximum number of failed runs, or crashes the workers that start it.
     Failed,
 }
 
@@ -137,6 +137,20 @@
     pub decided_at: UnixMillis,
     /// Progress by step.
     pub steps: Vec<StepProgress>,
+    /// Runs that may have crashed their workers; tasks without such runs are left out. Records of earlier releases end
+    /// before this field, and earlier releases ignore it.
+    pub crashes: Vec<CrashedRuns>,
+}
+
+/// Runs of one task that may have crashed their workers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedRuns {
+    /// Number of the step.
+    pub step: u32,
+    /// Index of the task in its step.
+    pub index: u32,
+    /// Numbers of the runs.
+    pub runs: Vec<u64>,
 }
 
 /// Progress of a maintenance wave. A request is recorded before its command is sent, because the command may be carried
--- a/crates/cj-sched/src/sched/commands.rs
+++ b/crates/cj-sched/src/sched/commands.rs
@@ -42,6 +42,8 @@
             first_progress: None,
             sample: 0,
             pace: 100,
+            settled: false,
+            crashed: false,
         };
         self.assign(at, placement);
         self.send_start(at);
--- /dev/null
+++ b/crates/cj-sched/src/sched/crash.rs
@@ -0,0 +1,193 @@
+//! Tasks that may crash the workers that start them.
+//!
+//! When a worker ends unexpectedly, each run that it hadn't listed for long enough may be the cause. The task of such a run
+//! starts alone from then on: on a worker that has just answered, whose other runs have all settled, and that gets no new
+//! ones meanwhile. If more workers end under it, its job fails. A task that runs on loses the suspicion.
+
+use std::time::{Duration, Instant};
+
+use log::info;
+
+use crate::sched::{
+    scheduler::Scheduler,
+    work::TaskRef,
+    worker::{Worker, WorkerKey},
+};
+
+/// A run that the worker still lists this long after its start has settled: it doesn't crash the worker.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+
+/// Crashes after which the job of a task fails that was the only possible cause of the last one. Fewer could be chance, since
+/// workers crash for other reasons too.
+const PROOF_CRASHES: usize = 3;
+
+/// Crashes after which a task isn't started again and its job fails, whatever else may have caused them.
+const MAX_CRASHES: usize = 4;
+
+/// How long a task waits after its first crash for a worker where it can start alone, and how long a worker is kept free.
+const ISOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// How long a task waits for such a worker after further crashes, which make it more likely that it is the cause.
+const LONG_ISOLATION_TIMEOUT: Duration = Duration::from_secs(6);
+
+/// A worker that hasn't answered for this long may have ended already. It is listed before a task starts alone there.
+const MAX_ANSWER_AGE: Duration = Duration::from_millis(200);
+
+/// At most one in this many workers of a service, but at least one, is kept free for tasks that start alone.
+const ISOLATION_DIVISOR: usize = 4;
+
+/// A run that had not settled when its worker ended.
+pub(super) struct Suspect {
+    at: TaskRef,
+    run: u64,
+}
+
+impl Scheduler {
+    /// True while a placed run may crash its worker.
+    fn is_unsettled(&self, at: TaskRef) -> bool {
+        self.task(at).placement().is_some_and(|placement| !placement.settled)
+    }
+
+    /// The runs on a worker that may crash it.
+    pub(super) fn unsettled_runs(&self, worker: &Worker) -> Vec<Suspect> {
+        let unsettled = worker.runs.iter().filter(|at| self.is_unsettled(**at));
+        let suspect =
+            |at: &TaskRef| Some(Suspect { at: *at, run: self.task(*at).placement()?.run });
+        unsettled.filter_map(suspect).collect()
+    }
+
+    /// True if a suspected task runs on the worker and hasn't settled, so that each listing counts.
+    pub(super) fn watches_suspect(&self, worker: &Worker) -> bool {
+        let suspected = |at: &TaskRef| !self.task(*at).crashed_runs.is_empty();
+        worker.runs.iter().any(|at| suspected(at) && self.is_unsettled(*at))
+    }
+
+    /// Records that a worker crashed while these runs on it hadn't settled. Fails the jobs of tasks with too many crashes.
+    pub(super) fn record_crash(&mut self, suspects: &[Suspect]) {
+        for &Suspect { at, run } in suspects {
+            if !self.jobs.contains_key(at.job) || !self.needs_run(at) {
+                continue;
+            }
+            let id = self.jobs[at.job].task_id(at);
+            let crashes = self.count_crash(at, run);
+            info!(
+                target: "decision",
+                "task={id} run={run} choice=suspect crashes={crashes} suspects={}", suspects.len()
+            );
+            // The run stays placed while it may still start in the next incarnation.
+            if let Some(placement) = self.task_mut(at).placement_mut() {
+                placement.crashed = true;
+            }
+            let proven = suspects.len() == 1 && crashes >= PROOF_CRASHES;
+            if proven || crashes >= MAX_CRASHES {
+                self.fail_occurrence(at, "crashes", crashes);
+            }
+        }
+    }
+
+    /// Counts a run of a task as one that may have crashed its worker. Returns the number of these runs.
+    fn count_crash(&mut self, at: TaskRef, run: u64) -> usize {
+        let task = self.task_mut(at);
+        if !task.crashed_runs.contains(&run) {
+            task.crashed_runs.push(run);
+            self.mark_changed(at);
+        }
+        self.task(at).crashed_runs.len()
+    }
+
+    /// Counts the start of a suspected task as a crash until the run has settled or is over, since this owner may be gone by
+    /// then. Returns false, and fails the job, if there were too many crashes for one more start.
+    pub(super) fn count_start(&mut self, at: TaskRef, run: u64) -> bool {
+        let crashes = self.task(at).crashed_runs.len();
+        if crashes >= MAX_CRASHES {
+            self.fail_occurrence(at, "crashes", crashes);
+            return false;
+        }
+        if crashes > 0 {
+            self.count_crash(at, run);
+        }
+        true
+    }
+
+    /// Marks a run as settled if the worker listed it, in a listing requested at `sent`, long enough after its start.
+    pub(super) fn settle(&mut self, at: TaskRef, sent: Instant) {
+        let task = self.task_mut(at);
+        let Some(placement) = task.placement_mut() else { return };
+        if placement.settled || sent < placement.started_at + SETTLE_TIME {
+            return;
+        }
+        placement.settled = true;
+        let key = placement.worker;
+        if !task.crashed_runs.is_empty() {
+            task.crashed_runs.clear();
+            self.workers[key].isolated_until = None;
+            self.mark_changed(at);
+            self.place_due = true;
+        }
+    }
+
+    /// True if a task has to start alone.
+    pub(super) fn starts_alone(&self, at: TaskRef) -> bool {
+        let waited = self.now.mono.saturating_duration_since(self.task(at).idle_since);
+        match self.task(at).crashed_runs.len() {
+            0 => false,
+            1 => waited < ISOLATION_TIMEOUT,
+            _ => waited < LONG_ISOLATION_TIMEOUT,
+        }
+    }
+
+    /// Chooses a worker where the task can start alone, and keeps other tasks away from it. If there is none yet, prepares
+    /// one and returns `None`.
+    pub(super) fn choose_isolated_worker(&mut self, at: TaskRef) -> Option<WorkerKey> {
+        let now = self.now.mono;
+        let demand = self.jobs[at.job].step_spec(at.step).allocation();
+        let settled = self.fewest_runs(at, |scheduler, worker| {
+            let unsettled = worker.runs.iter().any(|at| scheduler.is_unsettled(*at));
+            demand.fits(worker.free()) && !unsettled
+        });
+        let Some(key) = settled else {
+            self.isolate_for(at);
+            return None;
+        };
+        let worker = &mut self.workers[key];
+        worker.isolated_until = Some(now + ISOLATION_TIMEOUT);
+        let age = worker.last_answer.map(|answered| now.saturating_duration_since(answered));
+        if age.is_none_or(|age| age > MAX_ANSWER_AGE) {
+            worker.list_by(now);
+            return None;
+        }
+        Some(key)
+    }
+
+    /// Keeps a worker free until its runs have settled or ended, unless too many workers of the service are kept free.
+    fn isolate_for(&mut self, at: TaskRef) {
+        let now = self.now.mono;
+        if !self.may_isolate(at) {
+            return;
+        }
+        let Some(key) = self.fewest_runs(at, |_, worker| !worker.is_isolated(now)) else { return };
+        let worker = &mut self.workers[key];
+        worker.isolated_until = Some(now + ISOLATION_TIMEOUT);
+        info!(target: "decision", "worker={} choice=isolate", worker.id);
+    }
+
+    /// The worker with the fewest runs of those that may run the task and meet the condition.
+    fn fewest_runs<F>(&self, at: TaskRef, condition: F) -> Option<WorkerKey>
+    where
+        F: Fn(&Scheduler, &Worker) -> bool,
+    {
+        let view = self.isolated_view(at);
+        let eligible = self.workers.iter().filter(|(key, worker)| {
+            self.is_eligible(&view, *key, worker) && condition(self, worker)
+        });
+        eligible.min_by_key(|(_, worker)| worker.runs.len()).map(|(key, _)| key)
+    }
+
+    /// True if one more worker of the task's service may be kept free.
+    fn may_isolate(&self, at: TaskRef) -> bool {
+        let service = self.service_of(&self.jobs[at.job].submission);
+        let workers = self.workers.values().filter(|worker| worker.service == *service);
+        let isolated = workers.clone().filter(|worker| worker.is_isolated(self.now.mono)).count();
+        isolated < (workers.count() / ISOLATION_DIVISOR).max(1)
+    }
+}
--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -139,6 +139,10 @@
         evidence: IncarnationEvidence,
     ) {
         self.refund_orphans(key);
+        let worker = &self.workers[key];
+        let planned =
+            evidence == IncarnationEvidence::ShutDown || worker.draining || worker.vm_draining;
+        let suspects = if planned { Vec::new() } else { self.unsettled_runs(worker) };
         let worker = &mut self.workers[key];
         let runs = worker.runs.clone();
         info!(
@@ -153,6 +157,7 @@
                 self.mark_lost(at, RunEvidence::IncarnationEnded);
             }
         }
+        self.record_crash(&suspects);
     }
 
     /// Records that a run ended without a listed end; its task becomes idle.
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -44,6 +44,7 @@
             .collect();
         for key in due {
             let finite = self.workers[key].reconciled && self.has_finite_run(key);
+            let watched = self.watches_suspect(&self.workers[key]);
             let worker = &mut self.workers[key];
             worker.listing_pending = true;
             worker.next_listing = None;
@@ -52,7 +53,7 @@
                 worker.reconciled && worker.missed_listings == 0 && !worker.runs.is_empty();
             let lease_end = if renews { worker.grant_lease(now, limit, max_lease) } else { None };
             worker.ends_acknowledged = worker.ends_durable;
-            let wait = if finite { LISTING_WAIT } else { Default::default() };
+            let wait = if finite && !watched { LISTING_WAIT } else { Default::default() };
             let acknowledged = worker.ends_durable;
             self.actions.push(Action::List {
                 target: worker.target(),
@@ -128,6 +129,7 @@
             if self.is_unread(&row.task) {
                 unread = Some(row.task);
             } else if let Some(at) = self.read_run(key, row) {
+                self.settle(at, sent);
                 listed_tasks.insert(at);
             }
         }
@@ -169,6 +171,7 @@
         let unread = self.workers[key].unread_submission;
         let frequent = orphans
             || unread
+            || self.watches_suspect(&self.workers[key])
             || self.has_finite_run(key)
             || self.workers[key].runs.iter().any(stopping);
         let starting_up = self.workers[key].runs.iter().any(starting);
@@ -253,6 +256,9 @@
             first_progress: None,
             sample: row.sample,
             pace: 100,
+            // It was started before the earlier owner was replaced.
+            settled: self.task(at).crashed_runs.is_empty(),
+            crashed: false,
         };
         self.task_mut(at).checkpoint = row.checkpoint;
         self.assign(at, placement);
@@ -393,21 +399,31 @@
             return;
         }
         task.failed_runs.push(run);
-        let failures = task.failed_runs.len() as u32;
+        let failures = task.failed_runs.len();
         self.mark_changed(at);
+        if failures >= max_attempts as usize {
+            self.fail_occurrence(at, "attempts", failures);
+        }
+    }
+
+    /// Fails the occurrence of a task and its job, unless it is decided already. `count` is the number of the task's
+    /// `cause`, such as failed attempts.
+    pub(super) fn fail_occurrence(&mut self, at: TaskRef, cause: &str, count: usize) {
         let occurrence = &mut self.jobs[at.job].occurrences[at.occurrence as usize];
-        if failures >= max_attempts && occurrence.outcome == Outcome::Open {
-            occurrence.outcome = Outcome::Failed;
-            occurrence.decided_at = self.now.wall;
-            let job = self.jobs[at.job].key;
-            info!(target: "decision", "job={job} choice=failed attempts={failures}");
-            self.write.expedite();
-            self.stop_job(at.job);
+        if occurrence.outcome != Outcome::Open {
+            return;
         }
+        occurrence.outcome = Outcome::Failed;
+        occurrence.decided_at = self.now.wall;
+        let job = self.jobs[at.job].key;
+        info!(target: "decision", "job={job} choice=failed {cause}={count}");
+        self.mark_changed(at);
+        self.write.expedite();
+        self.stop_job(at.job);
     }
 
     /// Marks an occurrence as changed, where an acknowledgement waits for the write.
-    fn mark_changed(&mut self, at: TaskRef) {
+    pub(super) fn mark_changed(&mut self, at: TaskRef) {
         let occurrence = &mut self.jobs[at.job].occurrences[at.occurrence as usize];
         occurrence.dirty = true;
         self.write.schedule(at.job, at.occurrence, self.now.mono, true);
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -4,6 +4,7 @@
 mod balance;
 mod commands;
 mod compact;
+mod crash;
 mod demand;
 mod ended_jobs;
 mod estimate;
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -51,7 +51,7 @@
 }
 
 /// Constraints of a step, and where its tasks already run.
-struct StepView<'a> {
+pub(super) struct StepView<'a> {
     spec: &'a StepSpec,
     service: &'a ServiceId,
     by_worker: HashMap<WorkerKey, u32>,
@@ -61,6 +61,8 @@
     by_rack: HashMap<CompactString, u32>,
     /// Workers whose VMs are due for maintenance; empty unless the step is long-running.
     due: HashSet<WorkerKey>,
+    /// Also workers that are kept free for tasks that start alone.
+    isolated: bool,
 }
 
 /// Cost of placing a task on a worker. Lower is better; compared field by field.
@@ -212,13 +214,22 @@
             if !self.cap_allows(at, 1) {
                 return true;
             }
-            let Some(key) = self.choose_worker(at) else {
+            let alone = self.starts_alone(at);
+            let chosen =
+                if alone { self.choose_isolated_worker(at) } else { self.choose_worker(at) };
+            let Some(key) = chosen else {
+                if alone {
+                    continue;
+                }
                 if self.jobs[at.job].step_spec(at.step).long_running {
                     self.make_room(at);
                 }
                 return false;
             };
             let run = self.next_run(at);
+            if !self.count_start(at, run) {
+                return true;
+            }
             self.log_start(at, key, run);
             self.start_run(at, key, run);
         }
@@ -250,6 +261,9 @@
         let members = || (0..count).map(|index| TaskRef { index, ..at });
         let run = members().map(|member| self.next_run(member)).max().unwrap_or_default();
         let Some(chosen) = self.choose_gang(at, count) else { return false };
+        if !members().all(|member| self.count_start(member, run)) {
+            return true;
+        }
         for (member, key) in members().zip(chosen) {
             self.log_start(member, key, run);
             self.start_run(member, key, run);
@@ -300,6 +314,11 @@
         (chosen.len() as u32 == count).then_some(chosen)
     }
 
+    /// As [`Self::step_view`], for a task that starts alone.
+    pub(super) fn isolated_view(&self, at: TaskRef) -> StepView<'_> {
+        StepView { isolated: true, ..self.step_view(at) }
+    }
+
     fn step_view(&self, at: TaskRef) -> StepView<'_> {
         let job = &self.jobs[at.job];
         let spec = job.step_spec(at.step);
@@ -325,6 +344,7 @@
             avoid,
             by_rack,
             due: if spec.long_running { self.maintenance_due_workers() } else { HashSet::new() },
+            isolated: false,
         }
     }
 
@@ -343,10 +363,11 @@
     }
 
     /// True if the worker meets the constraints of the step, whatever its free capacity.
-    fn is_eligible(&self, view: &StepView<'_>, key: WorkerKey, worker: &Worker) -> bool {
+    pub(super) fn is_eligible(&self, view: &StepView<'_>, key: WorkerKey, worker: &Worker) -> bool {
         let spec = view.spec;
         worker.service == *view.service
             && worker.accepts_tasks(self.now.mono)
+            && (view.isolated || !worker.is_isolated(self.now.mono))
             && spec.requires.as_ref().is_none_or(|label| worker.has_label(label))
             && spec.spread.is_none_or(|most| view.by_worker.get(&key).is_none_or(|n| *n < most))
             && view.allowed.as_ref().is_none_or(|allowed| allowed.contains(&key))
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -369,11 +369,21 @@
             }
         }
         task.idle_since = now;
+        let suspected = !task.crashed_runs.is_empty();
+        if suspected && !placement.crashed {
+            task.crashed_runs.retain(|run| *run != placement.run);
+        }
         job.active_runs -= 1;
         if let Some(worker) = self.workers.get_mut(placement.worker) {
+            if suspected {
+                worker.isolated_until = None;
+            }
             worker.used = worker.used.minus(demand);
             worker.runs.retain(|run| *run != at);
         }
+        if suspected {
+            self.mark_changed(at);
+        }
         self.place_due = true;
     }
 
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     job::{JobKey, JobSpec, StepSpec, TaskId},
-    record::{Failures, Outcome, Progress, StepProgress, Submission},
+    record::{CrashedRuns, Failures, Outcome, Progress, StepProgress, Submission},
     sched::{event::Ticket, ledger::AccountSlot, worker::WorkerKey},
 };
 
@@ -63,6 +63,10 @@
     pub(super) sample: u32,
     /// Percentage of its speed to which the run is limited.
     pub(super) pace: u8,
+    /// The worker listed it long enough after its start that it doesn't count as the cause of a crash.
+    pub(super) settled: bool,
+    /// The worker crashed under it.
+    pub(super) crashed: bool,
 }
 
 /// Phase of a task.
@@ -79,6 +83,8 @@
     pub(super) phase: Phase,
     /// Numbers of the failed runs.
     pub(super) failed_runs: Vec<u64>,
+    /// Numbers of the runs that may have crashed their workers, since the last one that settled.
+    pub(super) crashed_runs: Vec<u64>,
     /// Highest run number used so far.
     pub(super) last_run: u64,
     pub(super) checkpoint: CompactString,
@@ -93,6 +99,7 @@
         Task {
             phase: Phase::Idle,
             failed_runs: Vec::new(),
+            crashed_runs: Vec::new(),
             last_run: 0,
             checkpoint: CompactString::default(),
             idle_since: now,
@@ -169,9 +176,16 @@
             let recorded = progress.and_then(|progress| progress.steps.get(at));
             restore_step(step, recorded, now)
         };
+        let mut steps: Vec<Step> = spec.steps.iter().enumerate().map(restore).collect();
+        for crashed in progress.iter().flat_map(|progress| &progress.crashes) {
+            let step = steps.get_mut(crashed.step as usize);
+            if let Some(task) = step.and_then(|step| step.tasks.get_mut(crashed.index as usize)) {
+                task.crashed_runs = crashed.runs.clone();
+            }
+        }
         Occurrence {
             due: spec.schedule.map(|schedule| schedule.due(number)),
-            steps: spec.steps.iter().enumerate().map(restore).collect(),
+            steps,
             started: progress.is_some_and(|progress| progress.started),
             outcome: progress.map_or(Outcome::Open, |progress| progress.outcome),
             decided_at: progress.map_or(UnixMillis::default(), |progress| progress.decided_at),
@@ -186,7 +200,22 @@
             outcome: self.outcome,
             decided_at: self.decided_at,
             steps: self.steps.iter().map(step_progress).collect(),
+            crashes: self.crashes(),
+        }
+    }
+
+    /// The tasks that may have crashed workers.
+    fn crashes(&self) -> Vec<CrashedRuns> {
+        let mut crashes = Vec::new();
+        for (number, step) in self.steps.iter().enumerate() {
+            for (index, task) in step.tasks.iter().enumerate() {
+                if !task.crashed_runs.is_empty() {
+                    let runs = task.crashed_runs.clone();
+                    crashes.push(CrashedRuns { step: number as u32, index: index as u32, runs });
+                }
+            }
         }
+        crashes
     }
 
     /// True when all steps that `step` depends on are done.
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -82,6 +82,8 @@
     pub(super) vm_draining: bool,
     /// It is reserved for a long-running task until then.
     pub(super) reserved_until: Option<Instant>,
+    /// It is kept free until then for a task that may have crashed workers.
+    pub(super) isolated_until: Option<Instant>,
     /// Moving average of its run times in multiples of the expected ones; above 1 it is slower than other workers.
     pub(super) slowness: f32,
     /// Percentage of their speed to which best-effort tasks on it are limited.
@@ -126,6 +128,7 @@
             failures: 0,
             vm_draining: false,
             reserved_until: None,
+            isolated_until: None,
             slowness: 1.0,
             pace: 100,
             pace_changed: None,
@@ -160,6 +163,7 @@
         self.pace = 100;
         self.vm_draining = false;
         self.reserved_until = None;
+        self.isolated_until = None;
         self.missed_listings = 0;
         self.next_listing = Some(now);
     }
@@ -202,6 +206,11 @@
         self.reconciled && !self.unread_submission
     }
 
+    /// True while it is kept free for a task that may have crashed workers.
+    pub(super) fn is_isolated(&self, now: Instant) -> bool {
+        self.isolated_until.is_some_and(|until| now < until)
+    }
+
     /// True when it may get new tasks.
     pub(super) fn accepts_tasks(&self, now: Instant) -> bool {
         self.registered
--- a/crates/cj-sched/tests/records.rs
+++ b/crates/cj-sched/tests/records.rs
@@ -2,7 +2,7 @@
 
 use cj_sched::{
     JobKey, Progress, Record, RecordKey, StepProgress, codec,
-    record::{Failures, Outcome, OwnerHeartbeat, ServiceLoad, WaveProgress},
+    record::{CrashedRuns, Failures, Outcome, OwnerHeartbeat, ServiceLoad, WaveProgress},
 };
 use cj_types::{Millicores, NodeId, ServiceId, UnixMillis, VmId};
 use quickcheck::quickcheck;
@@ -23,6 +23,7 @@
         outcome: Outcome::Failed,
         decided_at: UnixMillis(5),
         steps: vec![step],
+        crashes: vec![CrashedRuns { step: 1, index: 4, runs: vec![9] }],
     };
     assert_round_trip(&Record::Progress(JobKey(17), 2, progress));
     assert_round_trip(&Record::Cancel(JobKey(17), UnixMillis(6)));
@@ -40,6 +41,39 @@
     assert_round_trip(&Record::Drop(RecordKey::Cancel(JobKey(1))));
 }
 
+/// Guards against progress that is lost when owners of this and of the earlier release take turns.
+#[test]
+fn progress_is_read_across_releases() {
+    /// The fields of the earlier release.
+    #[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+    struct EarlierProgress {
+        started: bool,
+        outcome: Outcome,
+        decided_at: UnixMillis,
+        steps: Vec<StepProgress>,
+    }
+    let mut step = StepProgress::default();
+    step.set_done(2);
+    let earlier = EarlierProgress {
+        started: true,
+        outcome: Outcome::Open,
+        decided_at: UnixMillis(5),
+        steps: vec![step.clone()],
+    };
+    let read = codec::decode("p0000000000000011.0", &codec::to_bytes(&earlier)).unwrap();
+    let mut progress = Progress {
+        started: true,
+        decided_at: UnixMillis(5),
+        steps: vec![step],
+        ..Progress::default()
+    };
+    assert_eq!(read, Record::Progress(JobKey(17), 0, progress.clone()));
+
+    progress.crashes.push(CrashedRuns { step: 0, index: 1, runs: vec![7, 8] });
+    let written = codec::encode(&Record::Progress(JobKey(17), 0, progress));
+    assert_eq!(codec::from_bytes::<EarlierProgress>(&written).unwrap(), earlier);
+}
+
 quickcheck! {
     /// Guards against a node that panics on a record of another writer.
     fn any_bytes_decode_or_return_an_error(key: String, value: Vec<u8>) -> bool {
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -55,6 +55,8 @@
     ReadOverflow { owner: usize },
     /// The owner with this fencing token writes its marker into the overflow log.
     MarkOverflow { epoch: u64 },
+    /// The worker at this index starts again.
+    Restart { worker: usize },
     /// The owner's batch of records with this number reaches the store.
     Append { owner: usize, number: u64, records: Vec<Record> },
 }
@@ -142,6 +144,8 @@
     pub(crate) caps: Caps,
     /// Policies of the schedulers of later takeovers.
     pub(crate) policies: Policies,
+    /// Tasks that crash the workers that start them, with the number of their starts so far.
+    pub(crate) deadly: HashMap<TaskId, u32>,
 }
 
 pub(crate) fn service(name: &str) -> ServiceId {
@@ -209,6 +213,7 @@
             pool_vm_ms: 0,
             caps: Caps::default(),
             policies: Policies::default(),
+            deadly: HashMap::new(),
         }
     }
 
@@ -355,6 +360,7 @@
                     (None, None) => {}
                 }
             }
+            SimEvent::Restart { worker } => self.restart(worker),
             SimEvent::Append { owner, number, records } => {
                 self.append_records(owner, number, records)
             }
@@ -472,6 +478,9 @@
                         delayed,
                     );
                 }
+                if result == Ok(true) && self.crash_on_start(index, command.task) {
+                    return None;
+                }
                 let answer = command_answer(result.map(drop));
                 Some(Event::Started(target.worker, command.task, command.run, answer))
             }
@@ -513,6 +522,20 @@
         }
     }
 
+    /// Crashes the worker if it has started a deadly task; it is back after 3 s. Returns true if the start isn't answered.
+    fn crash_on_start(&mut self, worker: usize, task: TaskId) -> bool {
+        let Some(starts) = self.deadly.get_mut(&task) else { return false };
+        *starts += 1;
+        self.crash_for(worker, 3_000);
+        self.rng.random_bool(0.5)
+    }
+
+    /// Crashes a worker, which starts again after `ms`.
+    pub(crate) fn crash_for(&mut self, worker: usize, ms: u64) {
+        self.crash(worker);
+        self.schedule(ms, SimEvent::Restart { worker });
+    }
+
     fn maintain(&mut self, vm: VmId, wave: u64, delayed: bool) -> Event {
         let index = self.workers.iter().position(|worker| worker.vm == vm).unwrap();
         if !self.workers[index].alive {
