Judge an owner's silence by what was read, not by the clock

A node counted the owner's silence up to now, also while its own read of the log was unanswered, and claimed the cell.

Change: the silence counts from the last heartbeat to the end of what was read completely. Reads that go unanswered say nothing about the owner.

an_owner_is_not_replaced_while_reads_go_unanswered failed before; an_owner_without_heartbeats_is_replaced passes before and after.

--- a/crates/cj-entry/src/claim.rs
+++ b/crates/cj-entry/src/claim.rs
@@ -213,8 +213,9 @@
     if weak && member.is_home { usual + WEAK_NODE_DELAY } else { usual }
 }
 
-/// Time since the owner's last heartbeat was read; `None` when the cell has no owner. `loaded_at` is the time at which
-/// the jobs were loaded, which counts if no heartbeat was read since.
+/// Time from the owner's last heartbeat to the end of what this node has read; `None` when the cell has no owner. While reads go
+/// unanswered, it says nothing about the owner and doesn't grow. `loaded_at` is the time at which the jobs were loaded, which
+/// counts if no heartbeat was read since.
 fn owner_silence<P, C>(member: &CellMember<P, C>, loaded_at: Instant) -> Option<Duration>
 where
     P: Platform,
@@ -227,7 +228,8 @@
         return None;
     }
     let last_heartbeat = member.last_heartbeat.get().unwrap_or(loaded_at);
-    Some(node.clock.now().saturating_duration_since(last_heartbeat))
+    let read_until = member.job_log.read_until().unwrap_or(last_heartbeat);
+    Some(read_until.saturating_duration_since(last_heartbeat))
 }
 
 /// Silence after which an owner may be replaced, at the given append latency.
--- a/crates/cj-entry/src/follow.rs
+++ b/crates/cj-entry/src/follow.rs
@@ -82,6 +82,11 @@
         self.caught_up_at.get().map(|at| now.saturating_duration_since(at))
     }
 
+    /// Time before which all records have been read; `None` before the first complete read.
+    pub(crate) fn read_until(&self) -> Option<Instant> {
+        self.caught_up_at.get()
+    }
+
     /// True when all records appended before `moment` have been read.
     pub(crate) fn is_read_until(&self, moment: Instant) -> bool {
         self.loaded.get() && self.caught_up_at.get().is_some_and(|at| at >= moment)
--- a/crates/cj-entry/tests/entry/main.rs
+++ b/crates/cj-entry/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod api;
 mod cells;
+mod claim;
 mod follow;
 mod layout;
 mod logging;
