--- a/crates/cj-sched/src/sched/crash.rs
+++ b/crates/cj-sched/src/sched/crash.rs
@@ -135,8 +135,10 @@
 
     /// True if a task has to start alone.
     pub(super) fn starts_alone(&self, at: TaskRef) -> bool {
-        let waited = self.now.mono.saturating_duration_since(self.task(at).idle_since);
-        match self.task(at).crashed_runs.len() {
+        let task = self.task(at);
+        let waited = self.now.mono.saturating_duration_since(task.idle_since);
+        // The next run is counted already, but hasn't started.
+        match task.crashed_runs.iter().filter(|run| **run <= task.last_run).count() {
             0 => false,
             1 => waited < ISOLATION_TIMEOUT,
             _ => waited < LONG_ISOLATION_TIMEOUT,
