--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -4,12 +4,11 @@
 //! finds no room first gets a worker reserved; if it keeps waiting, finite tasks there are preempted.
 
 use std::{
-    cmp::Reverse,
     collections::{HashMap, HashSet},
     time::Duration,
 };
 
-use cj_types::{Resources, ServiceId};
+use cj_types::ServiceId;
 use compact_str::CompactString;
 use log::info;
 
@@ -20,9 +19,9 @@
         ledger::Charge,
         rank::{Rank, Timeliness, rank, submission_rank},
         scheduler::Scheduler,
-        settings::{MAX_BLOCKED_STEPS, PREEMPTION_DELAY},
+        settings::MAX_BLOCKED_STEPS,
         share::PoolShares,
-        work::{Job, JobSlot, Stage, TaskRef},
+        work::{Job, JobSlot, TaskRef},
         worker::{Worker, WorkerKey},
     },
 };
@@ -33,9 +32,6 @@
 /// Shortest time between two placement passes.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(4);
 
-/// How long a worker is reserved for long-running tasks.
-const RESERVATION_TIME: Duration = Duration::from_millis(1_500);
-
 /// Width of a slowness band, in multiples of the usual run time. Workers in the same band count as equally fast: single run
 /// times differ by a third, and tasks have to fill up few workers so that the VMs of the others can return to the spare pool.
 const SLOWNESS_BAND: f32 = 1.4;
@@ -52,7 +48,7 @@
 
 /// Constraints of a step, and where its tasks already run.
 pub(super) struct StepView<'a> {
-    spec: &'a StepSpec,
+    pub(super) spec: &'a StepSpec,
     service: &'a ServiceId,
     by_worker: HashMap<WorkerKey, u32>,
     /// Workers with a ticket for the step; `None` if its queue needs no advice.
@@ -320,7 +316,7 @@
         StepView { isolated: true, ..self.step_view(at) }
     }
 
-    fn step_view(&self, at: TaskRef) -> StepView<'_> {
+    pub(super) fn step_view(&self, at: TaskRef) -> StepView<'_> {
         let job = &self.jobs[at.job];
         let spec = job.step_spec(at.step);
         let step = &job.occurrences[at.occurrence as usize].steps[at.step as usize];
@@ -429,72 +425,4 @@
         };
         worker.runs.iter().filter(conflicts).count() as u32
     }
-
-    /// Reserves the worker where the least has to be freed for a long-running task. Once the task has waited long enough,
-    /// preempts finite tasks of the same or a lower priority there.
-    fn make_room(&mut self, at: TaskRef) {
-        let now = self.now.mono;
-        let waited = now.saturating_duration_since(self.task(at).idle_since);
-        let Some((key, missing)) = self.cheapest_to_free(at) else { return };
-        self.workers[key].reserved_until = Some(now + RESERVATION_TIME);
-        let is_stopping = |run: &TaskRef| {
-            self.task(*run).placement().is_some_and(|placed| placed.stage == Stage::Stopping)
-        };
-        if !self.policies.preempt
-            || waited < PREEMPTION_DELAY
-            || self.workers[key].runs.iter().any(is_stopping)
-        {
-            return;
-        }
-        self.preempt(at, key, missing);
-    }
-
-    /// The eligible worker where the least has to be freed, and what is missing there. Long-running tasks aren't preempted,
-    /// so only what finite tasks use can be freed.
-    fn cheapest_to_free(&self, at: TaskRef) -> Option<(WorkerKey, Resources)> {
-        let view = self.step_view(at);
-        let demand = view.spec.allocation();
-        let eligible =
-            self.workers.iter().filter(|(key, worker)| self.is_eligible(&view, *key, worker));
-        let missing = eligible.map(|(key, worker)| (key, demand.minus(worker.free())));
-        let can_free = |(key, missing): &(WorkerKey, Resources)| {
-            missing.fits(self.finite_usage(&self.workers[*key]))
-        };
-        missing.filter(can_free).min_by_key(|(_, missing)| (missing.cores, missing.memory))
-    }
-
-    /// Resources used by the finite tasks of a worker.
-    fn finite_usage(&self, worker: &Worker) -> Resources {
-        let specs = worker.runs.iter().map(|at| self.jobs[at.job].step_spec(at.step));
-        let finite = specs.filter(|spec| !spec.long_running).map(StepSpec::allocation);
-        finite.fold(Resources::default(), Resources::plus)
-    }
-
-    /// Stops finite tasks of a worker for a long-running one: those with checkpoints first, then the most recent ones.
-    fn preempt(&mut self, preemptor: TaskRef, key: WorkerKey, missing: Resources) {
-        let priority = self.jobs[preemptor.job].submission.priority;
-        let mut runs: Vec<(bool, Reverse<std::time::Instant>, TaskRef)> = Vec::new();
-        for &at in &self.workers[key].runs {
-            let job = &self.jobs[at.job];
-            let spec = job.step_spec(at.step);
-            let Some(placed) = self.task(at).placement() else { continue };
-            if !spec.long_running && !spec.gang && job.submission.priority >= priority {
-                runs.push((!spec.checkpoints, Reverse(placed.started_at), at));
-            }
-        }
-        if runs.is_empty() {
-            return;
-        }
-        let id = self.jobs[preemptor.job].task_id(preemptor);
-        info!(target: "decision", "task={id} worker={} choice=preempt missing=\"{missing}\"", self.workers[key].id);
-        runs.sort_by_key(|run| (run.0, run.1));
-        let mut freed = Resources::default();
-        for (_, _, at) in runs {
-            if missing.fits(freed) {
-                break;
-            }
-            freed = freed.plus(self.jobs[at.job].step_spec(at.step).allocation());
-            self.stop_run(at);
-        }
-    }
 }
