--- a/crates/cj-sched/tests/sim/crashes.rs
+++ b/crates/cj-sched/tests/sim/crashes.rs
@@ -38,6 +38,24 @@
     }
 }
 
+/// Submits the healthy jobs, `pause` ms apart. `between` is called before each pause.
+fn submit_healthy<F>(world: &mut World, pause: u64, mut between: F)
+where
+    F: FnMut(&mut World, u64),
+{
+    for key in 0..HEALTHY_JOBS {
+        world.submit(key, "red", vec![step(6, 2_000, 800)]);
+        between(world, key);
+        world.run_for(pause);
+    }
+}
+
+fn assert_healthy_completed(world: &World, seed: u64) {
+    for key in 0..HEALTHY_JOBS {
+        assert_eq!(state(world, key), JobState::Completed, "seed {seed}, job {key}");
+    }
+}
+
 fn assert_given_up(world: &World, seed: u64) {
     for (task, starts) in &world.deadly {
         assert!(*starts <= MAX_STARTS, "seed {seed}: {task} was started {starts} times");
@@ -50,18 +68,14 @@
 fn a_task_that_crashes_its_workers_is_given_up() {
     for seed in 0..20 {
         let mut world = world_with_workers(seed);
-        for key in 0..HEALTHY_JOBS {
-            world.submit(key, "red", vec![step(6, 2_000, 800)]);
-            world.run_for(120);
+        submit_healthy(&mut world, 120, |world, key| {
             if key == HEALTHY_JOBS / 4 {
-                submit_deadly(&mut world);
+                submit_deadly(world);
             }
-        }
+        });
         world.run_for(20_000);
         assert_given_up(&world, seed);
-        for key in 0..HEALTHY_JOBS {
-            assert_eq!(state(&world, key), JobState::Completed, "seed {seed}, job {key}");
-        }
+        assert_healthy_completed(&world, seed);
     }
 }
 
@@ -101,17 +115,13 @@
 fn crashes_of_other_causes_fail_no_job() {
     for seed in 0..20 {
         let mut world = world_with_workers(seed);
-        for key in 0..HEALTHY_JOBS {
-            world.submit(key, "red", vec![step(6, 2_000, 800)]);
+        submit_healthy(&mut world, 1_000, |world, _| {
             let worker = world.rng.random_range(0..world.workers.len());
             if world.workers[worker].alive {
                 world.crash_for(worker, 1_000);
             }
-            world.run_for(1_000);
-        }
+        });
         world.run_for(20_000);
-        for key in 0..HEALTHY_JOBS {
-            assert_eq!(state(&world, key), JobState::Completed, "seed {seed}, job {key}");
-        }
+        assert_healthy_completed(&world, seed);
     }
 }
--- a/crates/cj-sched/tests/sim/decisions.rs
+++ b/crates/cj-sched/tests/sim/decisions.rs
@@ -80,18 +80,8 @@
             worker: Some(WorkerId(format!("w{n}").into())),
         });
         for (n, rack) in racks.iter().enumerate() {
-            let id = WorkerId(format!("w{n}").into());
-            harness.workers.push(id.clone());
-            harness.handle(Event::Registered(WorkerRegistration {
-                id,
-                started_at: Some(1),
-                service: service("red"),
-                address: "127.0.0.1:1".into(),
-                capacity: resources(8_000, 64_000),
-                labels: vec!["a".into(), (*rack).into()],
-                draining: false,
-                remaining: None,
-            }));
+            harness.workers.push(WorkerId(format!("w{n}").into()));
+            harness.register(n, rack, 8_000);
         }
         harness.vm_rows = rows.collect();
         let rows = Event::VmsListed(start, harness.vm_rows.clone());
@@ -102,6 +92,20 @@
         harness
     }
 
+    /// Registers a worker with this capacity in millicores.
+    pub(crate) fn register(&mut self, worker: usize, rack: &str, cores: u32) {
+        self.handle(Event::Registered(WorkerRegistration {
+            id: self.workers[worker].clone(),
+            started_at: Some(1),
+            service: service("red"),
+            address: "127.0.0.1:1".into(),
+            capacity: resources(cores, 64_000),
+            labels: vec!["a".into(), rack.into()],
+            draining: false,
+            remaining: None,
+        }));
+    }
+
     pub(crate) fn now(&self) -> Now {
         let passed = Duration::from_millis(self.elapsed_ms);
         Now { mono: self.start + passed, wall: UnixMillis(START_UNIX_MS) + passed }
