--- a/crates/cj-sched/src/sched/crash.rs
+++ b/crates/cj-sched/src/sched/crash.rs
@@ -14,7 +14,7 @@
     worker::{Worker, WorkerKey},
 };
 
-/// A run that the worker still lists this long after its start has settled: it doesn't crash the worker.
+/// A run that the worker still lists this long after its start has settled: it counts as harmless to the worker.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
 /// Crashes after which the job of a task fails that was the only possible cause of the last one. Fewer could be chance, since
@@ -33,7 +33,8 @@
 /// A worker that hasn't answered for this long may have ended already. It is listed before a task starts alone there.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(200);
 
-/// At most one in this many workers of a service, but at least one, is kept free for tasks that start alone.
+/// While no worker without unsettled runs is left, at most one in this many workers of a service, but at least one, is kept
+/// free until its runs have settled.
 const ISOLATION_DIVISOR: usize = 4;
 
 /// A run that had not settled when its worker ended.
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -57,7 +57,7 @@
     by_rack: HashMap<CompactString, u32>,
     /// Workers whose VMs are due for maintenance; empty unless the step is long-running.
     due: HashSet<WorkerKey>,
-    /// Also workers that are kept free for tasks that start alone.
+    /// The task starts alone, so that workers kept free for such tasks are eligible too.
     isolated: bool,
 }
 
