Isolate the suspects of an earlier owner

What callers could see: after a takeover, a task with recorded crashes starts beside others and takes them with it once more.

Cause: told the next run from those that had crashed by the last run number, which a new owner doesn't know: it is 0, so no recorded crash counted.

Change: the next run itself is left out, by its number.

a_suspect_of_an_earlier_owner_starts_alone failed before. Tests of cj-sched pass (48 in the simulation).

--- a/crates/cj-sched/src/sched/crash.rs
+++ b/crates/cj-sched/src/sched/crash.rs
@@ -139,7 +139,8 @@
         let task = self.task(at);
         let waited = self.now.mono.saturating_duration_since(task.idle_since);
         // The next run is counted already, but hasn't started.
-        match task.crashed_runs.iter().filter(|run| **run <= task.last_run).count() {
+        let next = self.next_run(at);
+        match task.crashed_runs.iter().filter(|run| **run != next).count() {
             0 => false,
             1 => waited < ISOLATION_TIMEOUT,
             _ => waited < LONG_ISOLATION_TIMEOUT,
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -244,7 +244,7 @@
         );
     }
 
-    fn next_run(&self, at: TaskRef) -> u64 {
+    pub(super) fn next_run(&self, at: TaskRef) -> u64 {
         (self.task(at).last_run + 1).max(self.epoch << RUN_NUMBER_BITS)
     }
 
--- a/crates/cj-sched/tests/sim/crashes.rs
+++ b/crates/cj-sched/tests/sim/crashes.rs
@@ -1,9 +1,12 @@
 //! Tasks that crash the workers that start them, and healthy tasks on workers that crash.
 
-use cj_sched::{JobKey, JobState, TaskId};
+use cj_sched::{Action, Event, JobKey, JobState, Progress, TaskId, record::CrashedRuns};
 use rand::Rng;
 
-use crate::world::{World, step};
+use crate::{
+    decisions::{Harness, starts},
+    world::{World, step},
+};
 
 /// Most starts of a task that crashes its workers: after three crashes it may be started twice more.
 const MAX_STARTS: u32 = 5;
@@ -109,6 +112,28 @@
     }
 }
 
+/// Guards against a new owner that starts a task beside others although its crashes under an earlier owner are recorded.
+#[test]
+fn a_suspect_of_an_earlier_owner_starts_alone() {
+    let mut harness = Harness::new(&["r0", "r1"], None);
+    harness.submit(1, vec![step(1, 1_000, 60_000)], None);
+    let busy = starts(&harness.poll_after(10))[0].0.worker.clone();
+    let crashes = vec![CrashedRuns { step: 0, index: 0, runs: vec![7] }];
+    let recorded = vec![Progress { started: true, crashes, ..Progress::default() }];
+    harness.submit_with_progress(2, vec![step(1, 1_000, 60_000)], None, recorded);
+    let mut chosen = None;
+    for _ in 0..6 {
+        for action in harness.poll_after(20) {
+            match action {
+                Action::Write(number, _) => harness.handle(Event::Written(number)),
+                Action::Start(target, _) => chosen = Some(target.worker),
+                _ => {}
+            }
+        }
+    }
+    assert!(chosen.is_some_and(|worker| worker != busy));
+}
+
 /// Guards against healthy jobs that are shown as failed because workers crashed under them for other reasons. One of the twelve
 /// workers is down at any time.
 #[test]
