--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,54 +1,84 @@
-"""One job of many independent steps stops the work of the whole fleet.
+"""Starts of a cancelled job wait in the owner's queue of orders and are sent seconds after the cancelling.
 
-Rule LOST: `finish_s` after the end of the traffic a job has nothing running for 3 s while a task's turn has come, there is
-capacity for it twice over, and under half of the service's capacity is in use; the same for each task that lasts, from 6 s
-after its last run.
+Rule UNASKED: a machine in touch starts a task later than `cancel_ms` after the job's cancelling was acknowledged. Starts that
+the minion carried out late don't count.
 """
 
 import asyncio
 import os
+import random
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import standin
+from standin import now
 
-STEPS = int(os.environ.get("STEPS", "4000"))
-FINISH_S = 14
+SHARE = 0.5
+FOR_S = 5.9
+CANCEL_S = 3.0
+TASKS = 120
 
 
-def ordinary_job():
-    return [{"count": 6, "cpu": 3500, "mem_mb": 512, "est_runtime_ms": 800}]
+class LateOrders:
+    """Minions that leave a share of the orders unanswered for a while and carry them out 2 to 12 s later."""
 
+    def __init__(self, world):
+        self.world, self.until, self.late, self.prompt_starts = world, 0, 0, []
 
-def large_job():
-    """One small task for each of 4,000 cards, near the rack with its data."""
-    return [
-        {"count": 1, "cpu": 500, "mem_mb": 256, "est_runtime_ms": 800, "affinity": f"r1-{n % 2}"} for n in range(STEPS)
-    ]
+    def install(self, minion):
+        handle = minion.handle
+
+        async def answer(request):
+            if now() < self.until and random.random() < SHARE:
+                self.late += 1
+                asyncio.get_running_loop().call_later(random.uniform(2, 12), self.carry_out, handle, request)
+                await asyncio.sleep(30)
+                return None
+            if request.path.endswith("run-start"):
+                result = await handle(request)
+                if result and result[0] == 200:
+                    self.prompt_starts.append((request.json()["task"], minion.id, now()))
+                return result
+            return await handle(request)
+
+        minion.server.handler = answer
+
+    def carry_out(self, handle, request):
+        self.world.spawn(handle(request))
 
 
 async def case(world):
-    await world.start(nodes=3, machines=8, spare=2)
-    lasting = standin.job_id()
-    steps = [{"count": 2, "cpu": 3500, "mem_mb": 512, "long_running": True, "est_runtime_ms": 1000}]
-    if not await world.submit_until_accepted(lasting, steps):
-        raise standin.CannotRun("the job that lasts wasn't accepted")
-    ordinary = []
-    for number in range(6):
-        job = standin.job_id()
-        if await world.submit_until_accepted(job, ordinary_job()):
-            ordinary.append(job)
-        await asyncio.sleep(1)
-        if number == 2 and standin.TROUBLE:
-            await world.submit_until_accepted(standin.job_id(), large_job())
-    world.record(f"traffic ended; {len(ordinary)} of 6 ordinary jobs were accepted")
-    await asyncio.sleep(FINISH_S)
-    lost = await world.lost_tasks(ordinary, [lasting])
-    for job in [lasting, *ordinary]:
-        states = [await world.state(node, job) for node in world.nodes]
-        done = {row[0] for row in world.fleet.history if row[0].startswith(job) and row[5] == "done"}
-        world.record(f"job {job}: shown as {states}, tasks done {len(done)}")
-    return not lost
+    await world.start(nodes=3, machines=3, spare=0)
+    orders = LateOrders(world)
+    for minion in world.fleet.minions:
+        orders.install(minion)
+    if standin.TROUBLE:
+        orders.until = now() + FOR_S
+        world.record(f"from now on half of the orders get no answer, for {FOR_S} s")
+    job = standin.job_id()
+    steps = [{"count": TASKS, "cpu": 1000, "mem_mb": 256, "est_runtime_ms": 4000}]
+    if not await world.submit_until_accepted(job, steps):
+        raise standin.CannotRun("the job wasn't accepted")
+    await asyncio.sleep(0.5)
+    acknowledged = None
+    for node in world.nodes * 3:
+        channel = standin.Channel(node.front)
+        status, _, _ = await channel.send("DELETE", world.prefix + job, world.host)
+        channel.close()
+        world.record(f"DELETE {job} at {node.name}: {status or 'no answer'}")
+        if status == 200:
+            acknowledged = now()
+            break
+        await asyncio.sleep(0.3)
+    if acknowledged is None:
+        raise standin.CannotRun("the cancelling wasn't acknowledged")
+    await asyncio.sleep(18)
+    after = [(task, minion, at) for task, minion, at in orders.prompt_starts if at > acknowledged + CANCEL_S]
+    before = sum(at <= acknowledged for _, _, at in orders.prompt_starts)
+    world.record(f"{len(orders.prompt_starts)} starts carried out at once, {before} of them before the cancelling; {orders.late} late orders")
+    for task, minion, at in after:
+        world.record(f"UNASKED {task} on {minion}: ordered and begun {at - acknowledged:.3f} s after the cancelling was acknowledged")
+    return not after
 
 
 standin.main(case, __file__)
