--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,7 +18,7 @@
 async def case(world):
     await world.start(nodes=3, machines=2, spare=0)
     job = standin.job_id()
-    steps = [{"count": TASKS, "cpu": 500, "mem_mb": 64, "est_runtime_ms": 500}]
+    steps = [{"count": TASKS, "cpu": 500, "mem_mb": 64, "est_runtime_ms": 400}]
     if not await world.submit_until_accepted(job, steps):
         raise standin.CannotRun("the job wasn't accepted")
     await asyncio.sleep(2)
