Answer every request that a stopped node has read

Cause: the listener waited once until no request was in flight, then dropped all connections 0.5 s later. Requests read in between, requests of which a part had come, and responses that a slow client was still reading were cut. With all connection slots taken it didn't notice the shutdown at all, and the listeners for other nodes, probes and metrics weren't waited for.

Ruled out: the limit of the daemon, which would have logged choice=exit 5.3 s after the SIGTERM.

Change: each connection ends by itself, after a response that says so or while it has brought no byte. Its stream records the reads and reports its end to the HTTP service when the connection is idle, so responses are still flushed.

--- a/crates/cj-http/src/lib.rs
+++ b/crates/cj-http/src/lib.rs
@@ -3,8 +3,11 @@
 
 mod body;
 mod client;
+mod connection;
 mod listener;
+mod shutdown;
 
 pub use body::{BodyError, read_body};
 pub use client::is_unsent;
-pub use listener::{Listener, Shutdown};
+pub use listener::Listener;
+pub use shutdown::Shutdown;
--- a/crates/cj-http/src/listener.rs
+++ b/crates/cj-http/src/listener.rs
@@ -1,8 +1,7 @@
 //! A single-threaded HTTP listener on top of `actix-http`, with graceful shutdown.
 
 use std::{
-    cell::Cell, convert::Infallible, future::Future, net::SocketAddr, rc::Rc, sync::Arc,
-    time::Duration,
+    convert::Infallible, future::Future, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
 };
 
 use actix_http::{HttpService, KeepAlive, Protocol, Request, Response};
@@ -11,91 +10,30 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
-    sync::{Notify, Semaphore},
+    sync::Semaphore,
     task::{JoinHandle, JoinSet},
 };
 
 use cj_types::{Error, ErrorKind, Result};
 
+use crate::{
+    connection::{Activity, TrackedStream},
+    shutdown::Shutdown,
+};
+
 /// Time for a client to send a complete request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for a client to close its side of a finished connection.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Idle time after which a kept-alive connection is closed.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
-/// Time for the last responses to leave the write buffers during shutdown.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after the start of a shutdown in which connections are still accepted, for those that the kernel has completed.
+const ACCEPT_DRAIN_TIME: Duration = Duration::from_millis(20);
+/// Time after the start of a shutdown in which idle connections stay open for requests that are on their way.
+const IDLE_DRAIN_TIME: Duration = Duration::from_millis(500);
 /// Connection limit of a listener unless another one is set.
 const DEFAULT_MAX_CONNECTIONS: usize = 4096;
 
-/// Shared shutdown flag and count of requests in flight.
-#[derive(Clone, Default)]
-pub struct Shutdown {
-    inner: Rc<ShutdownInner>,
-}
-
-#[derive(Default)]
-struct ShutdownInner {
-    stopping: Cell<bool>,
-    in_flight: Cell<usize>,
-    changed: Notify,
-}
-
-struct InFlightGuard(Rc<ShutdownInner>);
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get() - 1);
-        self.0.changed.notify_waiters();
-    }
-}
-
-impl Shutdown {
-    /// Starts the shutdown: listeners stop accepting.
-    pub fn begin(&self) {
-        self.inner.stopping.set(true);
-        self.inner.changed.notify_waiters();
-    }
-
-    /// True once the shutdown has begun.
-    pub fn begun(&self) -> bool {
-        self.inner.stopping.get()
-    }
-
-    /// Requests in flight.
-    pub fn in_flight(&self) -> usize {
-        self.inner.in_flight.get()
-    }
-
-    /// Resolves once the shutdown has begun.
-    pub async fn wait_begun(&self) {
-        self.wait_until(|inner| inner.stopping.get()).await;
-    }
-
-    /// Resolves once no request is in flight.
-    pub async fn wait_idle(&self) {
-        self.wait_until(|inner| inner.in_flight.get() == 0).await;
-    }
-
-    async fn wait_until<F>(&self, done: F)
-    where
-        F: Fn(&ShutdownInner) -> bool,
-    {
-        loop {
-            let changed = self.inner.changed.notified();
-            if done(&self.inner) {
-                return;
-            }
-            changed.await;
-        }
-    }
-
-    fn track_request(&self) -> InFlightGuard {
-        self.inner.in_flight.set(self.inner.in_flight.get() + 1);
-        InFlightGuard(self.inner.clone())
-    }
-}
-
 /// A bound listener.
 pub struct Listener {
     socket: TcpListener,
@@ -131,6 +69,10 @@
     }
 
     /// Serves requests until the shutdown begins. Connections run on the current thread; each is passed through `wrap`.
+    ///
+    /// The returned task ends when all connections have ended: a connection with a request, of which a part may still be
+    /// missing, after its response, and an idle one [`IDLE_DRAIN_TIME`] after the start of the shutdown. Callers limit
+    /// the time that they wait for clients that send or read slowly.
     pub fn serve<W, S, F, R>(self, shutdown: Shutdown, wrap: W, handler: F) -> JoinHandle<()>
     where
         W: Fn(TcpStream) -> S + 'static,
@@ -153,43 +95,81 @@
             .client_request_timeout(HEAD_TIMEOUT)
             .client_disconnect_timeout(DISCONNECT_TIMEOUT)
             .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+            .on_connect_ext(|stream: &TrackedStream<S>, data| {
+                data.insert(stream.activity().clone());
+            })
             .finish(fn_service(move |request: Request| {
                 let (handler, shutdown_flag) = (handler.clone(), shutdown_flag.clone());
                 async move {
+                    let activity = request.conn_data::<Rc<Activity>>().cloned();
                     let guard = shutdown_flag.track_request();
                     let mut response = handler(request).await;
                     if shutdown_flag.begun() {
                         response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
                     }
                     drop(guard);
+                    if let Some(activity) = activity {
+                        activity.finish_request();
+                    }
                     Ok::<_, Infallible>(response)
                 }
             }));
         let Ok(service) = factory.new_service(()).await else { return };
         let service = Rc::new(service);
         let slots = Arc::new(Semaphore::new(self.max_connections));
-        let mut tasks = JoinSet::new();
+        let mut connections = JoinSet::new();
+        let stop = async {
+            shutdown.wait_begun().await;
+            tokio::time::sleep(ACCEPT_DRAIN_TIME).await;
+        };
+        tokio::pin!(stop);
         loop {
-            let Ok(slot) = slots.clone().acquire_owned().await else { return };
-            while tasks.try_join_next().is_some() {}
-            let accepted = tokio::select! {
-                accepted = self.socket.accept() => accepted,
-                () = shutdown.wait_begun() => break,
+            let next = async {
+                let slot = slots.clone().acquire_owned().await;
+                (slot, self.socket.accept().await)
             };
+            let (slot, accepted) = tokio::select! {
+                next = next => next,
+                () = &mut stop => break,
+            };
+            while connections.try_join_next().is_some() {}
             let Ok((stream, peer)) = accepted else { continue };
             let _ = stream.set_nodelay(true);
-            let (service, stream) = (service.clone(), wrap(stream));
-            tasks.spawn_local(async move {
-                if let Err(e) = service.call((stream, Protocol::Http1, Some(peer))).await {
-                    log::debug!(target: "http", "connection from {peer} ended: {e}");
-                }
+            let stream = TrackedStream::new(wrap(stream));
+            let connection = serve_connection(service.clone(), stream, peer, shutdown.clone());
+            connections.spawn_local(async move {
+                connection.await;
                 drop(slot);
             });
         }
         drop(self.socket);
-        shutdown.wait_idle().await;
-        // After the handlers have returned, the last responses may still be in the write buffers of their connections.
-        let flushed = async { while tasks.join_next().await.is_some() {} };
-        let _ = tokio::time::timeout(FLUSH_TIMEOUT, flushed).await;
+        while connections.join_next().await.is_some() {}
+    }
+}
+
+/// Serves a connection until it ends. During a shutdown it ends once it has no request.
+async fn serve_connection<V, S>(
+    service: Rc<V>,
+    stream: TrackedStream<S>,
+    peer: SocketAddr,
+    shutdown: Shutdown,
+) where
+    V: Service<(TrackedStream<S>, Protocol, Option<SocketAddr>)>,
+    V::Error: std::fmt::Display,
+{
+    let activity = stream.activity().clone();
+    let drain = async {
+        shutdown.wait_begun().await;
+        tokio::time::sleep(IDLE_DRAIN_TIME).await;
+        activity.end_when_idle();
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        ended = service.call((stream, Protocol::Http1, Some(peer))) => {
+            if let Err(e) = ended {
+                log::debug!(target: "http", "connection from {peer} ended: {e}");
+            }
+        }
+        () = drain => {}
     }
 }
--- a/crates/cj-node/src/node.rs
+++ b/crates/cj-node/src/node.rs
@@ -58,7 +58,8 @@
     context: Rc<NodeContext<L, C>>,
     addresses: Addresses,
     membership_task: JoinHandle<()>,
-    listeners: Vec<JoinHandle<()>>,
+    caller_listener: JoinHandle<()>,
+    internal_listeners: [JoinHandle<()>; 2],
     replica_task: JoinHandle<()>,
     internal_shutdown: Shutdown,
 }
@@ -98,14 +99,22 @@
         let context = Rc::new(new_context(settings, clock, replica, peers));
         spawn_background_tasks(&context);
         let internal_shutdown = Shutdown::default();
-        let (addresses, listeners) =
+        let (addresses, caller_listener, internal_listeners) =
             start_listeners(&context, Rc::new(log), &internal_shutdown).await?;
         log::info!(
             "node {node} is ready: callers {} operators {}",
             addresses.caller,
             addresses.operator
         );
-        Ok(Node { context, addresses, membership_task, listeners, replica_task, internal_shutdown })
+        Ok(Node {
+            context,
+            addresses,
+            membership_task,
+            caller_listener,
+            internal_listeners,
+            replica_task,
+            internal_shutdown,
+        })
     }
 
     /// Addresses that the node listens on.
@@ -120,12 +129,12 @@
 
     /// Stops gracefully: accepts no new requests, tells the peers that the node is leaving, and finishes what is in
     /// flight.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         log::info!("node {} stops", self.context.id());
         self.context.shutdown.begin();
         self.context.peers.leave().await;
         let idle = async {
-            self.context.shutdown.wait_idle().await;
+            let _ = (&mut self.caller_listener).await;
             while !self.context.active_jobs.borrow().is_empty()
                 || !self.context.sent_claims.borrow().is_empty()
             {
@@ -139,11 +148,12 @@
                 "still in flight after {DRAIN_TIMEOUT:?}: {} requests, jobs {active_jobs:?}, claims {sent_claims:?}",
                 self.context.shutdown.in_flight(),
             );
+            self.caller_listener.abort();
         }
         self.context.replica.stop();
         let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.replica_task).await;
         self.internal_shutdown.begin();
-        for mut listener in self.listeners {
+        for mut listener in self.internal_listeners {
             if tokio::time::timeout(CLOSE_TIMEOUT, &mut listener).await.is_err() {
                 listener.abort();
             }
@@ -232,7 +242,7 @@
     context: &Rc<NodeContext<L, C>>,
     log: Rc<L>,
     internal_shutdown: &Shutdown,
-) -> Result<(Addresses, Vec<JoinHandle<()>>)>
+) -> Result<(Addresses, JoinHandle<()>, [JoinHandle<()>; 2])>
 where
     L: LogService + 'static,
     C: Clock + 'static,
@@ -250,7 +260,7 @@
     let (for_callers, for_operators, for_metrics) =
         (context.clone(), context.clone(), context.clone());
     let request_counter = Rc::new(Cell::new(0u64));
-    let listeners = vec![
+    let caller_listener =
         caller.serve(context.shutdown.clone(), ErrorBodyStream::new, move |request| {
             request_counter.set(request_counter.get() + 1);
             let node = for_callers.clone();
@@ -261,7 +271,8 @@
                 request_counter.get()
             );
             answer_caller(node, id, request)
-        }),
+        });
+    let internal_listeners = [
         operator.serve(internal_shutdown.clone(), ErrorBodyStream::new, move |request| {
             operator::handle(for_operators.clone(), log.clone(), request)
         }),
@@ -270,7 +281,7 @@
             async move { serve_metrics(&node, &request) }
         }),
     ];
-    Ok((addresses, listeners))
+    Ok((addresses, caller_listener, internal_listeners))
 }
 
 async fn answer_caller<L, C>(
