Withdraw orders that aren't wanted any more before they are sent

Cause: three commands to a worker were in flight, the others waited in turn, 0.8 s for each unanswered one, and only the ownership was asked again before they were sent. Stops waited behind starts, and were repeated every 0.6 s, or with each listing, while the first one still waited.

Ruled out: late decisions; no choice=start follows choice=cancel.

Change: an order carries a watch, which the scheduler withdraws when a newer order replaces it or the run is over; it is asked last, with the ownership, for starts, stops, paces, moves and maintenance. Orders other than stops expire after 1 s in the process. Unsent orders are answered as NotSent, and the run is free at once. Stops go first, have a slot of their own, and are repeated only after their answer.

--- a/crates/cj-bench/src/entry/platform.rs
+++ b/crates/cj-bench/src/entry/platform.rs
@@ -9,8 +9,7 @@
 
 use bytes::Bytes;
 use cj_entry::{
-    Guard, LeaseCheck, NewestPage, OperatorChange, Page, Platform, RegistryChange, StoreError,
-    Topic,
+    Guard, NewestPage, OperatorChange, Page, Platform, RegistryChange, SendCheck, StoreError, Topic,
 };
 use cj_sched::{
     TaskId,
@@ -150,7 +149,7 @@
 
     /// Sends a command if the lease check allows it, and returns `refused` if it doesn't; `None` if the receiver can't be
     /// reached.
-    async fn command_worker<T, F>(&self, lease: &LeaseCheck, refused: T, call: F) -> Option<T>
+    async fn command_worker<T, F>(&self, lease: &SendCheck, refused: T, call: F) -> Option<T>
     where
         F: FnOnce(&mut Fleet) -> Option<T>,
     {
@@ -175,7 +174,7 @@
         call(&mut self.fleet.borrow_mut())
     }
 
-    async fn send_command<F>(&self, lease: &LeaseCheck, call: F) -> CommandAnswer
+    async fn send_command<F>(&self, lease: &SendCheck, call: F) -> CommandAnswer
     where
         F: FnOnce(&mut Fleet) -> Option<Result<(), Refusal>>,
     {
@@ -243,7 +242,7 @@
         &self,
         target: &Target,
         command: &StartCommand,
-        lease: &LeaseCheck,
+        lease: &SendCheck,
     ) -> CommandAnswer {
         self.send_command(lease, |fleet| fleet.start(&target.worker, command, lease.token)).await
     }
@@ -253,12 +252,12 @@
         target: &Target,
         task: &TaskId,
         run: u64,
-        lease: &LeaseCheck,
+        lease: &SendCheck,
     ) -> CommandAnswer {
         self.send_command(lease, |fleet| fleet.stop(&target.worker, *task, run, lease.token)).await
     }
 
-    async fn pace(&self, _: &Target, _: &TaskId, _: u64, _: u8, _: &LeaseCheck) -> CommandAnswer {
+    async fn pace(&self, _: &Target, _: &TaskId, _: u64, _: u8, _: &SendCheck) -> CommandAnswer {
         CommandAnswer::Refused(Refusal::Invalid)
     }
 
@@ -268,7 +267,7 @@
         lease_end: Option<u64>,
         acknowledged: u64,
         wait: Duration,
-        lease: &LeaseCheck,
+        lease: &SendCheck,
     ) -> ListAnswer {
         let end = tokio::time::Instant::now() + wait;
         loop {
@@ -298,7 +297,7 @@
         rows.ok_or_else(|| StoreError::Unanswered("cut".into()))
     }
 
-    async fn maintain_vm(&self, vm: &VmId, _: u64, lease: &LeaseCheck) -> VmAnswer {
+    async fn maintain_vm(&self, vm: &VmId, _: u64, lease: &SendCheck) -> VmAnswer {
         if self.link.freeze_before_send.take() {
             self.link.set(Condition::Frozen);
         }
@@ -307,7 +306,7 @@
         answer.unwrap_or(VmAnswer::Unanswered)
     }
 
-    async fn move_vm(&self, _: &VmId, _: &ServiceId, _: &LeaseCheck) -> VmAnswer {
+    async fn move_vm(&self, _: &VmId, _: &ServiceId, _: &SendCheck) -> VmAnswer {
         VmAnswer::RetryLater
     }
 
--- a/crates/cj-entry/src/dispatch.rs
+++ b/crates/cj-entry/src/dispatch.rs
@@ -9,20 +9,22 @@
 
 use cj_sched::{
     Action, Event,
-    sched::{AdviceAnswer, CommandAnswer, ListAnswer, Refusal, Target, VmAnswer, WorkerId},
+    sched::{AdviceAnswer, CommandAnswer, ListAnswer, OrderWatch, Target, VmAnswer, WorkerId},
 };
 use cj_types::Clock;
 use log::warn;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::mpsc;
 
 use crate::{
-    lease::{LeaseBound, LeaseCheck, OwnerLease},
+    command_slots::{CommandKind, CommandSlots},
+    lease::{LeaseBound, OwnerLease, SendCheck},
     member::CellMember,
     platform::Platform,
 };
 
-/// Maximum number of commands in flight to one worker, without listings; each takes a connection.
-const MAX_COMMANDS_PER_WORKER: usize = 3;
+/// An order other than a stop isn't sent if it was decided longer ago: what it was decided on may have changed, for example
+/// which other tasks are unavailable.
+const MAX_ORDER_AGE: Duration = Duration::from_secs(1);
 
 /// Delay before the state of a wave is published again.
 const WAVE_REPORT_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -32,7 +34,14 @@
     member: Rc<CellMember<P, C>>,
     lease: Rc<OwnerLease<C>>,
     events: mpsc::UnboundedSender<Event>,
-    command_slots: RefCell<HashMap<WorkerId, Rc<Semaphore>>>,
+    command_slots: RefCell<HashMap<WorkerId, Rc<CommandSlots>>>,
+}
+
+/// What decides when a command for a run is sent, and whether.
+struct Order {
+    kind: CommandKind,
+    watch: OrderWatch,
+    send_check: SendCheck,
 }
 
 impl<P, C> Dispatcher<P, C>
@@ -55,59 +64,59 @@
             Action::Start(target, command) => {
                 let (worker, task, run) = (target.worker.clone(), command.task, command.run);
                 let event = move |answer| Event::Started(worker, task, run, answer);
-                self.send_command(target, event, async move |target, lease_check| {
+                let order = self.order(CommandKind::Other, &command.watch);
+                self.send_command(target, event, order, async move |target, send_check| {
                     node.metrics.starts.inc();
-                    node.platform.start(&target, &command, &lease_check).await
+                    node.platform.start(&target, &command, &send_check).await
                 });
             }
-            Action::Stop(target, task, run) => {
+            Action::Stop(target, task, run, watch) => {
                 let worker = target.worker.clone();
                 let event = move |answer| Event::Stopped(worker, task, run, answer);
-                self.send_command(target, event, async move |target, lease_check| {
-                    node.platform.stop(&target, &task, run, &lease_check).await
+                let order = self.order(CommandKind::Stop, &watch);
+                self.send_command(target, event, order, async move |target, send_check| {
+                    node.platform.stop(&target, &task, run, &send_check).await
                 });
             }
-            Action::Pace(target, task, run, percent) => {
+            Action::Pace(target, task, run, percent, watch) => {
                 let worker = target.worker.clone();
                 let event = move |answer| Event::Paced(worker, task, run, answer);
-                self.send_command(target, event, async move |target, lease_check| {
-                    node.platform.pace(&target, &task, run, percent, &lease_check).await
+                let order = self.order(CommandKind::Other, &watch);
+                self.send_command(target, event, order, async move |target, send_check| {
+                    node.platform.pace(&target, &task, run, percent, &send_check).await
                 });
             }
             Action::List { target, lease_end, acknowledged, wait } => {
                 let worker = target.worker.clone();
                 let event = move |(sent, answer)| Event::Listed(worker, sent, answer);
                 let not_sent = (self.member.node.clock.now(), ListAnswer::Unanswered);
-                let lease_check = self.lease.check(LeaseBound::Fenced);
-                self.call(event, not_sent, lease_check.clone(), async move |sent| {
+                let send_check = self.lease.check(LeaseBound::Fenced);
+                self.call(event, not_sent, send_check.clone(), async move |sent| {
                     let platform = &node.platform;
-                    (
-                        sent,
-                        platform.list(&target, lease_end, acknowledged, wait, &lease_check).await,
-                    )
+                    (sent, platform.list(&target, lease_end, acknowledged, wait, &send_check).await)
                 });
             }
             Action::Advise(step, workers) => {
                 let event = move |answer| Event::Advised(step, answer);
-                let lease_check = self.lease.check(LeaseBound::Fenced);
-                self.call(event, AdviceAnswer::RetryLater, lease_check, async move |_| {
+                let send_check = self.lease.check(LeaseBound::Fenced);
+                self.call(event, AdviceAnswer::RetryLater, send_check, async move |_| {
                     node.platform.advise(&step, &workers).await
                 });
             }
-            Action::MoveVm(vm, pool) => {
+            Action::MoveVm(vm, pool, watch) => {
                 let vm_id = vm.clone();
                 let event = move |answer| Event::Moved(vm_id, answer);
-                let lease_check = self.lease.check(self.vm_move_bound());
-                self.call(event, VmAnswer::RetryLater, lease_check.clone(), async move |_| {
-                    node.platform.move_vm(&vm, &pool, &lease_check).await
+                let send_check = self.check_order(self.vm_move_bound(), watch);
+                self.call(event, VmAnswer::RetryLater, send_check.clone(), async move |_| {
+                    node.platform.move_vm(&vm, &pool, &send_check).await
                 });
             }
-            Action::MaintainVm(vm, wave) => {
+            Action::MaintainVm(vm, wave, watch) => {
                 let vm_id = vm.clone();
                 let event = move |answer| Event::Maintained(vm_id, wave, answer);
-                let lease_check = self.lease.check(LeaseBound::Sole);
-                self.call(event, VmAnswer::RetryLater, lease_check.clone(), async move |_| {
-                    node.platform.maintain_vm(&vm, wave, &lease_check).await
+                let send_check = self.check_order(LeaseBound::Sole, watch);
+                self.call(event, VmAnswer::RetryLater, send_check.clone(), async move |_| {
+                    node.platform.maintain_vm(&vm, wave, &send_check).await
                 });
             }
             // These are handled by the owner's loop.
@@ -115,22 +124,41 @@
         }
     }
 
+    /// What is needed to send a command for a run.
+    fn order(&self, kind: CommandKind, watch: &OrderWatch) -> Order {
+        // A stop is sent however long it has waited: the run goes on until then.
+        let send_check = match kind {
+            CommandKind::Stop => {
+                let watch = watch.clone();
+                self.lease.check(LeaseBound::Fenced).and(move || watch.is_wanted())
+            }
+            CommandKind::Other => self.check_order(LeaseBound::Fenced, watch.clone()),
+        };
+        Order { kind, watch: watch.clone(), send_check }
+    }
+
+    /// The check before an order is sent that was decided now.
+    fn check_order(&self, bound: LeaseBound, watch: OrderWatch) -> SendCheck {
+        let clock = self.member.node.clock.clone();
+        let expires_at = clock.now() + MAX_ORDER_AGE;
+        self.lease.check(bound).and(move || watch.is_wanted() && clock.now() <= expires_at)
+    }
+
     /// Sends a command once one of the worker's command slots is free.
-    fn send_command<E, F>(&self, target: Target, event: E, send: F)
+    fn send_command<E, F>(&self, target: Target, event: E, order: Order, send: F)
     where
         E: FnOnce(CommandAnswer) -> Event + 'static,
-        F: AsyncFnOnce(Target, LeaseCheck) -> CommandAnswer + 'static,
+        F: AsyncFnOnce(Target, SendCheck) -> CommandAnswer + 'static,
     {
         let slots = {
             let mut command_slots = self.command_slots.borrow_mut();
-            let slots = command_slots.entry(target.worker.clone());
-            slots.or_insert_with(|| Rc::new(Semaphore::new(MAX_COMMANDS_PER_WORKER))).clone()
+            command_slots.entry(target.worker.clone()).or_default().clone()
         };
-        let not_sent = CommandAnswer::Refused(Refusal::Unhealthy);
-        let lease_check = self.lease.check(LeaseBound::Fenced);
-        self.call(event, not_sent, lease_check.clone(), async move |_| {
-            let Ok(_slot) = slots.acquire().await else { return not_sent };
-            send(target, lease_check).await
+        let Order { kind, watch, send_check } = order;
+        let not_sent = CommandAnswer::NotSent;
+        self.call(event, not_sent, send_check.clone(), async move |_| {
+            let Some(_slot) = slots.acquire(kind, watch).await else { return not_sent };
+            if send_check.allows_send() { send(target, send_check).await } else { not_sent }
         });
     }
 
@@ -141,7 +169,7 @@
     }
 
     /// Makes a call if the lease check allows it, and reports its answer; `not_sent` is reported if it doesn't.
-    fn call<T, E, F>(&self, event: E, not_sent: T, lease_check: LeaseCheck, send: F)
+    fn call<T, E, F>(&self, event: E, not_sent: T, send_check: SendCheck, send: F)
     where
         T: 'static,
         E: FnOnce(T) -> Event + 'static,
@@ -151,7 +179,7 @@
         let node = self.member.node.clone();
         actix_rt::spawn(async move {
             let sent = node.clock.now();
-            let answer = if lease_check.allows_send() { send(sent).await } else { not_sent };
+            let answer = if send_check.allows_send() { send(sent).await } else { not_sent };
             // Sending fails only after the ownership has ended.
             let _ = events.send(event(answer));
         });
--- a/crates/cj-entry/src/lease.rs
+++ b/crates/cj-entry/src/lease.rs
@@ -1,7 +1,7 @@
-//! The ownership lease, checked once more right before a command leaves the process.
+//! The check right before a command leaves the process: of the ownership lease, and of whether the command is still wanted.
 //!
 //! Between a decision and the socket a command may wait for a free slot, for a connection, or because the process is
-//! paused; another node may own the cell by then. After the check there is only the write to the socket and the delay
+//! paused; another node may own the cell by then, or the job may be cancelled. After the check there is only the write to the socket and the delay
 //! in the network.
 
 use std::{
@@ -20,27 +20,36 @@
 /// An owner whose loop didn't run for this long was paused. It sends nothing before its next acknowledged heartbeat.
 pub(crate) const MAX_LOOP_PAUSE: Duration = Duration::from_millis(900);
 
-/// The fencing token of a command and the lease check before it is sent.
+/// The fencing token of a command and the check before it is sent.
 #[derive(Clone)]
-pub struct LeaseCheck {
+pub struct SendCheck {
     /// Fencing token of the owner that decided on the command.
     pub token: u64,
     check: Rc<dyn Fn() -> bool>,
 }
 
-impl fmt::Debug for LeaseCheck {
+impl fmt::Debug for SendCheck {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("LeaseCheck").field("token", &self.token).finish_non_exhaustive()
+        f.debug_struct("SendCheck").field("token", &self.token).finish_non_exhaustive()
     }
 }
 
-impl LeaseCheck {
+impl SendCheck {
     /// A check that allows sending while `check` returns true.
     pub fn new<F>(token: u64, check: F) -> Self
     where
         F: Fn() -> bool + 'static,
     {
-        LeaseCheck { token, check: Rc::new(check) }
+        SendCheck { token, check: Rc::new(check) }
+    }
+
+    /// A check that also requires `condition`.
+    pub fn and<F>(self, condition: F) -> Self
+    where
+        F: Fn() -> bool + 'static,
+    {
+        let check = self.check;
+        SendCheck { token: self.token, check: Rc::new(move || condition() && check()) }
     }
 
     /// True while the command may be sent. If false, the command has to be dropped unsent.
@@ -90,9 +99,9 @@
     }
 
     /// A lease check for one command.
-    pub(crate) fn check(self: &Rc<Self>, bound: LeaseBound) -> LeaseCheck {
+    pub(crate) fn check(self: &Rc<Self>, bound: LeaseBound) -> SendCheck {
         let lease = self.clone();
-        LeaseCheck::new(self.token, move || lease.is_valid(bound))
+        SendCheck::new(self.token, move || lease.is_valid(bound))
     }
 
     fn is_valid(&self, bound: LeaseBound) -> bool {
--- a/crates/cj-entry/src/lib.rs
+++ b/crates/cj-entry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod api;
 mod claim;
 mod clock;
+mod command_slots;
 mod dispatch;
 mod feeds;
 pub mod follow;
@@ -30,7 +31,8 @@
 mod writer;
 
 pub use clock::BootClock;
-pub use lease::LeaseCheck;
+pub use command_slots::{CommandKind, CommandSlot, CommandSlots};
+pub use lease::SendCheck;
 pub use member::CellMember;
 pub use node::{EntryNode, EntrySettings};
 pub use platform::{
--- a/crates/cj-entry/src/platform.rs
+++ b/crates/cj-entry/src/platform.rs
@@ -15,7 +15,7 @@
 use compact_str::CompactString;
 use derive_more::Display;
 
-use crate::{layout::CellId, lease::LeaseCheck};
+use crate::{layout::CellId, lease::SendCheck};
 
 /// The job log of the first cell.
 pub const FIRST_CELL_JOBS: Topic = Topic::Jobs(CellId(0), Log::Jobs);
@@ -184,7 +184,7 @@
         &self,
         target: &Target,
         command: &StartCommand,
-        lease: &LeaseCheck,
+        check: &SendCheck,
     ) -> impl Future<Output = CommandAnswer>;
 
     /// Stops a run.
@@ -193,7 +193,7 @@
         target: &Target,
         task: &TaskId,
         run: u64,
-        lease: &LeaseCheck,
+        check: &SendCheck,
     ) -> impl Future<Output = CommandAnswer>;
 
     /// Sets the speed of a run to `percent` of its full speed.
@@ -203,7 +203,7 @@
         task: &TaskId,
         run: u64,
         percent: u8,
-        lease: &LeaseCheck,
+        check: &SendCheck,
     ) -> impl Future<Output = CommandAnswer>;
 
     /// Lists the runs on a worker, acknowledges ends up to the number `acknowledged`, and waits up to `wait` for the next
@@ -214,7 +214,7 @@
         lease_end: Option<u64>,
         acknowledged: u64,
         wait: Duration,
-        lease: &LeaseCheck,
+        check: &SendCheck,
     ) -> impl Future<Output = ListAnswer>;
 
     /// Asks the policy service which of the workers may run a step.
@@ -228,7 +228,7 @@
         &self,
         vm: &VmId,
         wave: u64,
-        lease: &LeaseCheck,
+        check: &SendCheck,
     ) -> impl Future<Output = VmAnswer>;
 
     /// Moves a VM to a pool.
@@ -236,7 +236,7 @@
         &self,
         vm: &VmId,
         pool: &ServiceId,
-        lease: &LeaseCheck,
+        check: &SendCheck,
     ) -> impl Future<Output = VmAnswer>;
 
     /// Sends a request to another entry node. Fails with a cause when no answer arrives.
--- a/crates/cj-entry/tests/entry/main.rs
+++ b/crates/cj-entry/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod api;
 mod cells;
 mod claim;
+mod command_slots;
 mod follow;
 mod layout;
 mod logging;
--- a/crates/cj-entry/tests/entry/platform.rs
+++ b/crates/cj-entry/tests/entry/platform.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use cj_entry::{
-    FIRST_CELL_JOBS, Guard, LeaseCheck, NewestPage, OperatorChange, Page, Platform, RawRecord,
-    RegistryChange, StoreError, Topic, layout::Layout, owner_directory::CellRecord,
+    FIRST_CELL_JOBS, Guard, NewestPage, OperatorChange, Page, Platform, RawRecord, RegistryChange,
+    SendCheck, StoreError, Topic, layout::Layout, owner_directory::CellRecord,
 };
 use cj_sched::{
     TaskId,
@@ -144,15 +144,15 @@
         Ok(())
     }
 
-    async fn start(&self, _: &Target, _: &StartCommand, _: &LeaseCheck) -> CommandAnswer {
+    async fn start(&self, _: &Target, _: &StartCommand, _: &SendCheck) -> CommandAnswer {
         CommandAnswer::Unanswered
     }
 
-    async fn stop(&self, _: &Target, _: &TaskId, _: u64, _: &LeaseCheck) -> CommandAnswer {
+    async fn stop(&self, _: &Target, _: &TaskId, _: u64, _: &SendCheck) -> CommandAnswer {
         CommandAnswer::Unanswered
     }
 
-    async fn pace(&self, _: &Target, _: &TaskId, _: u64, _: u8, _: &LeaseCheck) -> CommandAnswer {
+    async fn pace(&self, _: &Target, _: &TaskId, _: u64, _: u8, _: &SendCheck) -> CommandAnswer {
         CommandAnswer::Unanswered
     }
 
@@ -162,7 +162,7 @@
         _: Option<u64>,
         _: u64,
         _: Duration,
-        _: &LeaseCheck,
+        _: &SendCheck,
     ) -> ListAnswer {
         ListAnswer::Unanswered
     }
@@ -175,11 +175,11 @@
         Ok(Vec::new())
     }
 
-    async fn maintain_vm(&self, _: &VmId, _: u64, _: &LeaseCheck) -> VmAnswer {
+    async fn maintain_vm(&self, _: &VmId, _: u64, _: &SendCheck) -> VmAnswer {
         VmAnswer::RetryLater
     }
 
-    async fn move_vm(&self, _: &VmId, _: &ServiceId, _: &LeaseCheck) -> VmAnswer {
+    async fn move_vm(&self, _: &VmId, _: &ServiceId, _: &SendCheck) -> VmAnswer {
         VmAnswer::RetryLater
     }
 
--- a/crates/cj-sched/src/sched/commands.rs
+++ b/crates/cj-sched/src/sched/commands.rs
@@ -8,6 +8,7 @@
     job::TaskId,
     sched::{
         event::{Action, CommandAnswer, Refusal, StartCommand, WorkerId},
+        order::{OrderGuard, OrderWatch},
         ownership::OwnershipLease,
         scheduler::Scheduler,
         settings::{
@@ -31,7 +32,10 @@
             run,
             stage: Stage::Starting,
             confirmed: false,
+            order: OrderGuard::default(),
             command_pending: true,
+            start_pending: false,
+            stop_pending: false,
             command_at: now,
             unanswered: 0,
             started_at: now,
@@ -63,28 +67,41 @@
         let Some(placement) = task_state.placement_mut() else { return };
         placement.command_pending = true;
         placement.command_at = now;
+        placement.order = OrderGuard::default();
+        let watch = placement.order.watch();
         let (key, run) = (placement.worker, placement.run);
         let worker = &mut self.workers[key];
         let Some(lease_end) = worker.grant_lease(now, limit, max_lease) else { return };
         let target = worker.target();
         let ticket = self.ticket_for(at, &target.worker);
-        let command = StartCommand { task, run, submission, lease_end, checkpoint, ticket };
+        let command = StartCommand { task, run, submission, lease_end, checkpoint, ticket, watch };
         self.actions.push(Action::Start(target, command));
+        if let Some(placement) = self.task_mut(at).placement_mut() {
+            placement.start_pending = true;
+        }
     }
 
-    /// Stops a run, whatever its stage.
+    /// Stops a run, whatever its stage. Commands for the run that weren't sent yet are withdrawn.
     pub(super) fn stop_run(&mut self, at: TaskRef) {
-        let now = self.now.mono;
-        let id = self.jobs[at.job].task_id(at);
         let Some(placement) = self.task_mut(at).placement_mut() else { return };
         if placement.stage == Stage::Stopping {
             return;
         }
         placement.stage = Stage::Stopping;
+        placement.order = OrderGuard::default();
+        self.stop_placed(at);
+    }
+
+    /// Sends a stop for the run of a task.
+    fn stop_placed(&mut self, at: TaskRef) {
+        let now = self.now.mono;
+        let id = self.jobs[at.job].task_id(at);
+        let Some(placement) = self.task_mut(at).placement_mut() else { return };
         placement.command_pending = true;
+        placement.stop_pending = true;
         placement.command_at = now;
-        let (key, run) = (placement.worker, placement.run);
-        self.send_stop(key, id, run);
+        let (key, run, watch) = (placement.worker, placement.run, placement.order.watch());
+        self.send_stop(key, id, run, watch);
     }
 
     /// Stops a run that belongs to no task.
@@ -95,13 +112,16 @@
             None => self.charge_of_ended(&task),
         };
         self.charge_orphan(key, charge);
-        self.send_stop(key, task, run);
+        // The run is listed until its stop is carried out; one stop at a time is enough.
+        if self.workers[key].orphan_stops.insert((task, run)) {
+            self.send_stop(key, task, run, OrderWatch::always());
+        }
     }
 
-    fn send_stop(&mut self, key: WorkerKey, task: TaskId, run: u64) {
+    fn send_stop(&mut self, key: WorkerKey, task: TaskId, run: u64, watch: OrderWatch) {
         let target = self.workers[key].target();
         info!(target: "decision", "task={task} run={run} worker={} choice=stop epoch={}", target.worker, self.epoch);
-        self.actions.push(Action::Stop(target, task, run));
+        self.actions.push(Action::Stop(target, task, run, watch));
     }
 
     /// Position of a task, if it is placed on this worker as this run.
@@ -127,18 +147,38 @@
         let now = self.now.mono;
         let placement =
             self.task_mut(at).placement_mut().expect("current_task() found a placement");
-        if placement.stage != Stage::Starting {
-            return;
-        }
-        placement.command_pending = false;
-        placement.command_at = now;
-        match answer {
-            CommandAnswer::Done => self.mark_running(at),
-            CommandAnswer::Unanswered => self.retry_start(at),
-            CommandAnswer::Refused(reason) => self.start_refused(at, reason),
+        placement.start_pending = false;
+        match placement.stage {
+            Stage::Starting => {
+                placement.command_pending = false;
+                placement.command_at = now;
+                match answer {
+                    CommandAnswer::Done => self.mark_running(at),
+                    CommandAnswer::Unanswered => self.retry_start(at),
+                    CommandAnswer::Refused(reason) => self.start_refused(at, reason),
+                    CommandAnswer::NotSent => self.start_refused(at, Refusal::Unhealthy),
+                }
+            }
+            Stage::Running => {}
+            Stage::Stopping => match answer {
+                CommandAnswer::Unanswered => {
+                    placement.unanswered = placement.unanswered.saturating_add(1)
+                }
+                CommandAnswer::NotSent if placement.unanswered == 0 => self.never_started(at),
+                _ => {}
+            },
         }
     }
 
+    /// Ends a run that was stopped before its start command was sent: the worker doesn't know it.
+    fn never_started(&mut self, at: TaskRef) {
+        let id = self.jobs[at.job].task_id(at);
+        info!(target: "decision", "task={id} run={} choice=not_started reason=withdrawn", self.task(at).last_run);
+        self.release(at);
+        self.stop_gang(at);
+        self.retire(at.job);
+    }
+
     /// Marks a run as running after the worker has carried out its start command.
     fn mark_running(&mut self, at: TaskRef) {
         let now = self.now.mono;
@@ -226,6 +266,7 @@
         let now = self.now.mono;
         if let Some(&key) = self.worker_keys.get(worker) {
             self.workers[key].list_by(now + LISTING_INTERVAL);
+            self.workers[key].orphan_stops.remove(&(*task, run));
         }
         let Some(at) = self.current_task(worker, task, run) else { return };
         let placement =
@@ -233,6 +274,7 @@
         if placement.stage != Stage::Stopping {
             return;
         }
+        placement.stop_pending = false;
         placement.command_at = now;
         // Any other answer means that the run may still be there, so the command is repeated.
         placement.command_pending = answer != CommandAnswer::Done;
@@ -245,24 +287,21 @@
         }
         let now = self.now.mono;
         let mut again = Vec::new();
-        for (key, worker) in &self.workers {
+        for worker in self.workers.values() {
             for &at in &worker.runs {
                 let Some(placement) = self.task(at).placement() else { continue };
                 let waited = now.saturating_duration_since(placement.command_at);
                 if placement.stage == Stage::Stopping
                     && placement.command_pending
+                    && !placement.stop_pending
                     && waited > STOP_RETRY_INTERVAL
                 {
-                    again.push((key, at, placement.run));
+                    again.push(at);
                 }
             }
         }
-        for (key, at, run) in again {
-            let id = self.jobs[at.job].task_id(at);
-            if let Some(placement) = self.task_mut(at).placement_mut() {
-                placement.command_at = now;
-            }
-            self.send_stop(key, id, run);
+        for at in again {
+            self.stop_placed(at);
         }
     }
 
--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -10,6 +10,7 @@
     job::{JobKey, TaskId},
     job_index::JobIndex,
     record::{Progress, Record, Submission, WaveProgress},
+    sched::order::OrderWatch,
 };
 
 /// Id under which a worker registers. A later incarnation may use the same id; its start time tells the two apart.
@@ -106,7 +107,7 @@
     /// Another incarnation answers at the worker's address.
     #[debug("OtherLife")]
     OtherIncarnation,
-    /// The worker is unhealthy, or the command could not be sent. Nothing was done.
+    /// The worker is unhealthy. Nothing was done.
     Unhealthy,
     /// The worker can't read the command.
     Invalid,
@@ -119,6 +120,8 @@
     Done,
     /// Refused; nothing was done.
     Refused(Refusal),
+    /// It was not sent: it was withdrawn, had waited too long, or could not be sent. Nothing was done.
+    NotSent,
     /// No answer. The command may have been carried out, or may still be.
     Unanswered,
 }
@@ -337,17 +340,20 @@
     pub checkpoint: CompactString,
     /// Ticket of the policy service, for queues that require one.
     pub ticket: Option<CompactString>,
+    /// Whether the start is still wanted.
+    pub watch: OrderWatch,
 }
 
-/// An action to be carried out by the caller of the scheduler.
+/// An action to be carried out by the caller of the scheduler. An order that its [`OrderWatch`] shows as withdrawn must
+/// not be sent any more.
 #[derive(Clone, Debug)]
 pub enum Action {
     /// Start a run.
     Start(Target, StartCommand),
     /// Stop a run.
-    Stop(Target, TaskId, u64),
+    Stop(Target, TaskId, u64, OrderWatch),
     /// Limit a run to this percentage of its speed.
-    Pace(Target, TaskId, u64, u8),
+    Pace(Target, TaskId, u64, u8, OrderWatch),
     /// List the runs on a worker, and renew their lease.
     List {
         /// The worker.
@@ -364,9 +370,9 @@
     /// Write a numbered batch of records; answered by [`Event::Written`] with the same number.
     Write(u64, Vec<Record>),
     /// Move a VM to a pool.
-    MoveVm(VmId, ServiceId),
+    MoveVm(VmId, ServiceId, OrderWatch),
     /// Power a VM off for the maintenance of a wave.
-    MaintainVm(VmId, u64),
+    MaintainVm(VmId, u64, OrderWatch),
     /// Publish the state of a wave.
     ReportWave {
         /// Number of the wave.
--- a/crates/cj-sched/src/sched/late_start.rs
+++ b/crates/cj-sched/src/sched/late_start.rs
@@ -36,7 +36,7 @@
     /// since it has no state of the earlier one; only a stop that it answers rules that out.
     pub(super) fn may_still_start(&self, at: TaskRef) -> bool {
         let placement = self.task(at).placement();
-        placement.is_some_and(|p| p.stage == Stage::Starting || p.unanswered > 0)
+        placement.is_some_and(|p| p.stage == Stage::Starting || p.start_pending || p.unanswered > 0)
     }
 
     /// Remembers a run that is being lost, if its start command may still be carried out.
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -15,6 +15,7 @@
 mod ledger;
 mod listing;
 mod load;
+mod order;
 mod outcome;
 mod ownership;
 mod pace;
@@ -33,6 +34,7 @@
 mod worker;
 
 pub use event::*;
+pub use order::OrderWatch;
 pub use ownership::{OWNER_TIMEOUT, OWNERSHIP_LEASE, OwnershipLease};
 pub use policy::Policies;
 pub use scheduler::{Now, Scheduler};
--- a/crates/cj-sched/src/sched/pace.rs
+++ b/crates/cj-sched/src/sched/pace.rs
@@ -11,6 +11,7 @@
     job::TaskId,
     sched::{
         event::{Action, CommandAnswer, Refusal, WorkerId},
+        order::OrderGuard,
         scheduler::Scheduler,
         work::{Stage, TaskRef},
         worker::WorkerKey,
@@ -109,8 +110,9 @@
             let Some(placed) = self.task_mut(at).placement_mut() else { continue };
             if placed.pace != pace {
                 placed.pace = pace;
-                let run = placed.run;
-                self.actions.push(Action::Pace(target.clone(), id, run, pace));
+                placed.order = OrderGuard::default();
+                let (run, watch) = (placed.run, placed.order.watch());
+                self.actions.push(Action::Pace(target.clone(), id, run, pace, watch));
             }
         }
     }
@@ -125,7 +127,7 @@
     ) {
         match answer {
             CommandAnswer::Refused(Refusal::Fenced) => self.step_down(worker),
-            CommandAnswer::Unanswered => {
+            CommandAnswer::Unanswered | CommandAnswer::NotSent => {
                 let Some(at) = self.find_task(task) else { return };
                 if let Some(placed) = self.task_mut(at).placement_mut().filter(|p| p.run == run) {
                     placed.pace = UNKNOWN_PACE;
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -21,6 +21,7 @@
         evidence::Incarnation,
         forecast::DemandForecast,
         ledger::CapRoom,
+        order::OrderGuard,
         reclaim::PoolDrain,
         scheduler::Scheduler,
         work::{Job, JobSlot, Phase},
@@ -66,6 +67,8 @@
     from: ServiceId,
     to: ServiceId,
     sent: Instant,
+    /// Keeps the newest command wanted.
+    order: OrderGuard,
     /// Incarnation that the move ends.
     incarnation: Option<Incarnation>,
     /// When it took effect.
@@ -175,7 +178,9 @@
         for (vm, moving) in &mut self.pools.moves {
             if moving.done_at.is_none() && now > moving.sent + COMMAND_RETRY_INTERVAL {
                 moving.sent = now;
-                repeated.push(Action::MoveVm(vm.clone(), moving.to.clone()));
+                moving.order = OrderGuard::default();
+                let watch = moving.order.watch();
+                repeated.push(Action::MoveVm(vm.clone(), moving.to.clone(), watch));
             }
         }
         self.actions.extend(repeated);
@@ -367,11 +372,13 @@
             self.workers[key].vm_draining = true;
         }
         info!(target: "decision", "vm={vm} choice=move from={from} to={to} epoch={}", self.epoch);
+        let order = OrderGuard::default();
+        let watch = order.watch();
         self.pools.moves.insert(
             vm.clone(),
-            Move { from, to: to.clone(), sent: now, incarnation, done_at: None },
+            Move { from, to: to.clone(), sent: now, order, incarnation, done_at: None },
         );
-        self.actions.push(Action::MoveVm(vm, to.clone()));
+        self.actions.push(Action::MoveVm(vm, to.clone(), watch));
     }
 
     /// Handles the answer to [`Action::MoveVm`].
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -16,6 +16,7 @@
     sched::{
         event::{Action, VmAnswer, VmRow, VmState, WaveSpec, WorkerId},
         evidence::{Incarnation, IncarnationEvidence},
+        order::OrderGuard,
         scheduler::Scheduler,
         work::{Stage, TaskRef},
         worker::{Worker, WorkerKey},
@@ -50,8 +51,9 @@
     Draining(Instant),
     /// The request for its maintenance is being recorded in the write batch with this number.
     Recording(u64),
-    /// The command for its maintenance was last sent at this time and isn't answered; it ends this incarnation.
-    Requested(Instant, Option<Incarnation>),
+    /// The command for its maintenance was last sent at this time and isn't answered; it ends this incarnation. The guard
+    /// keeps the command wanted.
+    Requested(Instant, Option<Incarnation>, OrderGuard),
     /// Its maintenance was seen to have begun at this time.
     InMaintenance(Instant),
 }
@@ -311,23 +313,34 @@
                     if self.write.is_durable(batch) && self.is_sole_owner() =>
                 {
                     info!(target: "decision", "wave={} vm={vm} choice=maintain", wave.spec.number);
-                    self.actions.push(Action::MaintainVm(vm.clone(), wave.spec.number));
                     let incarnation = self.incarnation_on(&vm);
-                    wave.stages.insert(vm, VmStage::Requested(now, incarnation));
+                    self.request_maintenance(wave, vm, incarnation, OrderGuard::default());
                 }
-                VmStage::Requested(sent, incarnation)
+                VmStage::Requested(sent, incarnation, order)
                     if self.is_sole_owner()
                         && now.saturating_duration_since(sent) > COMMAND_RETRY_INTERVAL
                         && self.drain_vm(&vm, sent) =>
                 {
-                    self.actions.push(Action::MaintainVm(vm.clone(), wave.spec.number));
-                    wave.stages.insert(vm, VmStage::Requested(now, incarnation));
+                    self.request_maintenance(wave, vm, incarnation, order);
                 }
                 VmStage::Recording(_) | VmStage::Requested(..) | VmStage::InMaintenance(_) => {}
             }
         }
     }
 
+    /// Sends the command for the maintenance of a VM, which ends this incarnation.
+    fn request_maintenance(
+        &mut self,
+        wave: &mut Wave,
+        vm: VmId,
+        incarnation: Option<Incarnation>,
+        order: OrderGuard,
+    ) {
+        let command = Action::MaintainVm(vm.clone(), wave.spec.number, order.watch());
+        self.actions.push(command);
+        wave.stages.insert(vm, VmStage::Requested(self.now.mono, incarnation, order));
+    }
+
     /// Records that the maintenance of a VM will be requested. Returns the number of the write batch.
     fn record_request(&mut self, wave: &mut Wave, vm: &VmId) -> u64 {
         if !wave.progress.requested.contains(vm) {
@@ -424,7 +437,7 @@
                 }
                 let record = Record::Wave(number, wave.progress.clone());
                 self.write.add(record, now);
-                if let Some(VmStage::Requested(_, incarnation)) = stage {
+                if let Some(VmStage::Requested(_, incarnation, _)) = stage {
                     self.expect_shutdown(vm, incarnation);
                 }
             }
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -9,7 +9,7 @@
 use crate::{
     job::{JobKey, JobSpec, StepSpec, TaskId},
     record::{CrashedRuns, Failures, Outcome, Progress, StepProgress, Submission},
-    sched::{event::Ticket, ledger::AccountSlot, worker::WorkerKey},
+    sched::{event::Ticket, ledger::AccountSlot, order::OrderGuard, worker::WorkerKey},
 };
 
 new_key_type! {
@@ -45,8 +45,14 @@
     pub(super) stage: Stage,
     /// The worker is known to have started it.
     pub(super) confirmed: bool,
+    /// Keeps the newest order for the run wanted; a newer one replaces it.
+    pub(super) order: OrderGuard,
     /// A command for the run is unanswered.
     pub(super) command_pending: bool,
+    /// The answer to a start command is outstanding.
+    pub(super) start_pending: bool,
+    /// The answer to a stop command is outstanding.
+    pub(super) stop_pending: bool,
     /// When the last command for the run was sent or answered.
     pub(super) command_at: Instant,
     /// Number of start commands that went unanswered.
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -1,16 +1,22 @@
 //! The owner's view of a worker.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use cj_types::{Resources, ServiceId};
 use compact_str::CompactString;
 use slotmap::new_key_type;
 
-use crate::sched::{
-    event::{Target, WorkerId, WorkerRegistration},
-    ledger::Charge,
-    settings::{MIN_CLOCK_RATE, RUN_LEASE},
-    work::TaskRef,
+use crate::{
+    job::TaskId,
+    sched::{
+        event::{Target, WorkerId, WorkerRegistration},
+        ledger::Charge,
+        settings::{MIN_CLOCK_RATE, RUN_LEASE},
+        work::TaskRef,
+    },
 };
 
 new_key_type! {
@@ -58,6 +64,8 @@
     pub(super) orphan_runs: usize,
     /// What these runs are charged to.
     pub(super) orphans: Vec<Charge>,
+    /// Stops of such runs whose answers are outstanding.
+    pub(super) orphan_stops: HashSet<(TaskId, u64)>,
     /// Ends up to this number are processed.
     pub(super) ends_processed: u64,
     /// The effects of the ends up to this number are durable.
@@ -118,6 +126,7 @@
             runs: Vec::new(),
             orphan_runs: 0,
             orphans: Vec::new(),
+            orphan_stops: HashSet::new(),
             ends_processed: 0,
             ends_durable: 0,
             ends_acknowledged: 0,
@@ -156,6 +165,7 @@
         self.started_at = started_at;
         self.clock = None;
         self.orphan_runs = 0;
+        self.orphan_stops.clear();
         self.ends_processed = 0;
         self.ends_durable = 0;
         self.ends_acknowledged = 0;
--- a/crates/cj-sched/tests/sim/decisions.rs
+++ b/crates/cj-sched/tests/sim/decisions.rs
@@ -320,7 +320,7 @@
     };
     let paces = |actions: &[Action]| -> Vec<u8> {
         let pace = |action: &Action| match action {
-            Action::Pace(_, task, _, percent) => {
+            Action::Pace(_, task, _, percent, _) => {
                 assert_eq!(task.job, JobKey(2), "only best-effort tasks are paced");
                 Some(*percent)
             }
@@ -351,7 +351,7 @@
     let mut stopped = HashSet::new();
     for _ in 0..20 {
         for action in harness.poll_after(100) {
-            if let Action::Stop(_, task, _) = action {
+            if let Action::Stop(_, task, ..) = action {
                 stopped.insert(task);
             }
         }
@@ -427,7 +427,7 @@
         for action in harness.poll_after(100) {
             match action {
                 Action::Write(batch, _) => batches.push(batch),
-                Action::MoveVm(vm, _) => {
+                Action::MoveVm(vm, ..) => {
                     assert!(durable, "the ends aren't durable");
                     moved.insert(vm);
                 }
@@ -454,7 +454,7 @@
     let mut stopped = HashSet::new();
     for _ in 0..20 {
         for action in harness.poll_after(100) {
-            if let Action::Stop(target, task, _) = action {
+            if let Action::Stop(target, task, ..) = action {
                 stopped.insert((target.worker, task));
             }
         }
--- a/crates/cj-sched/tests/sim/listings.rs
+++ b/crates/cj-sched/tests/sim/listings.rs
@@ -121,7 +121,7 @@
         let actions = harness.poll_after(100);
         harness.handle(Event::Listed(harness.workers[0].clone(), sent, listing));
         stopped.extend(actions.iter().filter_map(|action| match action {
-            Action::Stop(_, task, _) => Some(*task),
+            Action::Stop(_, task, ..) => Some(*task),
             _ => None,
         }));
     }
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -7,6 +7,7 @@
 mod evidence;
 mod listings;
 mod logs;
+mod orders;
 mod policies;
 mod random;
 mod regressions;
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -491,7 +491,7 @@
                 let answer = command_answer(result.map(drop));
                 Some(Event::Started(target.worker, command.task, command.run, answer))
             }
-            Action::Stop(target, task, run) => {
+            Action::Stop(target, task, run, _) => {
                 let index = self.find_reachable(&target.worker)?;
                 let result = self.workers[index].stop(task, run, token, now);
                 Some(Event::Stopped(target.worker, task, run, command_answer(result)))
@@ -510,7 +510,7 @@
                 };
                 Some(Event::Listed(target.worker, sent, listed))
             }
-            Action::MoveVm(vm, pool) => {
+            Action::MoveVm(vm, pool, _) => {
                 let index = self.workers.iter().position(|worker| worker.vm == vm)?;
                 if !self.workers[index].alive {
                     return Some(Event::Moved(vm, VmAnswer::NotUp));
@@ -523,7 +523,7 @@
                 self.offline.push(OfflineVm { vm: vm.clone(), pool, back_at, state });
                 Some(Event::Moved(vm, VmAnswer::Done))
             }
-            Action::MaintainVm(vm, wave) => Some(self.maintain(vm, wave, delayed)),
+            Action::MaintainVm(vm, wave, _) => Some(self.maintain(vm, wave, delayed)),
             Action::ReportWave { completed, .. } => {
                 self.wave_completed |= completed;
                 None
@@ -613,14 +613,14 @@
         Action::Start(target, command) => {
             Some(Event::Started(target.worker.clone(), command.task, command.run, unanswered))
         }
-        Action::Stop(target, task, run) => {
+        Action::Stop(target, task, run, _) => {
             Some(Event::Stopped(target.worker.clone(), *task, *run, unanswered))
         }
         Action::List { target, .. } => {
             Some(Event::Listed(target.worker.clone(), sent, ListAnswer::Unanswered))
         }
-        Action::MoveVm(vm, _) => Some(Event::Moved(vm.clone(), VmAnswer::Unanswered)),
-        Action::MaintainVm(vm, wave) => {
+        Action::MoveVm(vm, ..) => Some(Event::Moved(vm.clone(), VmAnswer::Unanswered)),
+        Action::MaintainVm(vm, wave, _) => {
             Some(Event::Maintained(vm.clone(), *wave, VmAnswer::Unanswered))
         }
         Action::ReportWave { .. } => Some(Event::Unregistered(WorkerId("none".into()))),
