Keep a run with unanswered start commands if it is listed

The worker had carried out one of the starts, and a later repeat of the stop ended the task at work.

Ruled out: orders that waited in the owner; with those withdrawn it still happened.

Change: after too many unanswered starts the next listing decides. A listed run is kept, a missing one is stopped, since its start may still be carried out; each repeat of that stop waits for a listing, and the run is kept when it turns up. Cancellation stops it in any case, and a worker that doesn't answer loses it with its lease.

--- a/crates/cj-sched/src/sched/commands.rs
+++ b/crates/cj-sched/src/sched/commands.rs
@@ -1,6 +1,6 @@
 //! Commands for single runs, and their answers.
 
-use std::time::Instant;
+use std::{collections::HashSet, time::Instant};
 
 use log::{info, warn};
 
@@ -38,6 +38,8 @@
             stop_pending: false,
             command_at: now,
             unanswered: 0,
+            awaits_listing: false,
+            kept_if_listed: false,
             started_at: now,
             resumed: self.jobs[at.job].step_spec(at.step).checkpoints
                 && !self.task(at).checkpoint.is_empty(),
@@ -84,7 +86,10 @@
     /// Stops a run, whatever its stage. Commands for the run that weren't sent yet are withdrawn.
     pub(super) fn stop_run(&mut self, at: TaskRef) {
         let Some(placement) = self.task_mut(at).placement_mut() else { return };
-        if placement.stage == Stage::Stopping {
+        let stopping = placement.stage == Stage::Stopping;
+        let waits = std::mem::take(&mut placement.awaits_listing);
+        placement.kept_if_listed = false;
+        if stopping && !waits {
             return;
         }
         placement.stage = Stage::Stopping;
@@ -92,6 +97,21 @@
         self.stop_placed(at);
     }
 
+    /// Stops a run whose start commands went unanswered and may still be carried out: only a stop rules that out. A run
+    /// that turns up in a listing before is kept, since it may be at work while others of its step aren't.
+    fn stop_unanswered(&mut self, at: TaskRef) {
+        let stopping = self.task(at).placement().is_some_and(|p| p.stage == Stage::Stopping);
+        if stopping {
+            self.stop_placed(at);
+        } else {
+            self.stop_run(at);
+        }
+        if let Some(placement) = self.task_mut(at).placement_mut() {
+            placement.awaits_listing = false;
+            placement.kept_if_listed = true;
+        }
+    }
+
     /// Sends a stop for the run of a task.
     fn stop_placed(&mut self, at: TaskRef) {
         let now = self.now.mono;
@@ -202,17 +222,40 @@
         }
     }
 
-    /// Repeats an unanswered start command, or stops the run after too many.
+    /// Repeats an unanswered start command. After too many, the next listing decides: the run may be there and at work.
     fn retry_start(&mut self, at: TaskRef) {
         let placement = self.task_mut(at).placement_mut().expect("called for a placed task");
         placement.unanswered += 1;
         let (unanswered, key) = (placement.unanswered, placement.worker);
         self.pause_worker(key);
-        if unanswered < MAX_UNANSWERED_STARTS && self.may_command() && self.needs_run(at) {
+        if !self.needs_run(at) {
+            return self.stop_run(at);
+        }
+        if unanswered < MAX_UNANSWERED_STARTS && self.may_command() {
             return self.send_start(at);
         }
-        // The command may still be carried out later: only a stop rules that out.
-        self.stop_run(at);
+        if let Some(placement) = self.task_mut(at).placement_mut() {
+            placement.awaits_listing = true;
+        }
+    }
+
+    /// Stops the runs that a listing requested at `sent` doesn't name after their start commands went unanswered.
+    pub(super) fn stop_unlisted_starts(
+        &mut self,
+        key: WorkerKey,
+        sent: Instant,
+        listed: &HashSet<TaskRef>,
+    ) {
+        let missing = |at: &TaskRef| {
+            let placement = self.task(*at).placement();
+            let awaited = placement.is_some_and(|p| p.awaits_listing && p.command_at < sent);
+            awaited && !listed.contains(at)
+        };
+        let missing: Vec<_> =
+            self.workers[key].runs.iter().copied().filter(|at| missing(at)).collect();
+        for at in missing {
+            self.stop_unanswered(at);
+        }
     }
 
     /// Handles a refused start command: the task becomes idle, unless the run may still start.
@@ -236,8 +279,7 @@
         }
         self.pause_worker(key);
         if unanswered > 0 {
-            // An earlier start command for the same run went unanswered and may still be carried out.
-            return self.stop_run(at);
+            return self.stop_unanswered(at);
         }
         self.release(at);
         self.stop_gang(at);
@@ -294,6 +336,7 @@
                 if placement.stage == Stage::Stopping
                     && placement.command_pending
                     && !placement.stop_pending
+                    && !placement.awaits_listing
                     && waited > STOP_RETRY_INTERVAL
                 {
                     again.push(at);
@@ -301,7 +344,14 @@
             }
         }
         for at in again {
-            self.stop_placed(at);
+            let placement = self.task_mut(at).placement_mut().expect("found above");
+            if placement.kept_if_listed {
+                placement.awaits_listing = true;
+                let key = placement.worker;
+                self.workers[key].list_by(now);
+            } else {
+                self.stop_placed(at);
+            }
         }
     }
 
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -132,6 +132,7 @@
                 listed_tasks.insert(at);
             }
         }
+        self.stop_unlisted_starts(key, sent, &listed_tasks);
         self.set_unread(key, unread);
         self.set_unlisted_ends(key, !listing.ends_complete);
         // A run that is no longer listed may be among the ends that weren't processed or weren't listed.
@@ -216,10 +217,14 @@
                     placement.first_progress.get_or_insert((row.percent, now));
                 }
                 placement.sample = row.sample;
-                let started = placement.stage == Stage::Starting;
+                let kept = placement.stage == Stage::Stopping && placement.kept_if_listed && needed;
+                let started = placement.stage == Stage::Starting || kept;
                 if started {
                     placement.stage = Stage::Running;
+                    placement.order = Default::default();
                     placement.command_pending = false;
+                    placement.awaits_listing = false;
+                    placement.kept_if_listed = false;
                 }
                 Some(started)
             }
@@ -264,6 +269,8 @@
             stop_pending: false,
             command_at: now,
             unanswered: 0,
+            awaits_listing: false,
+            kept_if_listed: false,
             started_at: now,
             resumed: true,
             percent: row.percent,
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -57,6 +57,10 @@
     pub(super) command_at: Instant,
     /// Number of start commands that went unanswered.
     pub(super) unanswered: u8,
+    /// The next listing decides about the run, whose start commands went unanswered.
+    pub(super) awaits_listing: bool,
+    /// It is being stopped only because it isn't listed after unanswered start commands. It is kept if it turns up.
+    pub(super) kept_if_listed: bool,
     /// When the run was placed, or adopted from an earlier owner.
     pub(super) started_at: Instant,
     /// The run resumed from a checkpoint or was started by an earlier owner, so its duration isn't that of a whole run.
--- a/crates/cj-sched/tests/sim/orders.rs
+++ b/crates/cj-sched/tests/sim/orders.rs
@@ -1,8 +1,8 @@
 //! Orders that are withdrawn before they are sent, and stops that aren't sent twice.
 
 use cj_sched::{
-    Action, Event, JobKey, TaskId,
-    sched::{CommandAnswer, EndKind, RunRow, StartCommand, WorkerId},
+    Action, Event, JobKey, StepSpec, TaskId,
+    sched::{CommandAnswer, EndKind, ListAnswer, RunRow, StartCommand, WorkerId},
 };
 
 use crate::{
@@ -38,6 +38,23 @@
     actions.iter().filter_map(stop).collect()
 }
 
+fn row(command: &StartCommand) -> RunRow {
+    RunRow { task: command.task, run: command.run, checkpoint: "".into(), percent: 100, sample: 0 }
+}
+
+/// A long-running task whose start commands went unanswered as often as they are sent.
+fn unanswered_start() -> (Harness, (WorkerId, StartCommand)) {
+    let mut harness = Harness::new(&["r0"], None);
+    let lasting = StepSpec { long_running: true, max_unavailable: Some(1), ..step(1, 1_000, 0) };
+    harness.submit(1, vec![lasting], None);
+    let start = started(&mut harness).remove(0);
+    answer_start(&mut harness, &start, CommandAnswer::Unanswered);
+    let repeated = started(&mut harness).remove(0);
+    assert_eq!(repeated.1.run, start.1.run);
+    answer_start(&mut harness, &repeated, CommandAnswer::Unanswered);
+    (harness, start)
+}
+
 /// Guards against starts of a cancelled job that wait for their turn and are sent seconds later.
 #[test]
 fn cancelling_withdraws_starts() {
@@ -105,3 +122,65 @@
     harness.list_worker(0, vec![orphan]);
     assert_eq!(stops(&harness.poll_after(100)).len(), 1);
 }
+
+/// Guards against the stop of a task that is at work: its start commands were carried out, only their answers were lost.
+#[test]
+fn run_with_unanswered_starts_is_kept_if_listed() {
+    let (mut harness, start) = unanswered_start();
+    harness.poll_after(10);
+    harness.list_worker(0, vec![row(&start.1)]);
+    for _ in 0..20 {
+        assert_eq!(stops(&harness.poll_after(100)), []);
+        harness.list_worker(0, vec![row(&start.1)]);
+    }
+}
+
+/// Guards against the stop of a task that is at work: its start command was carried out late, while its stop went
+/// unanswered.
+#[test]
+fn run_that_starts_late_is_kept() {
+    let (mut harness, start) = unanswered_start();
+    harness.poll_after(10);
+    harness.list_worker(0, Vec::new());
+    let actions = harness.poll_after(10);
+    assert_eq!(stops(&actions), [(start.1.task, true)]);
+    answer_stop(&mut harness, &start, CommandAnswer::Unanswered);
+    for _ in 0..20 {
+        let actions = harness.poll_after(100);
+        assert_eq!(stops(&actions), [], "a stop goes out only after a listing without the run");
+        assert!(starts(&actions).is_empty());
+    }
+    harness.list_worker(0, vec![row(&start.1)]);
+    for _ in 0..20 {
+        assert_eq!(stops(&harness.poll_after(100)), []);
+        harness.list_worker(0, vec![row(&start.1)]);
+    }
+}
+
+/// Guards against a run with unanswered starts that goes on after its job was cancelled.
+#[test]
+fn cancelled_run_with_unanswered_starts_is_stopped() {
+    let (mut harness, start) = unanswered_start();
+    harness.handle(Event::Cancelled(JobKey(1)));
+    assert_eq!(stops(&harness.poll_after(10)), [(start.1.task, true)]);
+    answer_stop(&mut harness, &start, CommandAnswer::Unanswered);
+    harness.list_worker(0, vec![row(&start.1)]);
+    let repeated: usize = (0..10).map(|_| stops(&harness.poll_after(100)).len()).sum();
+    assert_eq!(repeated, 1);
+}
+
+/// Guards against a worker that never answers and keeps a task whose start went unanswered for ever.
+#[test]
+fn unanswered_start_ends_with_the_lease() {
+    let (mut harness, start) = unanswered_start();
+    let mut again = Vec::new();
+    for _ in 0..200 {
+        let sent = harness.now().mono;
+        harness.handle(Event::Listed(start.0.clone(), sent, ListAnswer::Unanswered));
+        let actions = harness.poll_after(100);
+        again.extend(starts(&actions).iter().map(|(_, command)| command.run));
+    }
+    harness.list_worker(0, Vec::new());
+    again.extend(starts(&harness.poll_after(500)).iter().map(|(_, command)| command.run));
+    assert!(again.iter().any(|run| *run > start.1.run), "{again:?}");
+}
