Let a placement pass cost what changed, not what waits

Cause: each waiting step was ranked by itself, and an estimate goes over all steps of its job, so a pass cost the square of the steps and the loop counted as paused. Each start went over all tasks of its step. 48 blocked steps of any job, hopeless ones included, ended the pass for all jobs of a service.

Ruled out: slow writes; the log has drop_order with cause paused throughout.

Change: steps keep sets of their idle and placed tasks, occurrences keep the ready steps by shape. A pass has one candidate for each occurrence and leaves a shape when one of its tasks finds no room; an occurrence misses 16 shapes at most. What no worker could ever run doesn't count as blocked. Estimates of large occurrences are kept for a while, and writes rest in proportion to their size.

--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod storm;
 pub mod usage_svg;
 mod virtual_time;
+pub mod waiting;
 
 use cj_types::Result;
 
@@ -54,4 +55,5 @@
     ("storm", storm::run),
     ("succession", entry::succession::run),
     ("takeover", entry::takeover::run),
+    ("waiting", waiting::run),
 ];
--- a/crates/cj-sched/src/sched/advice.rs
+++ b/crates/cj-sched/src/sched/advice.rs
@@ -7,7 +7,8 @@
 use crate::sched::{
     event::{Action, AdviceAnswer, StepKey, WorkerId},
     scheduler::Scheduler,
-    work::{Step, TaskRef, Tickets},
+    step::{Step, Tickets},
+    work::TaskRef,
 };
 
 /// Most workers named in one call; a call takes longer with each.
--- a/crates/cj-sched/src/sched/estimate.rs
+++ b/crates/cj-sched/src/sched/estimate.rs
@@ -10,7 +10,8 @@
 
 use crate::sched::{
     scheduler::Scheduler,
-    work::{Job, Phase, Placement, Stage, Step, TaskRef},
+    step::Step,
+    work::{Job, Placement, Stage, TaskRef},
 };
 
 /// Weight of the bare estimates, as a number of observations: after this many, the learned values count as much.
@@ -73,6 +74,12 @@
 /// Spread of the run times in a step: the longest of `n` tasks takes `1 + SPREAD * sqrt(ln n)` times the mean.
 const SPREAD: f32 = 0.35;
 
+/// The estimate of an occurrence with at most this many steps is made anew each time.
+const MAX_FRESH_STEPS: usize = 32;
+
+/// How long the estimate of a larger occurrence is kept, for each of its steps: making it takes about a hundredth of this.
+const ESTIMATE_LIFETIME_PER_STEP: Duration = Duration::from_micros(50);
+
 /// Estimated times of an occurrence, without any waiting.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TimeEstimate {
@@ -121,25 +128,39 @@
     /// Expected time of the remaining work of a step.
     fn remaining_of_step(&self, job: &Job, number: u32, step: &Step) -> Duration {
         let expected = self.expected_run_time(job, number, step);
-        let mut idle = 0;
         let mut running = Duration::ZERO;
-        for task in &step.tasks {
-            match &task.phase {
-                Phase::Idle => idle += 1,
-                Phase::Placed(placed) if placed.stage == Stage::Running => {
-                    running = running.max(self.remaining_of_run(placed, || expected));
-                }
-                Phase::Placed(_) => running = running.max(expected),
-                Phase::Done => {}
-            }
+        for placed in step.placed_tasks().filter_map(|task| task.placement()) {
+            let remaining = match placed.stage {
+                Stage::Running => self.remaining_of_run(placed, || expected),
+                _ => expected,
+            };
+            running = running.max(remaining);
         }
+        let idle = step.idle.len() as u32;
         if idle == 0 { running } else { running.max(longest_of(expected, idle)) }
     }
 
-    /// Estimates the remaining time and the deadline of an occurrence of a job.
+    /// Estimates the remaining time and the deadline of an occurrence of a job. The estimate of a large occurrence is kept
+    /// for a while.
     pub(super) fn estimate_occurrence(&self, job: &Job, occurrence: u32) -> TimeEstimate {
+        let state = &job.occurrences[occurrence as usize];
+        let now = self.now.mono;
+        let lifetime = ESTIMATE_LIFETIME_PER_STEP * state.steps.len() as u32;
+        if let Some((made, estimate)) = state.estimate.get()
+            && now.saturating_duration_since(made) < lifetime
+        {
+            return estimate;
+        }
+        let estimate = self.make_estimate(job, occurrence);
+        let keeps = state.steps.len() > MAX_FRESH_STEPS;
+        state.estimate.set(keeps.then_some((now, estimate)));
+        estimate
+    }
+
+    fn make_estimate(&self, job: &Job, occurrence: u32) -> TimeEstimate {
         let steps = &job.occurrences[occurrence as usize].steps;
         let spec = &job.submission.spec;
+        self.count_examined(spec.steps.len());
         let remaining =
             spec.critical_path_by(|n, _| self.remaining_of_step(job, n as u32, &steps[n]));
         let whole = spec.critical_path_by(|n, step| {
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -258,7 +258,7 @@
         let unsettled = &mut self.ledger.accounts[account].unsettled;
         for occurrence in &job.occurrences {
             for (number, step) in occurrence.steps.iter().enumerate() {
-                let open = step.tasks.iter().filter(|task| !task.is_done()).count() as u32;
+                let open = step.open_tasks() as u32;
                 let demand = job.step_spec(number as u32).demand.times(open);
                 *unsettled = unsettled.plus(demand);
             }
--- a/crates/cj-sched/src/sched/load.rs
+++ b/crates/cj-sched/src/sched/load.rs
@@ -36,7 +36,7 @@
                 if spec.long_running || spec.estimate == Duration::ZERO {
                     continue;
                 }
-                let open = step.tasks.iter().filter(|task| !task.is_done()).count() as u64;
+                let open = step.open_tasks() as u64;
                 let work = open * u64::from(spec.demand.cores.0);
                 let expected = self.expected_run_time(job, number, step).as_millis() as u64;
                 sum = sum.saturating_add(work.saturating_mul(expected));
--- a/crates/cj-sched/src/sched/outcome.rs
+++ b/crates/cj-sched/src/sched/outcome.rs
@@ -25,7 +25,7 @@
         }
         self.mark_changed(at);
         let occurrence = &mut self.jobs[at.job].occurrences[at.occurrence as usize];
-        if occurrence.outcome == Outcome::Open && occurrence.steps.iter().all(|s| s.is_done()) {
+        if occurrence.outcome == Outcome::Open && occurrence.is_done() {
             occurrence.outcome = Outcome::Completed;
             occurrence.decided_at = self.now.wall;
             let job = self.jobs[at.job].key;
@@ -44,7 +44,7 @@
                 self.stop_orphan(placement.worker, id, placement.run);
             }
         }
-        self.task_mut(at).phase = Phase::Done;
+        self.jobs[at.job].set_phase(at, Phase::Done);
     }
 
     /// Counts a failed run of a task, and fails the occurrence and its job after too many.
--- a/crates/cj-sched/src/sched/persist.rs
+++ b/crates/cj-sched/src/sched/persist.rs
@@ -3,7 +3,10 @@
 //! The end of a run is acknowledged to its worker once its effect on the job is durable. Otherwise a later owner would
 //! start a task again that is done.
 
-use std::{collections::BTreeSet, time::Instant};
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
 
 use crate::{
     record::Record,
@@ -16,6 +19,10 @@
     },
 };
 
+/// Time between two writes for each task and step in the first of them: a record of progress names them all, and its size is
+/// a burden on the store and on all nodes that read it.
+const WRITE_REST_PER_TASK: Duration = Duration::from_micros(5);
+
 /// A batch of records that is being written.
 #[derive(Debug)]
 struct Batch {
@@ -35,6 +42,8 @@
     due: Option<Instant>,
     /// Time of the last write.
     last: Option<Instant>,
+    /// Shortest time until the next one.
+    rest: Duration,
     /// The next write is due regardless of `due`.
     expedited: bool,
     in_flight: Option<Batch>,
@@ -77,7 +86,7 @@
     }
 
     fn is_due(&self, now: Instant) -> bool {
-        let rested = self.last.is_none_or(|last| last + WRITE_INTERVAL <= now);
+        let rested = self.last.is_none_or(|last| last + self.rest <= now);
         let due = self.expedited || self.due.is_some_and(|due| due <= now);
         self.in_flight.is_none() && rested && due
     }
@@ -98,16 +107,19 @@
         }
         let mut records = std::mem::take(&mut self.write.extra);
         let mut occurrences = Vec::new();
+        let mut size = 0;
         for (slot, number) in std::mem::take(&mut self.write.dirty) {
             let Some(job) = self.jobs.get_mut(slot) else { continue };
             let occurrence = &mut job.occurrences[number as usize];
             occurrence.dirty = false;
+            size += occurrence.size();
             records.push(Record::Progress(job.key, number, occurrence.progress()));
             occurrences.push((slot, number));
         }
         self.write.due = None;
         self.write.expedited = false;
         self.write.last = Some(now);
+        self.write.rest = WRITE_INTERVAL.max(WRITE_REST_PER_TASK * size as u32);
         if records.is_empty() {
             return;
         }
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -16,10 +16,11 @@
     job::StepSpec,
     record::Outcome,
     sched::{
-        ledger::Charge,
+        ledger::{Charge, Ledger},
         rank::{Rank, Timeliness, rank, submission_rank},
         scheduler::Scheduler,
         settings::MAX_BLOCKED_STEPS,
+        shape::ShapeId,
         share::PoolShares,
         work::{Job, JobSlot, TaskRef},
         worker::{Worker, WorkerKey},
@@ -39,13 +40,50 @@
 /// Run numbers of an owner start at its epoch shifted left by this many bits, above those of all earlier owners.
 const RUN_NUMBER_BITS: u32 = 20;
 
-/// A step with idle tasks that are ready to start.
+/// Shapes of an occurrence that may find no worker, or be held back, before a pass goes on to the next occurrence. So no job
+/// takes the turn of others, however many steps it has.
+const MAX_MISSED_SHAPES: usize = 16;
+
+/// Shapes of an occurrence that no worker can ever run, before a pass goes on to the next occurrence. Such a job can't
+/// complete.
+const MAX_HOPELESS_SHAPES: usize = 64;
+
+/// An occurrence with idle tasks that are ready to start.
 struct Candidate {
     rank: Rank,
     at: TaskRef,
     service: ServiceId,
 }
 
+impl Candidate {
+    fn first_step(&self) -> StepCursor {
+        StepCursor { shape: None, from: 0, missed: 0, hopeless: 0 }
+    }
+}
+
+/// How far a pass has come in the steps of an occurrence, which it goes through by shape.
+struct StepCursor {
+    /// Shape of the last step.
+    shape: Option<ShapeId>,
+    /// Lowest step of that shape that comes next.
+    from: u32,
+    /// Number of shapes that found no worker or were held back.
+    missed: usize,
+    /// Number of shapes that no worker can ever run.
+    hopeless: usize,
+}
+
+/// What became of the idle tasks of a step in a pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Placed {
+    /// All started, but for those that wait for something of their own.
+    All,
+    /// They are held back: by the cap of their account, for advice, or for other members of the gang.
+    Held,
+    /// One of them found no worker.
+    NoRoom,
+}
+
 /// Constraints of a step, and where its tasks already run.
 pub(super) struct StepView<'a> {
     pub(super) spec: &'a StepSpec,
@@ -105,7 +143,7 @@
         }
     }
 
-    /// Places steps of the same importance, those of accounts above their share of the pool after the others.
+    /// Places occurrences of the same importance, the steps of accounts above their share of the pool after the others.
     fn place_group(
         &mut self,
         group: &[Candidate],
@@ -116,39 +154,97 @@
         for candidate in group {
             let account = self.jobs[candidate.at.job].account;
             let pool = pools.get(&candidate.service);
-            if pool.zip(account).is_some_and(|(pool, account)| pool.is_over(&self.ledger, account))
-            {
-                deferred.push(candidate);
+            let is_over = |pool: &PoolShares, ledger: &Ledger| {
+                account.is_some_and(|account| pool.is_over(ledger, account))
+            };
+            if pool.is_some_and(|pool| is_over(pool, &self.ledger)) {
+                deferred.push((candidate, candidate.first_step()));
                 continue;
             }
-            let started = self.place_candidate(candidate, blocked);
-            let charge = self.charge_of(candidate.at);
-            if let (Some(pool), Some(charge)) = (pools.get_mut(&candidate.service), charge) {
-                let demand = charge.demand.times(started);
-                pool.add_run(&self.ledger, Charge { demand, ..charge });
+            let mut steps = candidate.first_step();
+            while let Some(step) = self.next_step(candidate, &steps) {
+                let started = self.place_next(candidate, step, &mut steps, blocked);
+                let charge = self.charge_of(TaskRef { step, ..candidate.at });
+                if let (Some(pool), Some(charge)) = (pools.get_mut(&candidate.service), charge) {
+                    let demand = charge.demand.times(started);
+                    pool.add_run(&self.ledger, Charge { demand, ..charge });
+                    if is_over(pool, &self.ledger) {
+                        deferred.push((candidate, steps));
+                        break;
+                    }
+                }
             }
         }
-        for candidate in deferred {
-            self.place_candidate(candidate, blocked);
+        for (candidate, mut steps) in deferred {
+            while let Some(step) = self.next_step(candidate, &steps) {
+                self.place_next(candidate, step, &mut steps, blocked);
+            }
         }
     }
 
-    /// Starts the tasks of a step that fit, unless too many steps of its service found no room in this pass. Returns how many
-    /// it started.
-    fn place_candidate(
+    /// The step of an occurrence to place next; `None` at the end, or if too many have found no room.
+    fn next_step(&self, candidate: &Candidate, steps: &StepCursor) -> Option<u32> {
+        if steps.missed >= MAX_MISSED_SHAPES || steps.hopeless >= MAX_HOPELESS_SHAPES {
+            return None;
+        }
+        let occurrence = &self.jobs[candidate.at.job].occurrences[candidate.at.occurrence as usize];
+        let mut shapes = match steps.shape {
+            Some(shape) => occurrence.startable.range(shape..),
+            None => occurrence.startable.range(..),
+        };
+        shapes.find_map(|(shape, startable)| {
+            let from = if steps.shape == Some(*shape) { steps.from } else { 0 };
+            startable.range(from..).next().copied()
+        })
+    }
+
+    /// Starts the tasks of a step that fit, and moves on to the next one. Returns how many it started.
+    fn place_next(
         &mut self,
         candidate: &Candidate,
+        step: u32,
+        steps: &mut StepCursor,
         blocked: &mut HashMap<ServiceId, usize>,
     ) -> u32 {
+        self.count_examined(1);
+        let at = TaskRef { step, ..candidate.at };
+        let job = &self.jobs[at.job];
+        steps.shape = Some(job.shape_of(step));
+        steps.from = step + 1;
         let blocked_steps = blocked.entry(candidate.service.clone()).or_default();
         if *blocked_steps >= MAX_BLOCKED_STEPS {
+            steps.missed = MAX_MISSED_SHAPES;
             return 0;
         }
-        let before = self.jobs[candidate.at.job].active_runs;
-        if !self.place_step(candidate.at) {
-            *blocked_steps += 1;
+        let before = job.active_runs;
+        match self.place_step(at) {
+            Placed::All => {}
+            Placed::Held => steps.missed += 1,
+            // The other steps of this shape find no room either. Only what could run at all counts as blocked, since
+            // the jobs of a service may have any number of steps that no worker can ever run.
+            Placed::NoRoom => {
+                steps.from = u32::MAX;
+                if self.can_ever_run(at) {
+                    steps.missed += 1;
+                    *blocked.entry(candidate.service.clone()).or_default() += 1;
+                } else {
+                    steps.hopeless += 1;
+                }
+            }
         }
-        self.jobs[candidate.at.job].active_runs.saturating_sub(before)
+        self.jobs[at.job].active_runs.saturating_sub(before)
+    }
+
+    /// True if some worker of the service could run a task of the step if nothing else ran there.
+    fn can_ever_run(&self, at: TaskRef) -> bool {
+        let job = &self.jobs[at.job];
+        let (spec, service) = (job.step_spec(at.step), self.service_of(&job.submission));
+        let demand = spec.allocation();
+        self.workers.values().any(|worker| {
+            worker.service == *service
+                && spec.requires.as_ref().is_none_or(|label| worker.has_label(label))
+                && demand.fits(worker.capacity)
+        })
     }
 
     fn candidates(&mut self) -> Vec<Candidate> {
@@ -166,21 +262,13 @@
             let job = &self.jobs[slot];
             for (number, occurrence) in job.occurrences.iter().enumerate() {
                 let not_due = occurrence.due.is_some_and(|due| due > self.now.wall);
-                if occurrence.outcome != Outcome::Open || not_due {
+                let open = occurrence.outcome == Outcome::Open && !not_due;
+                if !open || occurrence.startable.is_empty() {
                     continue;
                 }
-                for (step_number, step) in occurrence.steps.iter().enumerate() {
-                    let spec = job.step_spec(step_number as u32);
-                    let idle = step.tasks.iter().filter(|task| task.is_idle()).count();
-                    let whole = !spec.gang || idle == step.tasks.len();
-                    if idle == 0 || !whole || !occurrence.is_ready(spec) {
-                        continue;
-                    }
-                    let (occurrence, step) = (number as u32, step_number as u32);
-                    let at = TaskRef { job: slot, occurrence, step, index: 0 };
-                    let rank = self.rank_of(job, occurrence);
-                    found.push(Candidate { rank, at, service: service.clone() });
-                }
+                let at = TaskRef { job: slot, occurrence: number as u32, step: 0, index: 0 };
+                let rank = self.rank_of(job, at.occurrence);
+                found.push(Candidate { rank, at, service: service.clone() });
             }
         }
         found
@@ -193,22 +281,20 @@
         rank(job, occurrence, self.estimate_occurrence(job, occurrence), self.now.wall)
     }
 
-    /// Starts the idle tasks of a step that the cap of the account allows. Returns false if one of them found no worker.
-    fn place_step(&mut self, at: TaskRef) -> bool {
+    /// Starts the idle tasks of a step that the cap of the account allows.
+    fn place_step(&mut self, at: TaskRef) -> Placed {
         if self.needs_advice(at) && !self.ensure_tickets(at) {
-            return true;
+            return Placed::Held;
         }
         if self.jobs[at.job].step_spec(at.step).gang {
             return self.place_gang(at);
         }
-        let occurrence = &self.jobs[at.job].occurrences[at.occurrence as usize];
-        let tasks = &occurrence.steps[at.step as usize].tasks;
-        let idle: Vec<u32> =
-            (0..tasks.len()).filter(|&n| tasks[n].is_idle()).map(|n| n as u32).collect();
-        for index in idle {
+        let mut next = self.idle_from(at, 0);
+        while let Some(index) = next {
+            next = self.idle_from(at, index + 1);
             let at = TaskRef { index, ..at };
             if !self.cap_allows(at, 1) {
-                return true;
+                return Placed::Held;
             }
             let run = self.next_run(at);
             if !self.may_start(at, run) {
@@ -224,12 +310,18 @@
                 if self.jobs[at.job].step_spec(at.step).long_running {
                     self.make_room(at);
                 }
-                return false;
+                return Placed::NoRoom;
             };
             self.log_start(at, key, run);
             self.start_run(at, key, run);
         }
-        true
+        Placed::All
+    }
+
+    /// The first idle task of a step with this index or a higher one.
+    fn idle_from(&self, at: TaskRef, from: u32) -> Option<u32> {
+        let occurrence = &self.jobs[at.job].occurrences[at.occurrence as usize];
+        occurrence.steps[at.step as usize].idle.range(from..).next().copied()
     }
 
     fn log_start(&self, at: TaskRef, key: WorkerKey, run: u64) {
@@ -248,24 +340,26 @@
         (self.task(at).last_run + 1).max(self.epoch << RUN_NUMBER_BITS)
     }
 
-    /// Starts all tasks of a gang or none; their runs share one run number. Returns false if they don't all fit.
-    fn place_gang(&mut self, at: TaskRef) -> bool {
+    /// Starts all tasks of a gang or none; their runs share one run number.
+    fn place_gang(&mut self, at: TaskRef) -> Placed {
         let count = self.jobs[at.job].step_spec(at.step).count;
-        if !self.cap_allows(at, count) {
-            return true;
+        let occurrence = &self.jobs[at.job].occurrences[at.occurrence as usize];
+        let idle = occurrence.steps[at.step as usize].idle.len();
+        if idle < count as usize || !self.cap_allows(at, count) {
+            return Placed::Held;
         }
         let members = || (0..count).map(|index| TaskRef { index, ..at });
         let run = members().map(|member| self.next_run(member)).max().unwrap_or_default();
         let held_back = members().filter(|member| !self.may_start(*member, run)).count();
         if held_back > 0 {
-            return true;
+            return Placed::Held;
         }
-        let Some(chosen) = self.choose_gang(at, count) else { return false };
+        let Some(chosen) = self.choose_gang(at, count) else { return Placed::NoRoom };
         for (member, key) in members().zip(chosen) {
             self.log_start(member, key, run);
             self.start_run(member, key, run);
         }
-        true
+        Placed::All
     }
 
     /// Chooses workers for all members of a gang: in one rack if the step asks for that and a rack has room, otherwise in
@@ -322,7 +416,12 @@
         let step = &job.occurrences[at.occurrence as usize].steps[at.step as usize];
         let mut by_worker = HashMap::new();
         let mut by_rack = HashMap::new();
-        for placed in step.tasks.iter().filter_map(|task| task.placement()) {
+        // Where the other tasks of the step run matters only for these.
+        let spreads = spec.spread.is_some() || spec.long_running;
+        for placed in step.placed_tasks().filter_map(|task| task.placement()) {
+            if !spreads {
+                break;
+            }
             *by_worker.entry(placed.worker).or_default() += 1;
             let rack = self.workers.get(placed.worker).and_then(Worker::rack);
             *by_rack.entry(rack.cloned().unwrap_or_default()).or_default() += 1;
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -24,7 +24,7 @@
         order::OrderGuard,
         reclaim::PoolDrain,
         scheduler::Scheduler,
-        work::{Job, JobSlot, Phase},
+        work::{Job, JobSlot},
         worker::WorkerKey,
     },
 };
@@ -296,25 +296,33 @@
             }
             for (number, step) in occurrence.steps.iter().enumerate() {
                 let spec = job.step_spec(number as u32);
-                let ready = occurrence.is_ready(spec);
+                if step.is_done() {
+                    continue;
+                }
+                let ready = occurrence.is_ready(number as u32) || spec.long_running;
+                let waiting = match job.account {
+                    _ if !ready => 0,
+                    None => step.idle.len(),
+                    Some(_) => {
+                        let fits = |_: &&u32| room.take(&self.ledger, job.account, spec.demand);
+                        step.idle.iter().take_while(fits).count()
+                    }
+                };
+                let share = if spec.long_running { 1.0 } else { READY_DEMAND_SHARE };
+                let waiting = waiting as f32 * share;
+                let tasks = step.placed.len() as f32 + waiting;
                 let per_task = spec.allocation();
-                for task in &step.tasks {
-                    let share = match &task.phase {
-                        Phase::Placed(_) => 1.0,
-                        Phase::Done => 0.0,
-                        Phase::Idle if !(ready || spec.long_running) => 0.0,
-                        Phase::Idle if !room.take(&self.ledger, job.account, spec.demand) => 0.0,
-                        Phase::Idle if spec.long_running => 1.0,
-                        Phase::Idle => READY_DEMAND_SHARE,
+                let cores = per_task.cores.0 as f32;
+                demand.cores += cores * tasks;
+                demand.late += if job.in_time { 0.0 } else { cores * waiting };
+                demand.long_running += if spec.long_running { cores * tasks } else { 0.0 };
+                demand.memory += per_task.memory.0 as f32 * tasks;
+                if spec.long_running {
+                    let unplaced = |index: &&u32| {
+                        let idle_since = step.tasks[**index as usize].idle_since;
+                        self.now.mono.saturating_duration_since(idle_since) > UNPLACED_AFTER
                     };
-                    let cores = per_task.cores.0 as f32 * share;
-                    demand.cores += cores;
-                    demand.late += if task.is_idle() && !job.in_time { cores } else { 0.0 };
-                    demand.long_running += if spec.long_running { cores } else { 0.0 };
-                    demand.memory += per_task.memory.0 as f32 * share;
-                    let waited = self.now.mono.saturating_duration_since(task.idle_since);
-                    let unplaced = spec.long_running && task.is_idle() && waited > UNPLACED_AFTER;
-                    demand.unplaced += usize::from(unplaced);
+                    demand.unplaced += step.idle.iter().filter(unplaced).count();
                 }
                 demand.spread_vms = demand.spread_vms.max(vms_for_spread(job, number));
             }
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -1,6 +1,7 @@
 //! The scheduler's state: handles events, runs the periodic checks and returns the actions to carry out.
 
 use std::{
+    cell::Cell,
     collections::{BTreeMap, HashMap},
     rc::Rc,
     time::{Duration, Instant},
@@ -90,6 +91,8 @@
     pub(super) place_due: bool,
     /// Time of the last placement pass.
     pub(super) placed_at: Instant,
+    /// Steps that placement passes examined so far: their work.
+    examined_steps: Cell<u64>,
     /// Time of the last periodic checks.
     checked_at: Instant,
     /// Time of the event or poll being handled.
@@ -136,6 +139,7 @@
             actions: Vec::new(),
             place_due: true,
             placed_at: now.mono,
+            examined_steps: Cell::new(0),
             checked_at: now.mono,
             now,
         };
@@ -157,6 +161,16 @@
         self.policies = policies;
     }
 
+    /// Number of steps that placement passes have examined. It grows with what is started and with the number of jobs, not
+    /// with the number of waiting tasks.
+    pub fn examined_steps(&self) -> u64 {
+        self.examined_steps.get()
+    }
+
+    pub(super) fn count_examined(&self, steps: usize) {
+        self.examined_steps.set(self.examined_steps.get() + steps as u64);
+    }
+
     /// Handles an event. The actions that follow from it are returned by the next [`Scheduler::poll`].
     pub fn handle(&mut self, event: Event, now: Now) {
         self.now = now;
@@ -261,12 +275,11 @@
         let mut found = Vec::new();
         for (number, occurrence) in self.jobs[slot].occurrences.iter().enumerate() {
             for (step_number, step) in occurrence.steps.iter().enumerate() {
-                let placed = step.tasks.iter().enumerate().filter(|(_, t)| t.placement().is_some());
-                found.extend(placed.map(|(index, _)| TaskRef {
+                found.extend(step.placed.iter().map(|index| TaskRef {
                     job: slot,
                     occurrence: number as u32,
                     step: step_number as u32,
-                    index: index as u32,
+                    index: *index,
                 }));
             }
         }
@@ -349,7 +362,7 @@
         job.active_runs += 1;
         let task = job.task_mut(at);
         task.last_run = task.last_run.max(placement.run);
-        task.phase = Phase::Placed(placement);
+        job.set_phase(at, Phase::Placed(placement));
     }
 
     /// Removes the placement of a task, which becomes idle.
@@ -358,10 +371,11 @@
         let charge = self.charge_of(at);
         let job = &mut self.jobs[at.job];
         let demand = job.step_spec(at.step).allocation();
-        let task = job.task_mut(at);
-        let Phase::Placed(placement) = std::mem::replace(&mut task.phase, Phase::Idle) else {
+        if job.task(at).placement().is_none() {
             return;
-        };
+        }
+        let Phase::Placed(placement) = job.set_phase(at, Phase::Idle) else { return };
+        let task = job.task_mut(at);
         if let Some(charge) = charge {
             self.ledger.refund(charge);
             if !placement.confirmed {
@@ -445,12 +459,12 @@
             return;
         }
         let step = &self.jobs[at.job].occurrences[at.occurrence as usize].steps[at.step as usize];
-        let others: Vec<_> = (0..step.tasks.len())
-            .filter(|&index| {
-                step.tasks[index].placement().is_some_and(|p| p.stage != Stage::Stopping)
-            })
-            .map(|index| TaskRef { index: index as u32, ..at })
-            .collect();
+        let runs = |index: &&u32| {
+            let placement = step.tasks[**index as usize].placement();
+            placement.is_some_and(|placement| placement.stage != Stage::Stopping)
+        };
+        let others: Vec<_> =
+            step.placed.iter().filter(runs).map(|index| TaskRef { index: *index, ..at }).collect();
         for other in others {
             self.stop_run(other);
         }
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -1,6 +1,11 @@
-//! The owner's state of each job: occurrences, steps, tasks and the runs placed on workers.
+//! The owner's state of each job: occurrences, tasks and the runs placed on workers.
 
-use std::{rc::Rc, time::Duration, time::Instant};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Instant,
+};
 
 use cj_types::UnixMillis;
 use compact_str::CompactString;
@@ -8,8 +13,15 @@
 
 use crate::{
     job::{JobKey, JobSpec, StepSpec, TaskId},
-    record::{CrashedRuns, Failures, Outcome, Progress, StepProgress, Submission},
-    sched::{event::Ticket, ledger::AccountSlot, order::OrderGuard, worker::WorkerKey},
+    record::{CrashedRuns, Outcome, Progress, Submission},
+    sched::{
+        estimate::TimeEstimate,
+        ledger::AccountSlot,
+        order::OrderGuard,
+        shape::{ShapeId, Shapes},
+        step::Step,
+        worker::WorkerKey,
+    },
 };
 
 new_key_type! {
@@ -105,7 +117,7 @@
 }
 
 impl Task {
-    fn new(now: Instant) -> Self {
+    pub(super) fn new(now: Instant) -> Self {
         Task {
             phase: Phase::Idle,
             failed_runs: Vec::new(),
@@ -140,33 +152,6 @@
     }
 }
 
-/// Tickets of the policy service for a step.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Tickets {
-    pub(super) granted: Vec<Ticket>,
-    /// When the tickets expire.
-    pub(super) valid_until: Option<Instant>,
-    /// Earliest time of the next call to the policy service; until then a call is outstanding or was refused.
-    pub(super) retry_at: Option<Instant>,
-}
-
-/// A step of an occurrence.
-#[derive(Clone, Debug)]
-pub(super) struct Step {
-    pub(super) tasks: Vec<Task>,
-    /// Completed runs that took the whole time of a task, without resuming from a checkpoint.
-    pub(super) completed_runs: u32,
-    /// Total duration of these runs.
-    pub(super) total_time: Duration,
-    pub(super) tickets: Tickets,
-}
-
-impl Step {
-    pub(super) fn is_done(&self) -> bool {
-        self.tasks.iter().all(Task::is_done)
-    }
-}
-
 /// An occurrence of a job.
 #[derive(Clone, Debug)]
 pub(super) struct Occurrence {
@@ -178,13 +163,27 @@
     pub(super) decided_at: UnixMillis,
     /// It has changed since it was last written.
     pub(super) dirty: bool,
+    /// Number of steps that aren't done.
+    open_steps: usize,
+    /// By step, the number of steps that it depends on and that aren't done.
+    unmet: Vec<u32>,
+    /// Steps that are ready and have idle tasks, by shape.
+    pub(super) startable: BTreeMap<ShapeId, BTreeSet<u32>>,
+    /// The last estimate of its times, with the time at which it was made.
+    pub(super) estimate: Cell<Option<(Instant, TimeEstimate)>>,
 }
 
 impl Occurrence {
-    fn new(spec: &JobSpec, number: u32, progress: Option<&Progress>, now: Instant) -> Self {
+    fn new(
+        spec: &JobSpec,
+        shapes: &Shapes,
+        number: u32,
+        progress: Option<&Progress>,
+        now: Instant,
+    ) -> Self {
         let restore = |(at, step): (usize, &StepSpec)| {
             let recorded = progress.and_then(|progress| progress.steps.get(at));
-            restore_step(step, recorded, now)
+            Step::restore(step, recorded, now)
         };
         let mut steps: Vec<Step> = spec.steps.iter().enumerate().map(restore).collect();
         for crashed in progress.iter().flat_map(|progress| &progress.crashes) {
@@ -193,23 +192,73 @@
                 task.crashed_runs = crashed.runs.clone();
             }
         }
-        Occurrence {
+        let is_open = |n: &&u32| steps.get(**n as usize).is_none_or(|step| !step.is_done());
+        let unmet = |step: &StepSpec| step.after.iter().filter(is_open).count() as u32;
+        let mut occurrence = Occurrence {
+            unmet: spec.steps.iter().map(unmet).collect(),
+            open_steps: steps.iter().filter(|step| !step.is_done()).count(),
+            startable: BTreeMap::new(),
+            estimate: Cell::new(None),
             due: spec.schedule.map(|schedule| schedule.due(number)),
             steps,
             started: progress.is_some_and(|progress| progress.started),
             outcome: progress.map_or(Outcome::Open, |progress| progress.outcome),
             decided_at: progress.map_or(UnixMillis::default(), |progress| progress.decided_at),
             dirty: false,
+        };
+        for step in 0..occurrence.steps.len() as u32 {
+            occurrence.update_startable(shapes, step);
+        }
+        occurrence
+    }
+
+    /// True when all steps are done.
+    pub(super) fn is_done(&self) -> bool {
+        self.open_steps == 0
+    }
+
+    /// Number of tasks and steps, which the time for going over all of them depends on.
+    pub(super) fn size(&self) -> usize {
+        self.steps.iter().map(|step| step.tasks.len()).sum::<usize>() + self.steps.len()
+    }
+
+    /// Lists a step as startable if it is ready and has idle tasks.
+    fn update_startable(&mut self, shapes: &Shapes, step: u32) {
+        let index = step as usize;
+        let startable = self.unmet[index] == 0 && !self.steps[index].idle.is_empty();
+        let shape = shapes.of(step);
+        if startable {
+            self.startable.entry(shape).or_default().insert(step);
+        } else if let Some(steps) = self.startable.get_mut(&shape) {
+            steps.remove(&step);
+            if steps.is_empty() {
+                self.startable.remove(&shape);
+            }
         }
     }
 
+    /// Changes the phase of a task and returns the earlier one.
+    fn set_phase(&mut self, shapes: &Shapes, step: u32, index: u32, phase: Phase) -> Phase {
+        let was_open = !self.steps[step as usize].is_done();
+        let earlier = self.steps[step as usize].set_phase(index, phase);
+        self.update_startable(shapes, step);
+        if was_open && self.steps[step as usize].is_done() {
+            self.open_steps -= 1;
+            for &dependent in shapes.dependents(step) {
+                self.unmet[dependent as usize] -= 1;
+                self.update_startable(shapes, dependent);
+            }
+        }
+        earlier
+    }
+
     /// The record to be stored.
     pub(super) fn progress(&self) -> Progress {
         Progress {
             started: self.started,
             outcome: self.outcome,
             decided_at: self.decided_at,
-            steps: self.steps.iter().map(step_progress).collect(),
+            steps: self.steps.iter().map(Step::progress).collect(),
             crashes: self.crashes(),
         }
     }
@@ -228,46 +277,10 @@
         crashes
     }
 
-    /// True when all steps that `step` depends on are done.
-    pub(super) fn is_ready(&self, step: &StepSpec) -> bool {
-        step.after.iter().all(|&n| self.steps.get(n as usize).is_some_and(Step::is_done))
-    }
-}
-
-fn restore_step(spec: &StepSpec, recorded: Option<&StepProgress>, now: Instant) -> Step {
-    let mut tasks: Vec<Task> = (0..spec.count).map(|_| Task::new(now)).collect();
-    let step = |tasks| Step {
-        tasks,
-        completed_runs: 0,
-        total_time: Duration::ZERO,
-        tickets: Tickets::default(),
-    };
-    let Some(recorded) = recorded else { return step(tasks) };
-    for (index, task) in tasks.iter_mut().enumerate() {
-        if recorded.is_done(index as u32) {
-            task.phase = Phase::Done;
-        }
-    }
-    for failed in &recorded.failures {
-        if let Some(task) = tasks.get_mut(failed.index as usize) {
-            task.failed_runs = failed.runs.clone();
-        }
-    }
-    step(tasks)
-}
-
-fn step_progress(step: &Step) -> StepProgress {
-    let mut progress = StepProgress::default();
-    for (index, task) in step.tasks.iter().enumerate() {
-        let index = index as u32;
-        if task.is_done() {
-            progress.set_done(index);
-        }
-        if !task.failed_runs.is_empty() {
-            progress.failures.push(Failures { index, runs: task.failed_runs.clone() });
-        }
+    /// True when all steps that a step depends on are done.
+    pub(super) fn is_ready(&self, step: u32) -> bool {
+        self.unmet[step as usize] == 0
     }
-    progress
 }
 
 /// A job.
@@ -278,6 +291,8 @@
     /// No earlier owner can have started a task of the job.
     pub(super) fresh: bool,
     pub(super) occurrences: Vec<Occurrence>,
+    /// What the steps have in common, and which depend on which.
+    shapes: Shapes,
     pub(super) cancelled: bool,
     /// Number of runs on workers, including those being stopped.
     pub(super) active_runs: u32,
@@ -301,14 +316,16 @@
         F: Fn(u32) -> Option<&'a Progress>,
     {
         let spec = &submission.spec;
+        let shapes = Shapes::new(spec);
         let occurrences = (0..spec.occurrences())
-            .map(|number| Occurrence::new(spec, number, progress(number), now))
+            .map(|number| Occurrence::new(spec, &shapes, number, progress(number), now))
             .collect();
         Job {
             key,
             submission,
             fresh,
             occurrences,
+            shapes,
             cancelled: false,
             active_runs: 0,
             account: None,
@@ -331,6 +348,11 @@
         &self.submission.spec.steps[step as usize]
     }
 
+    /// The shape of a step.
+    pub(super) fn shape_of(&self, step: u32) -> ShapeId {
+        self.shapes.of(step)
+    }
+
     pub(super) fn task(&self, at: TaskRef) -> &Task {
         let occurrence = &self.occurrences[at.occurrence as usize];
         &occurrence.steps[at.step as usize].tasks[at.index as usize]
@@ -341,6 +363,12 @@
         &mut occurrence.steps[at.step as usize].tasks[at.index as usize]
     }
 
+    /// Changes the phase of a task and returns the earlier one.
+    pub(super) fn set_phase(&mut self, at: TaskRef, phase: Phase) -> Phase {
+        let occurrence = &mut self.occurrences[at.occurrence as usize];
+        occurrence.set_phase(&self.shapes, at.step, at.index, phase)
+    }
+
     /// Position of a task of this job; `None` if the job has no such task.
     pub(super) fn task_ref(&self, slot: JobSlot, task: &TaskId) -> Option<TaskRef> {
         let occurrence = self.occurrences.get(task.occurrence as usize)?;
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod decisions;
 mod evidence;
+mod large_jobs;
 mod listings;
 mod logs;
 mod orders;
