Keep the leases of runs that the next life of a worker may start

Cause: the end of an incarnation keeps such runs placed and stops them, but cleared the lease of the worker and its reconciliation. The next check, 40 ms later at most, took that for an unresponsive worker whose leases have ended, and the tasks started elsewhere.

Change: while such runs are left, the worker keeps the longest lease that a worker accepts, since the next incarnation has another clock. The stop, once answered and confirmed by a listing, frees them before.

Measured: start_that_a_new_incarnation_may_carry_out_is_settled_first fails without the change ("the first start isn't settled").

--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -13,6 +13,7 @@
 use crate::sched::{
     event::{VmRow, VmState, WorkerId},
     scheduler::Scheduler,
+    settings::MIN_CLOCK_RATE,
     work::TaskRef,
     worker::WorkerKey,
 };
@@ -157,9 +158,20 @@
                 self.mark_lost(at, RunEvidence::IncarnationEnded);
             }
         }
+        self.extend_kept_leases(key);
         self.record_crash(&suspects);
     }
 
+    /// Bounds the leases of runs that a new incarnation may still start. It has another clock than the one for which their
+    /// leases were granted, so each may last as long as a worker accepts.
+    fn extend_kept_leases(&mut self, key: WorkerKey) {
+        let longest = self.limits.max_lease.div_f64(MIN_CLOCK_RATE);
+        let worker = &mut self.workers[key];
+        if !worker.runs.is_empty() {
+            worker.lease_end = Some(self.now.mono + longest);
+        }
+    }
+
     /// Records that a run ended without a listed end; its task becomes idle.
     pub(super) fn mark_lost(&mut self, at: TaskRef, evidence: RunEvidence) {
         let id = self.jobs[at.job].task_id(at);
--- a/crates/cj-sched/tests/sim/decisions.rs
+++ b/crates/cj-sched/tests/sim/decisions.rs
@@ -68,7 +68,9 @@
     ) -> Self {
         let start = Instant::now();
         let now = Now { mono: start, wall: UnixMillis(START_UNIX_MS) };
-        let scheduler = Scheduler::new(1, Limits::default(), config(advice), job_index, start, now);
+        let mut scheduler =
+            Scheduler::new(1, Limits::default(), config(advice), job_index, start, now);
+        scheduler.set_submissions_read();
         let mut harness =
             Harness { scheduler, start, elapsed_ms: 0, workers: Vec::new(), vm_rows: Vec::new() };
         let rows = racks.iter().enumerate().map(|(n, rack)| VmRow {
@@ -94,9 +96,18 @@
 
     /// Registers a worker with this capacity in millicores.
     pub(crate) fn register(&mut self, worker: usize, rack: &str, cores: u32) {
+        self.register_incarnation(worker, rack, cores, 1);
+    }
+
+    /// Registers a later incarnation of a worker.
+    pub(crate) fn register_start(&mut self, worker: usize, started_at: u64) {
+        self.register_incarnation(worker, "r0", 8_000, started_at);
+    }
+
+    fn register_incarnation(&mut self, worker: usize, rack: &str, cores: u32, started_at: u64) {
         self.handle(Event::Registered(WorkerRegistration {
             id: self.workers[worker].clone(),
-            started_at: Some(1),
+            started_at: Some(started_at),
             service: service("red"),
             address: "127.0.0.1:1".into(),
             capacity: resources(cores, 64_000),
@@ -139,6 +150,18 @@
         }
     }
 
+    /// Answers a listing of an incarnation of a worker without runs and ends.
+    pub(crate) fn list_started(&mut self, worker: usize, started_at: u64) {
+        let listing = Listing {
+            started_at: Some(started_at),
+            clock: 1_000 + self.elapsed_ms,
+            ends_complete: true,
+            ..Listing::default()
+        };
+        let sent = self.now().mono;
+        self.handle(Event::Listed(self.workers[worker].clone(), sent, ListAnswer::Listed(listing)));
+    }
+
     /// Answers a listing of a worker with the end of a run.
     pub(crate) fn list_end(&mut self, worker: usize, command: &StartCommand, kind: EndKind) {
         let ended =
--- a/crates/cj-sched/tests/sim/orders.rs
+++ b/crates/cj-sched/tests/sim/orders.rs
@@ -184,3 +184,43 @@
     again.extend(starts(&harness.poll_after(500)).iter().map(|(_, command)| command.run));
     assert!(again.iter().any(|run| *run > start.1.run), "{again:?}");
 }
+
+/// Guards against a task that is started again elsewhere while the new life of its worker may still carry out its first
+/// start: the leases of the earlier life say nothing about that.
+#[test]
+fn start_that_a_new_incarnation_may_carry_out_is_settled_first() {
+    let mut harness = Harness::new(&["r0", "r1"], None);
+    harness.submit(1, vec![step(1, 1_000, 500)], None);
+    let start = started(&mut harness).remove(0);
+    let worker = harness.workers.iter().position(|id| *id == start.0).unwrap();
+    harness.register_start(worker, 2);
+    let mut stopped = 0;
+    for _ in 0..30 {
+        let actions = poll_and_write(&mut harness);
+        harness.list_worker(1 - worker, Vec::new());
+        stopped += stops(&actions).len();
+        assert!(starts(&actions).is_empty(), "the first start isn't settled");
+    }
+    assert_eq!(stopped, 1);
+    answer_start(&mut harness, &start, CommandAnswer::Unanswered);
+    answer_stop(&mut harness, &start, CommandAnswer::Done);
+    poll_and_write(&mut harness);
+    harness.list_started(worker, 2);
+    let mut again = 0;
+    for _ in 0..30 {
+        harness.list_worker(1 - worker, Vec::new());
+        again += starts(&poll_and_write(&mut harness)).len();
+    }
+    assert_eq!(again, 1, "the new incarnation refuses the first start");
+}
+
+/// Advances time, makes what is written durable, and returns the actions.
+fn poll_and_write(harness: &mut Harness) -> Vec<Action> {
+    let actions = harness.poll_after(100);
+    for action in &actions {
+        if let Action::Write(number, _) = action {
+            harness.handle(Event::Written(*number));
+        }
+    }
+    actions
+}
