Take a job for new only after all older submissions are read

Cause: the record of a submission can be in an overflow log and, from a retry, in the log of jobs. The old owner read the first; the next one, which hadn't, found the second behind its own claim, took the job for one that no earlier owner can know, and started its tasks before it had listed the workers.

Ruled out: a wrong epoch of the second record; it is behind the claim.

Change: until all logs that earlier owners may have read are read, a submitted job waits for the listings of its service's workers, like the older ones.

Measured: a_job_in_two_logs_is_not_taken_for_new failed before ("runs twice at 4711").

--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -248,7 +248,8 @@
         job: JobKey,
         /// Its submission.
         submission: Rc<Submission>,
-        /// The job was accepted after this owner's epoch began, so no earlier owner can have started a task of it.
+        /// This submission was accepted after this owner's epoch began. Unless it is in another log as well, no earlier
+        /// owner can have started a task of the job.
         fresh: bool,
         /// Progress of its occurrences as recorded by an earlier owner.
         recorded: Vec<Progress>,
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -234,6 +234,8 @@
         if self.job_slots.contains_key(&key) || self.ended_jobs.contains_key(&key) {
             return;
         }
+        // The same submission may be in an overflow log that an earlier owner has read and this one hasn't.
+        let fresh = fresh && self.submissions_read;
         let progress = |number: u32| recorded.get(number as usize);
         let job = Job::new(key, submission, fresh, self.now.mono, progress);
         self.record_arrival(&job);
--- a/crates/cj-sched/tests/sim/logs.rs
+++ b/crates/cj-sched/tests/sim/logs.rs
@@ -117,7 +117,9 @@
             self.schedule(4, SimEvent::Notify { owner, event: Event::Wave(wave, progress) });
         }
         self.schedule(6, SimEvent::Poll { owner });
-        if self.logs.use_overflow {
+        if !self.logs.use_overflow {
+            self.owners[owner].scheduler.set_submissions_read();
+        } else {
             let (mark_delay, read_delay) = (self.logs.rng.random_range(5..800), MAX_READ_DELAY_MS);
             self.schedule(mark_delay, SimEvent::MarkOverflow { epoch });
             self.schedule(read_delay, SimEvent::ReadOverflow { owner });
@@ -194,6 +196,19 @@
             account: self.config.accounts.as_ref().and_then(|_| account_of(key)),
         };
         let log = self.caller_log();
+        self.append_submission(log, job, submission);
+    }
+
+    /// Appends the submission of a job again to the log of jobs, as a node does for a caller's retry if it hasn't read the
+    /// first record.
+    pub(crate) fn submit_again(&mut self, key: u64) {
+        let job = JobKey(key);
+        let submission = self.job_index.job(job).and_then(|entry| entry.submission()).unwrap();
+        let submission = Submission::clone(submission);
+        self.append_submission(Log::Jobs, job, submission);
+    }
+
+    fn append_submission(&mut self, log: Log, job: JobKey, submission: Submission) {
         self.append(log, Record::Submission(job, Box::new(submission)));
         if log == OVERFLOW {
             return;
--- a/crates/cj-sched/tests/sim/regressions.rs
+++ b/crates/cj-sched/tests/sim/regressions.rs
@@ -83,6 +83,34 @@
     }
 }
 
+/// Guards against tasks that run twice because the submission of their job is in two logs: an earlier owner read it from the
+/// overflow log, and a new owner, which hasn't, reads it behind its own claim in the log of jobs.
+#[test]
+fn a_job_in_two_logs_is_not_taken_for_new() {
+    for seed in 0..40 {
+        let mut world = World::new(seed);
+        world.logs.use_overflow = true;
+        for n in 0..4 {
+            world.add_worker(&format!("r{n}"), "red", &format!("rack-{}", n % 2));
+        }
+        add_blue_pool(&mut world);
+        world.take_over(false);
+        world.run_for(3_000);
+        for job in 1..5 {
+            world.submit(job, "red", vec![step(3, 1_000, 3_000)]);
+        }
+        world.run_for(1_700);
+        world.take_over(true);
+        for job in 1..5 {
+            world.submit_again(job);
+        }
+        world.run_for(30_000);
+        for job in 1..5 {
+            assert_eq!(job_state(&world, job), JobState::Completed, "seed {seed}, job {job}");
+        }
+    }
+}
+
 /// Guards against tasks that keep running after their job was cancelled during a takeover.
 #[test]
 fn stops_cancelled_jobs_across_a_takeover() {
