Leave room in the log for what starts and ends runs

The queue of lines treats all lines alike, so a flood of requests can push out the others.

Change: lines about requests are dropped while three quarters of the queue are taken.

Measured: lines_about_requests_leave_room_for_others failed before.

--- a/crates/cj-entry/src/logging.rs
+++ b/crates/cj-entry/src/logging.rs
@@ -1,7 +1,7 @@
 //! Non-blocking logging to standard output.
 //!
 //! Lines pass through a bounded queue to a thread that writes them, so that logging never blocks the event loop. Lines
-//! that don't fit into the queue are dropped and counted.
+//! that don't fit into the queue are dropped and counted, those about callers' requests before all others.
 
 use std::{
     io::{self, Write},
@@ -20,6 +20,13 @@
 /// Maximum number of queued lines.
 const BUFFER_LINES: usize = 4_096;
 
+/// Lines about callers' requests are dropped while more than this many quarters of the queue are taken. The rest is for
+/// lines that tell what starts and ends runs: those of requests are many, and one tells little.
+const REQUEST_QUARTERS: usize = 3;
+
+/// Marks a line about a request of a caller.
+const REQUEST_FIELD: &[u8] = b" request=";
+
 /// How long lines are gathered before they are written together.
 const BATCH_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -47,6 +54,7 @@
 /// parts; dropping only one of them would break the line.
 pub struct LineQueue {
     line: Vec<u8>,
+    capacity: usize,
     lines: SyncSender<Vec<u8>>,
     dropped: DroppedLines,
     pending: Arc<AtomicUsize>,
@@ -57,7 +65,7 @@
     pub fn new(capacity: usize, dropped: DroppedLines) -> (Self, Receiver<Vec<u8>>) {
         let (lines, received) = sync_channel(capacity);
         let pending = Arc::new(AtomicUsize::new(0));
-        (LineQueue { line: Vec::new(), lines, dropped, pending }, received)
+        (LineQueue { line: Vec::new(), capacity, lines, dropped, pending }, received)
     }
 }
 
@@ -67,8 +75,11 @@
         if !self.line.ends_with(b"\n") {
             return Ok(bytes.len());
         }
-        self.pending.fetch_add(1, Ordering::Relaxed);
-        if self.lines.try_send(std::mem::take(&mut self.line)).is_err() {
+        let line = std::mem::take(&mut self.line);
+        let taken = self.pending.fetch_add(1, Ordering::Relaxed);
+        let is_request = line.windows(REQUEST_FIELD.len()).any(|part| part == REQUEST_FIELD);
+        let has_room = !is_request || taken < self.capacity * REQUEST_QUARTERS / 4;
+        if !has_room || self.lines.try_send(line).is_err() {
             self.pending.fetch_sub(1, Ordering::Relaxed);
             self.dropped.0.fetch_add(1, Ordering::Relaxed);
         }
--- a/crates/cj-entry/tests/entry/logging.rs
+++ b/crates/cj-entry/tests/entry/logging.rs
@@ -17,3 +17,17 @@
     assert_eq!(lines, [&b"at=0 choice=start\n"[..], b"at=1 choice=stop\n"]);
     assert_eq!(dropped.count(), 1);
 }
+
+/// Guards against a flood of requests that takes the room of the lines that tell what starts and ends runs.
+#[test]
+fn lines_about_requests_leave_room_for_others() {
+    let dropped = DroppedLines::default();
+    let (mut queue, received) = LineQueue::new(8, dropped.clone());
+    for _ in 0..20 {
+        queue.write_all(b"kind=decision job=1 request=authenticate choice=refused\n").unwrap();
+    }
+    queue.write_all(b"kind=decision task=1.0.0.0 choice=start\n").unwrap();
+    let lines: Vec<_> = received.try_iter().collect();
+    assert!(lines.last().unwrap().ends_with(b"choice=start\n"));
+    assert_eq!(dropped.count() as usize, 21 - lines.len());
+}
