--- a/crates/cj-entry/src/command_slots.rs
+++ b/crates/cj-entry/src/command_slots.rs
@@ -1,4 +1,4 @@
-//! Limits the commands in flight to one worker, and orders those that wait.
+//! Limits the commands in flight to one worker, and decides which of those that wait goes next.
 
 use std::{
     cell::{Cell, RefCell},
@@ -6,7 +6,7 @@
     rc::Rc,
 };
 
-use cj_sched::sched::OrderWatch;
+use cj_sched::sched::CommandWatch;
 use tokio::sync::oneshot;
 
 /// Maximum number of commands in flight to one worker, without listings; each takes a connection.
@@ -37,7 +37,7 @@
 
 /// A command that waits for a slot.
 struct Waiting {
-    watch: OrderWatch,
+    watch: CommandWatch,
     grant: oneshot::Sender<()>,
 }
 
@@ -55,11 +55,11 @@
 }
 
 impl CommandSlots {
-    /// Waits for a slot; `None` if the order was withdrawn before it got one.
+    /// Waits for a slot; `None` if the command was withdrawn before it got one.
     pub async fn acquire(
         self: &Rc<Self>,
         kind: CommandKind,
-        watch: OrderWatch,
+        watch: CommandWatch,
     ) -> Option<CommandSlot> {
         let (grant, granted) = oneshot::channel();
         let queue = match kind {
--- a/crates/cj-entry/src/dispatch.rs
+++ b/crates/cj-entry/src/dispatch.rs
@@ -9,7 +9,7 @@
 
 use cj_sched::{
     Action, Event,
-    sched::{AdviceAnswer, CommandAnswer, ListAnswer, OrderWatch, Target, VmAnswer, WorkerId},
+    sched::{AdviceAnswer, CommandAnswer, CommandWatch, ListAnswer, Target, VmAnswer, WorkerId},
 };
 use cj_types::Clock;
 use log::warn;
@@ -22,9 +22,9 @@
     platform::Platform,
 };
 
-/// An order other than a stop isn't sent if it was decided longer ago: what it was decided on may have changed, for example
+/// A command other than a stop isn't sent if it was decided longer ago: what it was decided on may have changed, for example
 /// which other tasks are unavailable.
-const MAX_ORDER_AGE: Duration = Duration::from_secs(1);
+const MAX_COMMAND_AGE: Duration = Duration::from_secs(1);
 
 /// Delay before the state of a wave is published again.
 const WAVE_REPORT_RETRY_DELAY: Duration = Duration::from_millis(400);
@@ -38,9 +38,9 @@
 }
 
 /// What decides when a command for a run is sent, and whether.
-struct Order {
+struct CommandTurn {
     kind: CommandKind,
-    watch: OrderWatch,
+    watch: CommandWatch,
     send_check: SendCheck,
 }
 
@@ -64,8 +64,8 @@
             Action::Start(target, command) => {
                 let (worker, task, run) = (target.worker.clone(), command.task, command.run);
                 let event = move |answer| Event::Started(worker, task, run, answer);
-                let order = self.order(CommandKind::Other, &command.watch);
-                self.send_command(target, event, order, async move |target, send_check| {
+                let turn = self.turn(CommandKind::Other, &command.watch);
+                self.send_command(target, event, turn, async move |target, send_check| {
                     node.metrics.starts.inc();
                     node.platform.start(&target, &command, &send_check).await
                 });
@@ -73,16 +73,16 @@
             Action::Stop(target, task, run, watch) => {
                 let worker = target.worker.clone();
                 let event = move |answer| Event::Stopped(worker, task, run, answer);
-                let order = self.order(CommandKind::Stop, &watch);
-                self.send_command(target, event, order, async move |target, send_check| {
+                let turn = self.turn(CommandKind::Stop, &watch);
+                self.send_command(target, event, turn, async move |target, send_check| {
                     node.platform.stop(&target, &task, run, &send_check).await
                 });
             }
             Action::Pace(target, task, run, percent, watch) => {
                 let worker = target.worker.clone();
                 let event = move |answer| Event::Paced(worker, task, run, answer);
-                let order = self.order(CommandKind::Other, &watch);
-                self.send_command(target, event, order, async move |target, send_check| {
+                let turn = self.turn(CommandKind::Other, &watch);
+                self.send_command(target, event, turn, async move |target, send_check| {
                     node.platform.pace(&target, &task, run, percent, &send_check).await
                 });
             }
@@ -106,7 +106,7 @@
             Action::MoveVm(vm, pool, watch) => {
                 let vm_id = vm.clone();
                 let event = move |answer| Event::Moved(vm_id, answer);
-                let send_check = self.check_order(self.vm_move_bound(), watch);
+                let send_check = self.check_command(self.vm_move_bound(), watch);
                 self.call(event, VmAnswer::RetryLater, send_check.clone(), async move |_| {
                     node.platform.move_vm(&vm, &pool, &send_check).await
                 });
@@ -114,7 +114,7 @@
             Action::MaintainVm(vm, wave, watch) => {
                 let vm_id = vm.clone();
                 let event = move |answer| Event::Maintained(vm_id, wave, answer);
-                let send_check = self.check_order(LeaseBound::Sole, watch);
+                let send_check = self.check_command(LeaseBound::Sole, watch);
                 self.call(event, VmAnswer::RetryLater, send_check.clone(), async move |_| {
                     node.platform.maintain_vm(&vm, wave, &send_check).await
                 });
@@ -125,27 +125,27 @@
     }
 
     /// What is needed to send a command for a run.
-    fn order(&self, kind: CommandKind, watch: &OrderWatch) -> Order {
+    fn turn(&self, kind: CommandKind, watch: &CommandWatch) -> CommandTurn {
         // A stop is sent however long it has waited: the run goes on until then.
         let send_check = match kind {
             CommandKind::Stop => {
                 let watch = watch.clone();
                 self.lease.check(LeaseBound::Fenced).and(move || watch.is_wanted())
             }
-            CommandKind::Other => self.check_order(LeaseBound::Fenced, watch.clone()),
+            CommandKind::Other => self.check_command(LeaseBound::Fenced, watch.clone()),
         };
-        Order { kind, watch: watch.clone(), send_check }
+        CommandTurn { kind, watch: watch.clone(), send_check }
     }
 
-    /// The check before an order is sent that was decided now.
-    fn check_order(&self, bound: LeaseBound, watch: OrderWatch) -> SendCheck {
+    /// The check before a command is sent that was decided now.
+    fn check_command(&self, bound: LeaseBound, watch: CommandWatch) -> SendCheck {
         let clock = self.member.node.clock.clone();
-        let expires_at = clock.now() + MAX_ORDER_AGE;
+        let expires_at = clock.now() + MAX_COMMAND_AGE;
         self.lease.check(bound).and(move || watch.is_wanted() && clock.now() <= expires_at)
     }
 
     /// Sends a command once one of the worker's command slots is free.
-    fn send_command<E, F>(&self, target: Target, event: E, order: Order, send: F)
+    fn send_command<E, F>(&self, target: Target, event: E, turn: CommandTurn, send: F)
     where
         E: FnOnce(CommandAnswer) -> Event + 'static,
         F: AsyncFnOnce(Target, SendCheck) -> CommandAnswer + 'static,
@@ -154,7 +154,7 @@
             let mut command_slots = self.command_slots.borrow_mut();
             command_slots.entry(target.worker.clone()).or_default().clone()
         };
-        let Order { kind, watch, send_check } = order;
+        let CommandTurn { kind, watch, send_check } = turn;
         let not_sent = CommandAnswer::NotSent;
         self.call(event, not_sent, send_check.clone(), async move |_| {
             let Some(_slot) = slots.acquire(kind, watch).await else { return not_sent };
--- a/crates/cj-entry/tests/entry/command_slots.rs
+++ b/crates/cj-entry/tests/entry/command_slots.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use cj_entry::{CommandKind, CommandSlot, CommandSlots};
-use cj_sched::sched::OrderWatch;
+use cj_sched::sched::CommandWatch;
 use futures::FutureExt;
 
 /// More commands than a worker has slots.
@@ -11,7 +11,7 @@
 
 /// Takes slots until a command of this kind has to wait.
 fn fill(slots: &Rc<CommandSlots>, kind: CommandKind) -> Vec<CommandSlot> {
-    let next = || slots.acquire(kind, OrderWatch::always()).now_or_never().flatten();
+    let next = || slots.acquire(kind, CommandWatch::always()).now_or_never().flatten();
     std::iter::from_fn(next).take(COMMANDS).collect()
 }
 
@@ -31,8 +31,8 @@
     let slots = Rc::<CommandSlots>::default();
     let mut taken = fill(&slots, CommandKind::Other);
     taken.extend(fill(&slots, CommandKind::Stop));
-    let mut start = Box::pin(slots.acquire(CommandKind::Other, OrderWatch::always()));
-    let mut stop = Box::pin(slots.acquire(CommandKind::Stop, OrderWatch::always()));
+    let mut start = Box::pin(slots.acquire(CommandKind::Other, CommandWatch::always()));
+    let mut stop = Box::pin(slots.acquire(CommandKind::Stop, CommandWatch::always()));
     assert!(start.as_mut().now_or_never().is_none());
     assert!(stop.as_mut().now_or_never().is_none());
     taken.remove(0);
@@ -45,7 +45,7 @@
 fn slots_are_free_again() {
     let slots = Rc::<CommandSlots>::default();
     let taken = fill(&slots, CommandKind::Other);
-    let (count, waiting) = (taken.len(), slots.acquire(CommandKind::Other, OrderWatch::always()));
+    let (count, waiting) = (taken.len(), slots.acquire(CommandKind::Other, CommandWatch::always()));
     assert!(waiting.now_or_never().is_none());
     drop(taken);
     assert_eq!(fill(&slots, CommandKind::Other).len(), count);
--- a/crates/cj-sched/src/sched/commands.rs
+++ b/crates/cj-sched/src/sched/commands.rs
@@ -8,13 +8,13 @@
     job::TaskId,
     sched::{
         event::{Action, CommandAnswer, Refusal, StartCommand, WorkerId},
-        order::{OrderGuard, OrderWatch},
         ownership::OwnershipLease,
         scheduler::Scheduler,
         settings::{
             HANG_TIMEOUT, LISTING_INTERVAL, MAX_UNANSWERED_STARTS, STARTUP_INTERVAL,
             STOP_RETRY_INTERVAL, WORKER_PAUSE,
         },
+        watch::{CommandGuard, CommandWatch},
         work::{Placement, Stage, TaskRef},
         worker::WorkerKey,
     },
@@ -32,7 +32,7 @@
             run,
             stage: Stage::Starting,
             confirmed: false,
-            order: OrderGuard::default(),
+            guard: CommandGuard::default(),
             command_pending: true,
             start_pending: false,
             stop_pending: false,
@@ -69,8 +69,8 @@
         let Some(placement) = task_state.placement_mut() else { return };
         placement.command_pending = true;
         placement.command_at = now;
-        placement.order = OrderGuard::default();
-        let watch = placement.order.watch();
+        placement.guard = CommandGuard::default();
+        let watch = placement.guard.watch();
         let (key, run) = (placement.worker, placement.run);
         let worker = &mut self.workers[key];
         let Some(lease_end) = worker.grant_lease(now, limit, max_lease) else { return };
@@ -93,7 +93,7 @@
             return;
         }
         placement.stage = Stage::Stopping;
-        placement.order = OrderGuard::default();
+        placement.guard = CommandGuard::default();
         self.stop_placed(at);
     }
 
@@ -120,7 +120,7 @@
         placement.command_pending = true;
         placement.stop_pending = true;
         placement.command_at = now;
-        let (key, run, watch) = (placement.worker, placement.run, placement.order.watch());
+        let (key, run, watch) = (placement.worker, placement.run, placement.guard.watch());
         self.send_stop(key, id, run, watch);
     }
 
@@ -134,11 +134,11 @@
         self.charge_orphan(key, charge);
         // The run is listed until its stop is carried out; one stop at a time is enough.
         if self.workers[key].orphan_stops.insert((task, run)) {
-            self.send_stop(key, task, run, OrderWatch::always());
+            self.send_stop(key, task, run, CommandWatch::always());
         }
     }
 
-    fn send_stop(&mut self, key: WorkerKey, task: TaskId, run: u64, watch: OrderWatch) {
+    fn send_stop(&mut self, key: WorkerKey, task: TaskId, run: u64, watch: CommandWatch) {
         let target = self.workers[key].target();
         info!(target: "decision", "task={task} run={run} worker={} choice=stop epoch={}", target.worker, self.epoch);
         self.actions.push(Action::Stop(target, task, run, watch));
--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -10,7 +10,7 @@
     job::{JobKey, TaskId},
     job_index::JobIndex,
     record::{Progress, Record, Submission, WaveProgress},
-    sched::order::OrderWatch,
+    sched::watch::CommandWatch,
 };
 
 /// Id under which a worker registers. A later incarnation may use the same id; its start time tells the two apart.
@@ -342,19 +342,19 @@
     /// Ticket of the policy service, for queues that require one.
     pub ticket: Option<CompactString>,
     /// Whether the start is still wanted.
-    pub watch: OrderWatch,
+    pub watch: CommandWatch,
 }
 
-/// An action to be carried out by the caller of the scheduler. An order that its [`OrderWatch`] shows as withdrawn must
+/// An action to be carried out by the caller of the scheduler. A command that its [`CommandWatch`] shows as withdrawn must
 /// not be sent any more.
 #[derive(Clone, Debug)]
 pub enum Action {
     /// Start a run.
     Start(Target, StartCommand),
     /// Stop a run.
-    Stop(Target, TaskId, u64, OrderWatch),
+    Stop(Target, TaskId, u64, CommandWatch),
     /// Limit a run to this percentage of its speed.
-    Pace(Target, TaskId, u64, u8, OrderWatch),
+    Pace(Target, TaskId, u64, u8, CommandWatch),
     /// List the runs on a worker, and renew their lease.
     List {
         /// The worker.
@@ -371,9 +371,9 @@
     /// Write a numbered batch of records; answered by [`Event::Written`] with the same number.
     Write(u64, Vec<Record>),
     /// Move a VM to a pool.
-    MoveVm(VmId, ServiceId, OrderWatch),
+    MoveVm(VmId, ServiceId, CommandWatch),
     /// Power a VM off for the maintenance of a wave.
-    MaintainVm(VmId, u64, OrderWatch),
+    MaintainVm(VmId, u64, CommandWatch),
     /// Publish the state of a wave.
     ReportWave {
         /// Number of the wave.
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -221,7 +221,7 @@
                 let started = placement.stage == Stage::Starting || kept;
                 if started {
                     placement.stage = Stage::Running;
-                    placement.order = Default::default();
+                    placement.guard = Default::default();
                     placement.command_pending = false;
                     placement.awaits_listing = false;
                     placement.kept_if_listed = false;
@@ -263,7 +263,7 @@
             run: row.run,
             stage: Stage::Running,
             confirmed: true,
-            order: Default::default(),
+            guard: Default::default(),
             command_pending: false,
             start_pending: false,
             stop_pending: false,
--- a/crates/cj-sched/src/sched/pace.rs
+++ b/crates/cj-sched/src/sched/pace.rs
@@ -11,8 +11,8 @@
     job::TaskId,
     sched::{
         event::{Action, CommandAnswer, Refusal, WorkerId},
-        order::OrderGuard,
         scheduler::Scheduler,
+        watch::CommandGuard,
         work::{Stage, TaskRef},
         worker::WorkerKey,
     },
@@ -110,8 +110,8 @@
             let Some(placed) = self.task_mut(at).placement_mut() else { continue };
             if placed.pace != pace {
                 placed.pace = pace;
-                placed.order = OrderGuard::default();
-                let (run, watch) = (placed.run, placed.order.watch());
+                placed.guard = CommandGuard::default();
+                let (run, watch) = (placed.run, placed.guard.watch());
                 self.actions.push(Action::Pace(target.clone(), id, run, pace, watch));
             }
         }
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -21,9 +21,9 @@
         evidence::Incarnation,
         forecast::DemandForecast,
         ledger::CapRoom,
-        order::OrderGuard,
         reclaim::PoolDrain,
         scheduler::Scheduler,
+        watch::CommandGuard,
         work::{Job, JobSlot},
         worker::WorkerKey,
     },
@@ -68,7 +68,7 @@
     to: ServiceId,
     sent: Instant,
     /// Keeps the newest command wanted.
-    order: OrderGuard,
+    guard: CommandGuard,
     /// Incarnation that the move ends.
     incarnation: Option<Incarnation>,
     /// When it took effect.
@@ -178,8 +178,8 @@
         for (vm, moving) in &mut self.pools.moves {
             if moving.done_at.is_none() && now > moving.sent + COMMAND_RETRY_INTERVAL {
                 moving.sent = now;
-                moving.order = OrderGuard::default();
-                let watch = moving.order.watch();
+                moving.guard = CommandGuard::default();
+                let watch = moving.guard.watch();
                 repeated.push(Action::MoveVm(vm.clone(), moving.to.clone(), watch));
             }
         }
@@ -380,11 +380,11 @@
             self.workers[key].vm_draining = true;
         }
         info!(target: "decision", "vm={vm} choice=move from={from} to={to} epoch={}", self.epoch);
-        let order = OrderGuard::default();
-        let watch = order.watch();
+        let guard = CommandGuard::default();
+        let watch = guard.watch();
         self.pools.moves.insert(
             vm.clone(),
-            Move { from, to: to.clone(), sent: now, order, incarnation, done_at: None },
+            Move { from, to: to.clone(), sent: now, guard, incarnation, done_at: None },
         );
         self.actions.push(Action::MoveVm(vm, to.clone(), watch));
     }
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -16,8 +16,8 @@
     sched::{
         event::{Action, VmAnswer, VmRow, VmState, WaveSpec, WorkerId},
         evidence::{Incarnation, IncarnationEvidence},
-        order::OrderGuard,
         scheduler::Scheduler,
+        watch::CommandGuard,
         work::{Stage, TaskRef},
         worker::{Worker, WorkerKey},
     },
@@ -53,7 +53,7 @@
     Recording(u64),
     /// The command for its maintenance was last sent at this time and isn't answered; it ends this incarnation. The guard
     /// keeps the command wanted.
-    Requested(Instant, Option<Incarnation>, OrderGuard),
+    Requested(Instant, Option<Incarnation>, CommandGuard),
     /// Its maintenance was seen to have begun at this time.
     InMaintenance(Instant),
 }
@@ -314,14 +314,14 @@
                 {
                     info!(target: "decision", "wave={} vm={vm} choice=maintain", wave.spec.number);
                     let incarnation = self.incarnation_on(&vm);
-                    self.request_maintenance(wave, vm, incarnation, OrderGuard::default());
+                    self.request_maintenance(wave, vm, incarnation, CommandGuard::default());
                 }
-                VmStage::Requested(sent, incarnation, order)
+                VmStage::Requested(sent, incarnation, guard)
                     if self.is_sole_owner()
                         && now.saturating_duration_since(sent) > COMMAND_RETRY_INTERVAL
                         && self.drain_vm(&vm, sent) =>
                 {
-                    self.request_maintenance(wave, vm, incarnation, order);
+                    self.request_maintenance(wave, vm, incarnation, guard);
                 }
                 VmStage::Recording(_) | VmStage::Requested(..) | VmStage::InMaintenance(_) => {}
             }
@@ -334,11 +334,11 @@
         wave: &mut Wave,
         vm: VmId,
         incarnation: Option<Incarnation>,
-        order: OrderGuard,
+        guard: CommandGuard,
     ) {
-        let command = Action::MaintainVm(vm.clone(), wave.spec.number, order.watch());
+        let command = Action::MaintainVm(vm.clone(), wave.spec.number, guard.watch());
         self.actions.push(command);
-        wave.stages.insert(vm, VmStage::Requested(self.now.mono, incarnation, order));
+        wave.stages.insert(vm, VmStage::Requested(self.now.mono, incarnation, guard));
     }
 
     /// Records that the maintenance of a VM will be requested. Returns the number of the write batch.
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -17,9 +17,9 @@
     sched::{
         estimate::TimeEstimate,
         ledger::AccountSlot,
-        order::OrderGuard,
         shape::{ShapeId, Shapes},
         step::Step,
+        watch::CommandGuard,
         worker::WorkerKey,
     },
 };
@@ -57,8 +57,8 @@
     pub(super) stage: Stage,
     /// The worker is known to have started it.
     pub(super) confirmed: bool,
-    /// Keeps the newest order for the run wanted; a newer one replaces it.
-    pub(super) order: OrderGuard,
+    /// Keeps the newest command for the run wanted; a newer one replaces it.
+    pub(super) guard: CommandGuard,
     /// A command for the run is unanswered.
     pub(super) command_pending: bool,
     /// The answer to a start command is outstanding.
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -8,10 +8,10 @@
 mod large_jobs;
 mod listings;
 mod logs;
-mod orders;
 mod policies;
 mod random;
 mod regressions;
+mod withdrawals;
 mod world;
 
 /// Logs the scheduler's decisions to stderr if the environment variable SIM_LOG is set.
--- a/crates/cj-sched/tests/sim/orders.rs
+++ b/crates/cj-sched/tests/sim/withdrawals.rs
@@ -1,4 +1,4 @@
-//! Orders that are withdrawn before they are sent, and stops that aren't sent twice.
+//! Commands that are withdrawn before they are sent, and stops that aren't sent twice.
 
 use cj_sched::{
     Action, Event, JobKey, StepSpec, TaskId,
