Place steps with advice of their own by themselves

What callers would have seen: on a queue with advice, a step waits for another one of its job that asks the same of workers and has no room, although the policy service allows it on other workers.

Cause: a pass left a shape when one of its steps found no room; tickets differ from step to step.

Measured: steps_with_advice_of_their_own_are_placed_by_themselves passes; it wasn't run without the change.

--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -220,10 +220,13 @@
         match self.place_step(at) {
             Placed::All => {}
             Placed::Held => steps.missed += 1,
-            // The other steps of this shape find no room either. Only what could run at all counts as blocked, since
-            // the jobs of a service may have any number of steps that no worker can ever run.
+            // The other steps of this shape find no room either, unless each has advice of its own. Only what could run
+            // at all counts as blocked, since the jobs of a service may have any number of steps that no worker can ever
+            // run.
             Placed::NoRoom => {
-                steps.from = u32::MAX;
+                if !self.needs_advice(at) {
+                    steps.from = u32::MAX;
+                }
                 if self.can_ever_run(at) {
                     steps.missed += 1;
                     *blocked.entry(candidate.service.clone()).or_default() += 1;
--- a/crates/cj-sched/tests/sim/large_jobs.rs
+++ b/crates/cj-sched/tests/sim/large_jobs.rs
@@ -1,6 +1,11 @@
 //! Jobs with thousands of steps or tasks, beside ordinary ones.
 
-use cj_sched::{Event, JobKey, JobState, StepSpec, sched::CommandAnswer};
+use std::time::Duration;
+
+use cj_sched::{
+    Action, Advice, Event, JobKey, JobState, StepSpec,
+    sched::{AdviceAnswer, CommandAnswer, StepKey, Ticket, WorkerId},
+};
 
 use crate::{
     decisions::{Harness, starts},
@@ -100,6 +105,38 @@
     assert_eq!(starts(&harness.poll_after(200)).len(), 2);
 }
 
+/// Guards against a step that waits for another one like it, although the policy service allows each on other workers.
+#[test]
+fn steps_with_advice_of_their_own_are_placed_by_themselves() {
+    let (base, per_vm, validity) = (Duration::ZERO, Duration::ZERO, Duration::from_secs(30));
+    let advice = Advice { base, per_vm, validity };
+    let mut harness = Harness::new(&["r1", "r1"], Some(advice));
+    harness.submit(1, vec![step(1, 7_000, 60_000), step(1, 7_000, 60_000)], None);
+    let actions = harness.poll_after(200);
+    let keys: Vec<_> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Advise(key, _) => Some(*key),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(keys.len(), 2);
+    harness.submit(2, vec![step(1, 7_000, 60_000)], None);
+    harness.poll_after(200);
+    let key = |job, step| StepKey { job: JobKey(job), occurrence: 0, step };
+    let grant = |worker: usize| {
+        let ticket = Ticket { worker: WorkerId(format!("w{worker}").into()), ticket: "t".into() };
+        AdviceAnswer::Granted(vec![ticket], validity)
+    };
+    harness.handle(Event::Advised(key(2, 0), grant(0)));
+    assert_eq!(starts(&harness.poll_after(200)).len(), 1);
+    harness.handle(Event::Advised(key(1, 0), grant(0)));
+    harness.handle(Event::Advised(key(1, 1), grant(1)));
+    let actions = harness.poll_after(200);
+    let started: Vec<_> = starts(&actions).iter().map(|(_, command)| command.task.step).collect();
+    assert_eq!(started, [1], "the first step has no room");
+}
+
 /// Guards against dependent steps that start too early or never, when steps depend on many others.
 #[test]
 fn steps_wait_for_all_that_they_depend_on() {
