Refuse jobs whose number of tasks overflows

Cause: tasks and occurrences were multiplied in 64 bits without a check, so the product could be small.

--- a/crates/cj-sched/src/job.rs
+++ b/crates/cj-sched/src/job.rs
@@ -164,7 +164,7 @@
     pub fn validate(&self) -> Result<()> {
         let invalid = |value: String, help: &str| Err(Error::invalid("job", value, help));
         let per_occurrence: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
-        let tasks = per_occurrence * u64::from(self.occurrences());
+        let tasks = per_occurrence.saturating_mul(u64::from(self.occurrences()));
         if self.steps.iter().any(|step| step.count == 0) || tasks == 0 {
             return invalid(format!("{tasks} tasks"), "give each step a count of at least 1");
         }
