Let the log server of a test keep its idle connections

Cause: the test's HTTP server ended connections that were idle for 5 s. On a stalled machine that happens between two calls, and the next call meets a closed connection. The client is right to report such a call as unanswered.

Change: the server of the test has no such limit. All checks are as before.

--- a/crates/cj-log/tests/adapter.rs
+++ b/crates/cj-log/tests/adapter.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::RefCell, convert::Infallible, rc::Rc, time::Duration};
 
-use actix_http::{HttpService, Method, Request, Response, StatusCode};
+use actix_http::{HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use common::{SECOND, region, run};
 use futures::StreamExt;
@@ -103,7 +103,8 @@
             }
             let state = state.clone();
             let handler = move |request: Request| serve(state.clone(), request);
-            let factory = HttpService::build().finish(handler);
+            // A server that ends connections which seem idle resets calls when the machine stalls for that long.
+            let factory = HttpService::build().keep_alive(KeepAlive::Os).finish(handler);
             let service = ServiceFactory::new_service(&factory.tcp(), ()).await.unwrap();
             tokio::task::spawn_local(async move { drop(service.call(stream).await) });
         }
