--- a/crates/cj-sched/tests/sim/withdrawals.rs
+++ b/crates/cj-sched/tests/sim/withdrawals.rs
@@ -127,7 +127,7 @@
 #[test]
 fn run_with_unanswered_starts_is_kept_if_listed() {
     let (mut harness, start) = unanswered_start();
-    harness.poll_after(10);
+    assert_eq!(stops(&harness.poll_after(10)), [], "stopped before it is known to be missing");
     harness.list_worker(0, vec![row(&start.1)]);
     for _ in 0..20 {
         assert_eq!(stops(&harness.poll_after(100)), []);
