--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -55,13 +55,8 @@
     service: ServiceId,
 }
 
-impl Candidate {
-    fn first_step(&self) -> StepCursor {
-        StepCursor { shape: None, from: 0, missed: 0, hopeless: 0 }
-    }
-}
-
 /// How far a pass has come in the steps of an occurrence, which it goes through by shape.
+#[derive(Default)]
 struct StepCursor {
     /// Shape of the last step.
     shape: Option<ShapeId>,
@@ -158,10 +153,10 @@
                 account.is_some_and(|account| pool.is_over(ledger, account))
             };
             if pool.is_some_and(|pool| is_over(pool, &self.ledger)) {
-                deferred.push((candidate, candidate.first_step()));
+                deferred.push((candidate, StepCursor::default()));
                 continue;
             }
-            let mut steps = candidate.first_step();
+            let mut steps = StepCursor::default();
             while let Some(step) = self.next_step(candidate, &steps) {
                 let started = self.place_next(candidate, step, &mut steps, blocked);
                 let charge = self.charge_of(TaskRef { step, ..candidate.at });
