Start tasks only on incarnations that the next owner has to list

Cause: from 1.1 s to 7 s after its last acknowledged heartbeat an owner may have been replaced without knowing it. Workers that the next owner has listed refuse its commands, and the next owner starts older tasks only once it has listed all workers of the service. That reconciliation isn't repeated for an incarnation that begins later. Such an incarnation has seen no fencing token, so the replaced owner lists it, takes the answer for its own reconciliation and starts a task there. The repeat of an unanswered start reaches it as well, since it may have the same id.

Evidence: before the change, the three tests fail: the owner starts a task 2.1 s after its last heartbeat on a worker that restarted, 1.6 s after it on a worker that joined, and repeats an unanswered start 1.55 s after it. Ruled out: a check of the fencing token alone, because nobody with a higher token has reached that incarnation.

Change: a worker keeps the time at which its incarnation first answered this owner. Tasks start only on incarnations that answered while no other node could have taken over; the next owner knows these and lists them first. An unanswered start is repeated only in that time; later the next listing decides.

Not covered: a first start on a known incarnation that ends and starts anew under the same id between its last answer and the arrival of the command; the command doesn't name the incarnation.

--- a/crates/cj-sched/src/sched/commands.rs
+++ b/crates/cj-sched/src/sched/commands.rs
@@ -222,7 +222,8 @@
         }
     }
 
-    /// Repeats an unanswered start command. After too many, the next listing decides: the run may be there and at work.
+    /// Repeats an unanswered start command. After too many, the next listing decides: the run may be there and at work. So it
+    /// does once another node may have taken over, since the worker may have started anew and seen no fencing token.
     fn retry_start(&mut self, at: TaskRef) {
         let placement = self.task_mut(at).placement_mut().expect("called for a placed task");
         placement.unanswered += 1;
@@ -231,7 +232,7 @@
         if !self.needs_run(at) {
             return self.stop_run(at);
         }
-        if unanswered < MAX_UNANSWERED_STARTS && self.may_command() {
+        if unanswered < MAX_UNANSWERED_STARTS && self.is_sole_owner() {
             return self.send_start(at);
         }
         if let Some(placement) = self.task_mut(at).placement_mut() {
@@ -272,7 +273,7 @@
             Refusal::InvalidTicket => self.drop_tickets(at),
             Refusal::LeaseExpired => self.workers[key].list_by(self.now.mono),
             Refusal::OtherIncarnation => {
-                self.workers[key].reconciled = false;
+                self.workers[key].reconciled_at = None;
                 self.workers[key].list_by(self.now.mono);
             }
             _ => {}
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -229,7 +229,7 @@
         let unlisted = self
             .workers
             .values()
-            .filter(|worker| worker.unread_submission || !(worker.reconciled || leases_over));
+            .filter(|worker| worker.unread_submission || !(worker.is_reconciled() || leases_over));
         let unregistered = self.vms.values().filter(|row| {
             let worker = row.worker.as_ref().filter(|_| row.state == VmState::Up && !leases_over);
             worker.is_some_and(|id| !self.worker_keys.contains_key(id))
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -42,14 +42,14 @@
             .map(|(key, _)| key)
             .collect();
         for key in due {
-            let finite = self.workers[key].reconciled && self.has_finite_run(key);
+            let finite = self.workers[key].is_reconciled() && self.has_finite_run(key);
             let watched = self.watches_suspect(&self.workers[key]);
             let worker = &mut self.workers[key];
             worker.listing_pending = true;
             worker.next_listing = None;
             // An unanswered renewal may be carried out later. An unresponsive worker gets none, so that its leases end.
             let renews =
-                worker.reconciled && worker.missed_listings == 0 && !worker.runs.is_empty();
+                worker.is_reconciled() && worker.missed_listings == 0 && !worker.runs.is_empty();
             let lease_end = if renews { worker.grant_lease(now, limit, max_lease) } else { None };
             worker.ends_acknowledged = worker.ends_durable;
             let wait = if finite && !watched { LISTING_WAIT } else { Default::default() };
@@ -101,8 +101,8 @@
         worker.clock = Some(ClockReading { at: now, value: listing.clock });
         worker.last_answer = Some(now);
         worker.missed_listings = 0;
-        if !worker.reconciled {
-            worker.reconciled = true;
+        if worker.reconciled_at.is_none() {
+            worker.reconciled_at = Some(now);
             self.place_due = true;
         }
         let mut ended: Vec<_> = listing.ended;
--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::sched::scheduler::Scheduler;
+use crate::sched::{scheduler::Scheduler, worker::Worker};
 
 /// Duration of the ownership lease: commands to workers, and leases of runs, end within this time after the owner's
 /// last acknowledged heartbeat was sent.
@@ -60,6 +60,12 @@
         self.now.mono + DECISION_MARGIN < self.ownership.sole_until
     }
 
+    /// True if a node that takes over starts older tasks only once this worker refuses the commands of this owner. It knows a
+    /// worker that answered while this owner was the only one; one that started later may be listed by this owner alone.
+    pub(super) fn is_known_to_successor(&self, worker: &Worker) -> bool {
+        worker.reconciled_at.is_some_and(|at| at < self.ownership.sole_until)
+    }
+
     /// True while VMs may be moved. Where the platform doesn't check fencing tokens, only a sole owner may.
     pub(super) fn may_move_vms(&self) -> bool {
         if self.limits.vm_fencing {
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -461,6 +461,7 @@
         let spec = view.spec;
         worker.service == *view.service
             && worker.accepts_tasks(self.now.mono)
+            && self.is_known_to_successor(worker)
             && (view.isolated || !worker.is_isolated(self.now.mono))
             && spec.requires.as_ref().is_none_or(|label| worker.has_label(label))
             && spec.spread.is_none_or(|most| view.by_worker.get(&key).is_none_or(|n| *n < most))
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -328,7 +328,7 @@
         }
         let was_draining = self.workers[key].draining;
         self.workers[key].update(registration, now);
-        if !self.workers[key].reconciled {
+        if !self.workers[key].is_reconciled() {
             self.workers[key].list_by(now);
         }
         if self.workers[key].draining && !was_draining {
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -124,7 +124,7 @@
     /// ends an incarnation has to be confirmed, or a worker isn't reconciled yet or is unresponsive with tasks on it.
     pub fn needs_vm_list(&self) -> bool {
         let unresolved = |worker: &Worker| {
-            !worker.reconciled || (worker.missed_listings > 0 && !worker.runs.is_empty())
+            !worker.is_reconciled() || (worker.missed_listings > 0 && !worker.runs.is_empty())
         };
         let awaits_list = !self.waves.is_empty() || self.has_moves() || !self.shutdowns.is_empty();
         awaits_list || self.workers.values().any(unresolved)
@@ -178,7 +178,7 @@
     fn end_replaced_incarnations(&mut self, sent: Instant) {
         let up = self.vms.values().filter(|row| row.state == VmState::Up);
         let alive: HashSet<WorkerId> = up.filter_map(|row| row.worker.clone()).collect();
-        let unresponsive = |worker: &Worker| worker.missed_listings > 0 || !worker.reconciled;
+        let unresponsive = |worker: &Worker| worker.missed_listings > 0 || !worker.is_reconciled();
         let named =
             |worker: &Worker| alive.contains(&worker.id) || worker.first_seen + VM_LIST_LAG > sent;
         let gone: Vec<_> = self
@@ -387,7 +387,7 @@
         if !answered && worker.missed_listings == 0 {
             worker.list_by(now);
         }
-        answered || (!worker.reconciled && now > self.lease_horizon)
+        answered || (!worker.is_reconciled() && now > self.lease_horizon)
     }
 
     /// True if no command of an earlier owner can still interrupt tasks of this service, and this owner's last heartbeat is
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -52,8 +52,8 @@
     /// Start of its process, in Unix milliseconds; it identifies the incarnation.
     pub(super) started_at: Option<u64>,
     pub(super) clock: Option<ClockReading>,
-    /// It has answered under this owner's fencing token, so it no longer carries out commands of earlier owners.
-    pub(super) reconciled: bool,
+    /// When it first answered under this owner's fencing token; since then it carries out no commands of earlier owners.
+    pub(super) reconciled_at: Option<Instant>,
     /// Its last listing named a task whose submission this owner may not have read yet.
     pub(super) unread_submission: bool,
     /// Its last listing named only the oldest of its ends, so a run that isn't listed may be among the others.
@@ -119,7 +119,7 @@
             registered: true,
             started_at: None,
             clock: None,
-            reconciled: false,
+            reconciled_at: None,
             unread_submission: false,
             unlisted_ends: false,
             used: Resources::default(),
@@ -170,7 +170,7 @@
         self.ends_durable = 0;
         self.ends_acknowledged = 0;
         self.lease_end = None;
-        self.reconciled = false;
+        self.reconciled_at = None;
         self.unread_submission = false;
         self.unlisted_ends = false;
         self.failures = 0;
@@ -212,7 +212,7 @@
 
     /// True when it is unresponsive and all leases that this owner granted to it have ended.
     pub(super) fn has_lapsed(&self, now: Instant) -> bool {
-        let unresponsive = self.missed_listings > 0 || !self.reconciled;
+        let unresponsive = self.missed_listings > 0 || !self.is_reconciled();
         unresponsive && self.lease_end.is_none_or(|end| end < now)
     }
 
@@ -223,7 +223,12 @@
 
     /// True when all runs on it, and all ends that aren't acknowledged, are known to this owner.
     pub(super) fn runs_known(&self) -> bool {
-        self.reconciled && !self.has_unknown_runs()
+        self.is_reconciled() && !self.has_unknown_runs()
+    }
+
+    /// True when it has answered under this owner's fencing token.
+    pub(super) fn is_reconciled(&self) -> bool {
+        self.reconciled_at.is_some()
     }
 
     /// True when its last listing left open what became of some runs.
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -11,6 +11,7 @@
 mod policies;
 mod random;
 mod regressions;
+mod replaced_owner;
 mod withdrawals;
 mod world;
 
