Move VMs only while no other node can own the cell

Cause: where the platform checks fencing tokens, an owner moved VMs until 6 s after its last acknowledged heartbeat, though another node may act 1.3 s after it. The platform keeps a fence for each VM, which rises with the next owner's first command for that VM. Starting tasks there doesn't raise it, so the platform carries out the move of the replaced owner, which takes the VM for empty because it started nothing there.

Evidence: with vm_fencing set, the test fails before the change: a move 2.1 s after the last heartbeat. Without it the decision was bound to the sole ownership already. Ruled out: a listing right before the move, since a task may start between the two.

Change: moves need the sole ownership, at the decision and at the send, as maintenance does. Limits::vm_fencing has no user any more and goes, with its setting.

The cost on a slow store: pools are planned only while the last acknowledged heartbeat is less than 0.9 s old, so with heartbeats every 0.3 s and appends slower than about 0.6 s moves wait.

--- a/crates/cj-entry/src/dispatch.rs
+++ b/crates/cj-entry/src/dispatch.rs
@@ -106,7 +106,7 @@
             Action::MoveVm(vm, pool, watch) => {
                 let vm_id = vm.clone();
                 let event = move |answer| Event::Moved(vm_id, answer);
-                let send_check = self.check_command(self.vm_move_bound(), watch);
+                let send_check = self.check_command(LeaseBound::Sole, watch);
                 self.call(event, VmAnswer::RetryLater, send_check.clone(), async move |_| {
                     node.platform.move_vm(&vm, &pool, &send_check).await
                 });
@@ -162,12 +162,6 @@
         });
     }
 
-    /// What limits the time in which a VM may be moved.
-    fn vm_move_bound(&self) -> LeaseBound {
-        let fenced = self.member.node.settings.limits.vm_fencing;
-        if fenced { LeaseBound::Fenced } else { LeaseBound::Sole }
-    }
-
     /// Makes a call if the lease check allows it, and reports its answer; `not_sent` is reported if it doesn't.
     fn call<T, E, F>(&self, event: E, not_sent: T, send_check: SendCheck, send: F)
     where
--- a/crates/cj-entry/src/lease.rs
+++ b/crates/cj-entry/src/lease.rs
@@ -63,7 +63,7 @@
 pub(crate) enum LeaseBound {
     /// The receiver refuses the tokens of earlier owners.
     Fenced,
-    /// The receiver doesn't compare tokens, so the command may be sent only while no other node can own the cell.
+    /// The receiver may not know the next owner's token, so the command may be sent only while no other node can own the cell.
     Sole,
 }
 
--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -11,7 +11,7 @@
 /// After this time without a heartbeat of the owner, another node may claim ownership.
 pub const OWNER_TIMEOUT: Duration = Duration::from_millis(1_300);
 
-/// A command whose receiver doesn't check fencing tokens is sent at least this long before another owner can act.
+/// A command whose receiver may not know the next owner's token is sent at least this long before another owner can act.
 const SEND_MARGIN: Duration = Duration::from_millis(200);
 
 /// Such a command is decided at least this long before its lease ends, so that there is time to send it.
@@ -25,7 +25,7 @@
 pub struct OwnershipLease {
     /// For commands whose receivers refuse the fencing tokens of earlier owners.
     pub fenced_until: Instant,
-    /// For commands whose receivers may not check tokens: no other node can have taken over before this time.
+    /// For commands whose receivers may not know the token of the next owner: no other node can have taken over before this time.
     pub sole_until: Instant,
 }
 
@@ -55,7 +55,8 @@
         self.now.mono + LEASE_MARGIN < self.ownership.fenced_until
     }
 
-    /// True while no other node can have taken over.
+    /// True while no other node can have taken over. VMs are moved and maintained only then: the platform's fence of a VM rises
+    /// with the next owner's first command for it, not when that owner starts tasks there.
     pub(super) fn is_sole_owner(&self) -> bool {
         self.now.mono + DECISION_MARGIN < self.ownership.sole_until
     }
@@ -65,13 +66,4 @@
     pub(super) fn is_known_to_successor(&self, worker: &Worker) -> bool {
         worker.reconciled_at.is_some_and(|at| at < self.ownership.sole_until)
     }
-
-    /// True while VMs may be moved. Where the platform doesn't check fencing tokens, only a sole owner may.
-    pub(super) fn may_move_vms(&self) -> bool {
-        if self.limits.vm_fencing {
-            self.now.mono + LEASE_MARGIN * 2 <= self.ownership.fenced_until
-        } else {
-            self.is_sole_owner()
-        }
-    }
 }
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -104,7 +104,7 @@
     pub(super) fn plan_pools(&mut self) {
         let now = self.now.mono;
         let recent = self.pools.planned_at.is_some_and(|at| now < at + PLAN_INTERVAL);
-        if recent || !self.vms_known || !self.may_move_vms() {
+        if recent || !self.vms_known || !self.is_sole_owner() {
             return;
         }
         self.pools.planned_at = Some(now);
--- a/crates/cj-sched/src/sched/settings.rs
+++ b/crates/cj-sched/src/sched/settings.rs
@@ -15,8 +15,6 @@
     pub move_time: Duration,
     /// Time that a VM is off for its maintenance.
     pub maintenance_time: Duration,
-    /// The platform refuses commands to move or maintain a VM that carry the fencing token of an earlier owner.
-    pub vm_fencing: bool,
 }
 
 impl Default for Limits {
@@ -27,7 +25,6 @@
             restore_time: Duration::from_millis(100),
             move_time: Duration::from_millis(1500),
             maintenance_time: Duration::from_secs(2),
-            vm_fencing: false,
         }
     }
 }
--- a/crates/cj-sched/tests/sim/replaced_owner.rs
+++ b/crates/cj-sched/tests/sim/replaced_owner.rs
@@ -1,16 +1,16 @@
 //! An owner that is cut off from the store and may have been replaced: it decides on what it did itself, while the next owner
 //! acts on the workers that it reaches.
 
-use std::time::Instant;
+use std::{rc::Rc, time::Instant};
 
 use cj_sched::{
-    Action, Event,
+    Action, Event, Pool,
     sched::{CommandAnswer, OwnershipLease, RunRow, StartCommand, WorkerId},
 };
 
 use crate::{
-    decisions::{Harness, starts},
-    world::step,
+    decisions::{Harness, config, starts},
+    world::{service, step},
 };
 
 /// Advances time by `ms` without a heartbeat since `last`, then returns the scheduler's actions.
@@ -80,3 +80,29 @@
     assert!(starts(&actions).is_empty());
     assert!(actions.iter().any(|action| matches!(action, Action::List { .. })));
 }
+
+/// Guards against a move of a VM on which the next owner has started tasks. The platform's fence of a VM only rises when the next
+/// owner commands that VM.
+#[test]
+fn a_replaced_owner_moves_no_vm_that_it_takes_for_empty() {
+    let mut harness = Harness::new(&["r1", "r2", "r3", "r4"], None);
+    let mut with_spare = (*config(None)).clone();
+    with_spare.pools.insert(service("spare"), Pool { rejects_overload: true, spare: true });
+    harness.handle(Event::Config(Rc::new(with_spare)));
+    let is_move = |action: &Action| matches!(action, Action::MoveVm(..));
+    let last = harness.now().mono;
+    harness.elapsed_ms += 1_200;
+    harness.list_all();
+    for _ in 0..60 {
+        let actions = poll_cut_off(&mut harness, last, 100);
+        let since = harness.now().mono - last;
+        assert!(!actions.iter().any(is_move), "{since:?} after the last heartbeat");
+        harness.list_all();
+    }
+    let mut moved = false;
+    for _ in 0..40 {
+        moved |= harness.poll_after(100).iter().any(is_move);
+        harness.list_all();
+    }
+    assert!(moved, "idle VMs move once the store confirms the ownership");
+}
