Let a new owner wait out a heartbeat that was taken in before its claim

What would be seen: two owners act at once, each in the belief to be the only one: tasks of one step are interrupted by both (rule AVAIL), VMs are moved and maintained by both (rules LIMIT and ONE), and leases that one of them takes for over are extended by the other (rule TWICE).

Cause: a node claims a cell after 1.3 s of silence, and its first record makes the store refuse later heartbeats of the earlier owner. Between the check of the silence and that record lie a random delay and two appends, with retries for up to 1.2 s on a slow store. A heartbeat that the store takes in meanwhile is acknowledged, so its owner rightly takes itself for the only one until 1.1 s after it, while the new owner acts at once.

Evidence: the test fails before the change: the new owner lists a worker without any time having passed since it read such a heartbeat. Ruled out: the check after a slow claim, which covers neither the delay nor the append of the first record.

Change: the new owner has read all heartbeats before its first record; it acts 1.3 s after it read the last one of another node that didn't release the cell. Meanwhile it writes heartbeats and reads, so that no third node claims. If it stops in that time it doesn't release the cell, because its successor would act at once.

Result: the test passes, and one that a release is followed at once. A takeover after silence isn't delayed, because the silence already exceeds 1.3 s. The state is kept for each cell. cj-sched and cj-entry pass. Not covered: a node that ends while it waits, starts anew and claims within that time, since a record that names the node itself is followed at once.

--- a/crates/cj-entry/src/member.rs
+++ b/crates/cj-entry/src/member.rs
@@ -7,7 +7,9 @@
     time::{Duration, Instant},
 };
 
-use cj_sched::{Event, JobIndex, Log, OVERFLOW_LOGS, codec, job_index::Change};
+use cj_sched::{
+    Event, JobIndex, Log, OVERFLOW_LOGS, codec, job_index::Change, sched::OWNER_TIMEOUT,
+};
 use cj_types::Clock;
 use futures::future::join_all;
 use log::warn;
@@ -51,6 +53,8 @@
     pub changed: Notify,
     /// When the owner's last heartbeat was read from the job log.
     pub last_heartbeat: Cell<Option<Instant>>,
+    /// When the last heartbeat of another node's ownership that wasn't released was read from the job log.
+    rival_heartbeat: Cell<Option<Instant>>,
     /// Sender of events to the scheduler, while this node owns the cell.
     pub events: RefCell<Option<mpsc::UnboundedSender<Event>>>,
     /// The scheduler needs an up-to-date list of VMs.
@@ -80,6 +84,7 @@
             outbox,
             changed: Notify::new(),
             last_heartbeat: Cell::default(),
+            rival_heartbeat: Cell::default(),
             events: RefCell::default(),
             needs_vm_list: Cell::default(),
             completed_waves: RefCell::default(),
@@ -120,6 +125,24 @@
         }
     }
 
+    /// Records that a heartbeat of the owner was read.
+    fn record_heartbeat(&self) {
+        let (now, job_index) = (self.node.clock.now(), self.job_index.borrow());
+        self.last_heartbeat.set(Some(now));
+        let Some(owner) = job_index.owner() else { return };
+        if owner.heartbeat.released {
+            self.rival_heartbeat.set(None);
+        } else if owner.heartbeat.node != self.node.settings.node {
+            self.rival_heartbeat.set(Some(now));
+        }
+    }
+
+    /// Time from which no earlier owner takes itself for the only one; `None` if there is nothing to wait for. An earlier owner's
+    /// heartbeat may have been appended after this node had found the cell without an owner.
+    pub(crate) fn rivals_until(&self) -> Option<Instant> {
+        self.rival_heartbeat.get().map(|read_at| read_at + OWNER_TIMEOUT)
+    }
+
     /// Appends the records of callers, and follows the cell if it is a home cell, until the task is dropped.
     pub(crate) async fn run(&self) {
         let outbox = self.outbox.run(&self.node.platform, &self.node.clock);
@@ -144,6 +167,7 @@
         self.following.set(false);
         self.job_index.take();
         self.last_heartbeat.set(None);
+        self.rival_heartbeat.set(None);
         self.job_log.reset();
         self.overflow_logs.iter().for_each(FollowState::reset);
     }
@@ -192,7 +216,7 @@
                 }
             }
             Change::Cancelled(job) => self.send(Event::Cancelled(job)),
-            Change::Owner => self.last_heartbeat.set(Some(self.node.clock.now())),
+            Change::Owner => self.record_heartbeat(),
             Change::Progressed(_) | Change::Unchanged => {}
         }
         self.changed.notify_waiters();
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -122,9 +122,11 @@
         }
         let _ = tokio::time::timeout(READ_POLL_INTERVAL, member.changed.notified()).await;
     }
+    let acts_from = member.rivals_until().unwrap_or(ownership.acknowledged_at);
     let (events, mut received) = mpsc::unbounded_channel();
     *member.events.borrow_mut() = Some(events.clone());
     let mut owner = Owner::new(member, &layout, &ownership, events);
+    owner.scheduler.begin_at(acts_from);
     let mut tasks = owner.spawn_background_tasks(&ownership);
     let writer = owner.spawn_writer();
     loop {
@@ -147,15 +149,18 @@
         while let Ok(event) = received.try_recv() {
             owner.scheduler.handle(event, node.now());
         }
-        owner.run_scheduler();
+        if node.clock.now() >= acts_from {
+            owner.run_scheduler();
+        }
     }
     *member.events.borrow_mut() = None;
     member.completed_waves.take();
     owner.lease.set(None);
     tasks.abort_all();
     info!(target: "decision", "cell={} choice=disown epoch={} deposed={}", member.id, ownership.epoch, owner.is_deposed());
-    if owner.is_deposed() {
-        // The store refuses further appends of this owner, or can't be reached.
+    if owner.is_deposed() || node.clock.now() < acts_from {
+        // The store refuses further appends of this owner, or can't be reached; or an earlier owner may still act, so that the next
+        // one mustn't take over at once.
         writer.abort();
     } else {
         owner.writer.release();
--- a/crates/cj-entry/tests/entry/platform.rs
+++ b/crates/cj-entry/tests/entry/platform.rs
@@ -15,7 +15,7 @@
     TaskId,
     sched::{
         AdviceAnswer, CommandAnswer, ListAnswer, StartCommand, StepKey, Target, VmAnswer, VmRow,
-        WorkerId,
+        WorkerId, WorkerRegistration,
     },
 };
 use cj_types::{Error, ManualClock, Millicores, ServiceId, UnixMillis, VmId};
@@ -27,6 +27,9 @@
     pub(crate) answer: Result<T, StoreError>,
 }
 
+/// How often a call without a scripted answer looks for one.
+const SCRIPT_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Duration of a call whose answer is lost.
 const NEVER: Duration = Duration::MAX;
 
@@ -38,7 +41,7 @@
     Scripted { delay: Duration::from_millis(ms), answer }
 }
 
-/// A platform for tests. A call without a scripted answer never returns.
+/// A platform for tests. A call without a scripted answer returns once there is one.
 pub(crate) struct FakePlatform {
     pub(crate) clock: ManualClock,
     pub(crate) reads: RefCell<VecDeque<Scripted<Page>>>,
@@ -53,6 +56,10 @@
     /// Scripted responses of other nodes, and the requests to them so far.
     pub(crate) peer_responses: RefCell<VecDeque<Result<Bytes, CompactString>>>,
     pub(crate) peer_requests: RefCell<Vec<(CompactString, Vec<u8>)>>,
+    /// The workers in the registry.
+    pub(crate) registrations: RefCell<Vec<WorkerRegistration>>,
+    /// Number of listings that were requested from workers.
+    pub(crate) listings: Cell<usize>,
     /// Overflow logs and the operator's topic, if they were read; they are empty, and answer one read each.
     empty_topics_read: RefCell<HashSet<Topic>>,
 }
@@ -70,19 +77,23 @@
             heartbeats: RefCell::default(),
             peer_responses: RefCell::default(),
             peer_requests: RefCell::default(),
+            registrations: RefCell::default(),
+            listings: Cell::default(),
             empty_topics_read: RefCell::default(),
         }
     }
 
     async fn next<T>(&self, script: &RefCell<VecDeque<Scripted<T>>>) -> Result<T, StoreError> {
-        let next = script.borrow_mut().pop_front();
-        match next {
-            Some(Scripted { delay: NEVER, .. }) => std::future::pending().await,
-            Some(Scripted { delay, answer }) => {
-                self.clock.advance(delay);
-                answer
+        loop {
+            let next = script.borrow_mut().pop_front();
+            match next {
+                Some(Scripted { delay: NEVER, .. }) => std::future::pending().await,
+                Some(Scripted { delay, answer }) => {
+                    self.clock.advance(delay);
+                    return answer;
+                }
+                None => tokio::time::sleep(SCRIPT_POLL_INTERVAL).await,
             }
-            None => std::future::pending().await,
         }
     }
 }
@@ -128,6 +139,14 @@
                 let (key, value) = CellRecord::Layout(self.layout.borrow().clone()).entry();
                 Ok(NewestPage { records: vec![record(0, &key, value)], after: None, end: 1 })
             }
+            Topic::Registry if !self.registrations.borrow().is_empty() => {
+                let registrations = self.registrations.borrow();
+                let records = registrations
+                    .iter()
+                    .map(|worker| record(0, &worker.id.0, Vec::new()))
+                    .collect();
+                Ok(NewestPage { records, after: None, end: 1 })
+            }
             _ => std::future::pending().await,
         }
     }
@@ -137,7 +156,11 @@
     }
 
     fn registry_change(&self, key: &str, _: &[u8]) -> cj_types::Result<RegistryChange> {
-        Err(Error::decode("registration", key))
+        let registrations = self.registrations.borrow();
+        let worker = registrations.iter().find(|worker| worker.id.0 == key);
+        worker
+            .map(|worker| RegistryChange::Registered(worker.clone()))
+            .ok_or_else(|| Error::decode("registration", key))
     }
 
     async fn report_wave(&self, _: u64, _: bool) -> Result<(), StoreError> {
@@ -164,6 +187,7 @@
         _: Duration,
         _: &SendCheck,
     ) -> ListAnswer {
+        self.listings.set(self.listings.get() + 1);
         ListAnswer::Unanswered
     }
 
--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -50,6 +50,11 @@
         self.ownership = lease;
     }
 
+    /// Sets when this owner begins to act, if that is later than its first record.
+    pub fn begin_at(&mut self, at: Instant) {
+        self.owner_since = self.owner_since.max(at);
+    }
+
     /// True while commands may be sent to workers, which check fencing tokens.
     pub(super) fn may_command(&self) -> bool {
         self.now.mono + LEASE_MARGIN < self.ownership.fenced_until
