Name the age of the owner's heartbeat in lines that start and give up runs

A start named its epoch only, and lines of lost runs named neither the epoch nor what they rested on.

Change: each start names `heartbeat_age_ms`. Each `choice=lapse` and `choice=end_life` names the epoch, the age of the heartbeat, the missed listings, and the ages of the last listing, the last lease and the list of VMs; each `choice=lose` names the worker, the epoch, the age of the heartbeat and, for a lease, how long ago it ended. One line tells when another node may have taken over (`choice=may_be_replaced`) and one when a heartbeat rules that out (`choice=sole_owner`). `copperjunction explain` adds the age to the cause of a lost run and shows the two new lines.

No decision changes.

--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -144,12 +144,9 @@
         let planned =
             evidence == IncarnationEvidence::ShutDown || worker.draining || worker.vm_draining;
         let suspects = if planned { Vec::new() } else { self.unsettled_runs(worker) };
+        self.log_end_life(key, evidence);
         let worker = &mut self.workers[key];
         let runs = worker.runs.clone();
-        info!(
-            target: "decision",
-            "worker={} choice=end_life runs={} cause=\"{evidence}\"", worker.id, runs.len()
-        );
         worker.begin_incarnation(started_at, self.now.mono);
         for at in runs {
             if started_at.is_some() && self.may_still_start(at) {
@@ -174,8 +171,7 @@
 
     /// Records that a run ended without a listed end; its task becomes idle.
     pub(super) fn mark_lost(&mut self, at: TaskRef, evidence: RunEvidence) {
-        let id = self.jobs[at.job].task_id(at);
-        info!(target: "decision", "task={id} run={} choice=lose cause=\"{evidence}\"", self.task(at).last_run);
+        self.log_loss(at, evidence);
         self.remember_start(at);
         self.release(at);
         self.stop_gang(at);
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -71,7 +71,7 @@
     accounts: SlotMap<AccountSlot, AccountUsage>,
     slots: HashMap<AccountId, AccountSlot>,
     /// This cell.
-    cell: u16,
+    pub(super) cell: u16,
     /// Number of cells that share each cap in equal parts.
     cells: u16,
 }
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -15,6 +15,7 @@
 mod ledger;
 mod listing;
 mod load;
+mod loss_log;
 mod outcome;
 mod ownership;
 mod pace;
--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use log::info;
+
 use crate::sched::scheduler::Scheduler;
 
 /// Duration of the ownership lease: commands to workers, and leases of runs, end within this time after the owner's
@@ -27,6 +29,8 @@
     pub fenced_until: Instant,
     /// For commands whose receivers may not check tokens: no other node can have taken over before this time.
     pub sole_until: Instant,
+    /// When the last acknowledged heartbeat was first sent; `None` while the ownership has to be confirmed.
+    pub heartbeat_at: Option<Instant>,
 }
 
 impl OwnershipLease {
@@ -35,12 +39,13 @@
         OwnershipLease {
             fenced_until: sent + OWNERSHIP_LEASE,
             sole_until: sent + OWNER_TIMEOUT - SEND_MARGIN,
+            heartbeat_at: Some(sent),
         }
     }
 
     /// A lease that has expired at `now`.
     pub fn expired(now: Instant) -> Self {
-        OwnershipLease { fenced_until: now, sole_until: now }
+        OwnershipLease { fenced_until: now, sole_until: now, heartbeat_at: None }
     }
 }
 
@@ -48,6 +53,25 @@
     /// Sets the ownership lease.
     pub fn set_ownership(&mut self, lease: OwnershipLease) {
         self.ownership = lease;
+        self.heartbeat_at = lease.heartbeat_at.unwrap_or(self.heartbeat_at);
+    }
+
+    /// Age in ms of the last acknowledged heartbeat, also while the ownership has to be confirmed.
+    pub(super) fn heartbeat_age(&self) -> u128 {
+        self.now.mono.saturating_duration_since(self.heartbeat_at).as_millis()
+    }
+
+    /// Logs when another node may have taken over, and when a heartbeat shows again that none has.
+    pub(super) fn log_sole_change(&mut self) {
+        let sole = self.now.mono < self.ownership.sole_until;
+        if std::mem::replace(&mut self.logged_sole, sole) != sole {
+            let choice = if sole { "sole_owner" } else { "may_be_replaced" };
+            info!(
+                target: "decision",
+                "cell={} choice={choice} epoch={} heartbeat_age_ms={}",
+                self.ledger.cell, self.epoch, self.heartbeat_age()
+            );
+        }
     }
 
     /// True while commands may be sent to workers, which check fencing tokens.
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -328,9 +328,9 @@
         let age = worker.last_answer.map(|at| self.now.mono.saturating_duration_since(at));
         info!(
             target: "decision",
-            "task={} run={run} worker={} choice=start epoch={} config={} free=\"{}\" listing_age_ms={}",
-            job.task_id(at), worker.id, self.epoch, self.config.version, worker.free(),
-            age.unwrap_or_default().as_millis()
+            "task={} run={run} worker={} choice=start epoch={} heartbeat_age_ms={} config={} free=\"{}\" listing_age_ms={}",
+            job.task_id(at), worker.id, self.epoch, self.heartbeat_age(), self.config.version,
+            worker.free(), age.unwrap_or_default().as_millis()
         );
     }
 
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -74,6 +74,10 @@
     /// Time by which all leases granted by earlier owners have ended, and with them the runs on unresponsive workers.
     pub(super) lease_horizon: Instant,
     pub(super) ownership: OwnershipLease,
+    /// When the last acknowledged heartbeat was first sent.
+    pub(super) heartbeat_at: Instant,
+    /// Whether this was the only possible owner when that was last logged.
+    pub(super) logged_sole: bool,
     pub(super) policies: Policies,
     /// Lost runs whose start command may still reach a later incarnation of the worker.
     pub(super) unanswered_starts: Vec<UnansweredStart>,
@@ -129,6 +133,8 @@
             reconciled: HashMap::new(),
             lease_horizon,
             ownership: OwnershipLease::expired(now.mono),
+            heartbeat_at: now.mono,
+            logged_sole: true,
             policies: Policies::default(),
             unanswered_starts: Vec::new(),
             estimators: HashMap::new(),
@@ -199,6 +205,7 @@
     /// Runs what is due and returns the actions to carry out now.
     pub fn poll(&mut self, now: Now) -> Vec<Action> {
         self.now = now;
+        self.log_sole_change();
         if now.mono >= self.checked_at + CHECK_INTERVAL {
             self.checked_at = now.mono;
             self.run_checks();
@@ -435,8 +442,7 @@
             .collect();
         for key in expired {
             let runs = self.workers[key].runs.clone();
-            let id = &self.workers[key].id;
-            info!(target: "decision", "worker={id} choice=lapse runs={}", runs.len());
+            self.log_lapse(key);
             for at in runs {
                 self.mark_lost(at, RunEvidence::LeaseExpired);
             }
--- a/crates/cj-sched/tests/sim/decisions.rs
+++ b/crates/cj-sched/tests/sim/decisions.rs
@@ -199,6 +199,12 @@
         self.scheduler.set_ownership(OwnershipLease::from_heartbeat(now.mono));
         self.scheduler.poll(now)
     }
+
+    /// As [`Self::poll_after`], without a new heartbeat of the owner.
+    pub(crate) fn poll_unconfirmed(&mut self, ms: u64) -> Vec<Action> {
+        self.elapsed_ms += ms;
+        self.scheduler.poll(self.now())
+    }
 }
 
 pub(crate) fn submission(steps: Vec<StepSpec>, schedule: Option<Schedule>) -> Submission {
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -7,6 +7,7 @@
 mod evidence;
 mod large_jobs;
 mod listings;
+mod log_lines;
 mod logs;
 mod policies;
 mod random;
@@ -14,11 +15,39 @@
 mod withdrawals;
 mod world;
 
-/// Logs the scheduler's decisions to stderr if the environment variable SIM_LOG is set.
+use std::cell::RefCell;
+
+thread_local! {
+    /// Lines that this thread logged since the start of its recording.
+    static RECORDED: RefCell<Option<Vec<String>>> = const { RefCell::new(None) };
+}
+
+/// Logs the scheduler's decisions to stderr if the environment variable SIM_LOG is set, and to the recordings of tests.
 fn init_log() {
-    if std::env::var_os("SIM_LOG").is_some() {
-        let dispatch = fern::Dispatch::new().level(log::LevelFilter::Info).chain(std::io::stderr());
-        // Fails if another test of this process has installed the logger already.
-        let _ = dispatch.apply();
-    }
+    let record = |record: &log::Record<'_>| {
+        RECORDED.with_borrow_mut(|lines| {
+            if let Some(lines) = lines {
+                lines.push(record.args().to_string());
+            }
+        });
+    };
+    let dispatch = fern::Dispatch::new().level(log::LevelFilter::Info);
+    let dispatch = dispatch.chain(fern::Output::call(record));
+    let dispatch = match std::env::var_os("SIM_LOG") {
+        Some(_) => dispatch.chain(std::io::stderr()),
+        None => dispatch,
+    };
+    // Fails if another test of this process has installed the logger already.
+    let _ = dispatch.apply();
+}
+
+/// The lines that this thread logs during `act`.
+fn record_lines<F>(act: F) -> Vec<String>
+where
+    F: FnOnce(),
+{
+    init_log();
+    RECORDED.set(Some(Vec::new()));
+    act();
+    RECORDED.take().unwrap_or_default()
 }
--- a/crates/cj-story/src/cause.rs
+++ b/crates/cj-story/src/cause.rs
@@ -127,7 +127,11 @@
     let is_about_worker = |other: &&Line| other.has("worker", worker) && other.at <= line.at + 5;
     let cause = timeline.context_lines().filter(is_about_worker).last();
     let cause = cause.and_then(|other| other.get("cause").or(other.get("choice")));
-    Some(format!("run {run} of {task} was lost with {worker}: {}", cause.unwrap_or("not listed")))
+    let cause = cause.or(line.get("cause")).unwrap_or("not listed");
+    let owner = line.get("heartbeat_age_ms").map_or_else(String::new, |age| {
+        format!("; the last acknowledged heartbeat of its owner was {age} ms old")
+    });
+    Some(format!("run {run} of {task} was lost with {worker}: {cause}{owner}"))
 }
 
 /// Size of the pool from its first line at or after this time; empty if there is none.
--- a/crates/cj-story/src/timeline.rs
+++ b/crates/cj-story/src/timeline.rs
@@ -78,7 +78,15 @@
 
 /// Whether the line is a decision about the ownership of a cell.
 fn is_owner_line(line: &Line) -> bool {
-    let choices = ["own", "disown", "step_down", "suspend_orders", "no_claim"];
+    let choices = [
+        "own",
+        "disown",
+        "step_down",
+        "suspend_orders",
+        "no_claim",
+        "may_be_replaced",
+        "sole_owner",
+    ];
     line.get("choice").is_some_and(|choice| choices.contains(&choice))
         && line.get("worker").is_none()
 }
--- a/crates/cj-story/tests/story.rs
+++ b/crates/cj-story/tests/story.rs
@@ -55,8 +55,8 @@
         "at=100 node=n1 kind=decision job=0e5ba474e38ad43a request=submit queue=q choice=accepted reason=accepted retry_ms=0",
         "at=1900 node=n2 kind=decision choice=own epoch=2 offset=8",
         "at=2000 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=7 worker=w1 choice=start epoch=2",
-        "at=2500 node=n2 kind=decision worker=w1 choice=end_life runs=1 cause=\"no running VM names it\"",
-        "at=2500 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=7 choice=lose",
+        "at=2500 node=n2 kind=decision worker=w1 choice=end_life runs=1 cause=\"no running VM names it\" epoch=2 heartbeat_age_ms=5900 missed_listings=3 vms_age_ms=40",
+        "at=2500 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=7 worker=w1 choice=lose cause=\"life over\" epoch=2 heartbeat_age_ms=5900",
         "at=2600 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=8 worker=w2 choice=start epoch=2",
         "at=3100 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=8 worker=w2 end=Done number=1",
         "at=3100 node=n2 kind=decision job=0e5ba474e38ad43a occurrence=0 choice=completed",
@@ -65,6 +65,7 @@
     let causes = cause_texts(&rows, JOB);
     assert!(causes.iter().any(|cause| cause.contains("n2 took over the fleet 1800 ms after")));
     assert!(causes.iter().any(|cause| cause.contains("lost with w1: no running VM names it")));
+    assert!(causes.iter().any(|cause| cause.contains("heartbeat of its owner was 5900 ms old")));
     let lines = lines(&rows);
     let timeline = timeline(&lines, JOB);
     assert!(
