Count leases as ended only if no later owner can have extended them

Cause: an owner gave up the runs of a worker that it no longer reached once the leases that it had granted itself had ended, 5 s after its last renewal, and started them on a worker that it still reached. It sends commands for 7 s after its last acknowledged heartbeat, but another node may have taken over 1.3 s after it and have extended the leases. The next owner waits with its own starts for the workers that it doesn't reach, so the replaced owner alone decided wrongly. The same held for the lease horizon of a new owner that is replaced in turn. Class: what is true of one's own grants is taken for true of all grants.

Change: a lease that ended at some time counts as ended only if no other node can have taken over before that time (`Scheduler::is_lease_over`). It is asked for worker leases, the lease horizon of earlier owners, orphans and accounts. An owner whose commands have run out, or whose ownership has to be confirmed, gives up no run at all.

Where the store answers late, the end of a lease counts later by that latency.

--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -222,7 +222,7 @@
     /// Most that runs of earlier owners can use of which this owner doesn't know the account: on workers that it hasn't
     /// listed, as long as their leases may last, and on those that listed runs of jobs that it hasn't read.
     pub(super) fn unlisted_capacity(&self) -> Resources {
-        let leases_over = self.now.mono > self.lease_horizon;
+        let leases_over = self.is_lease_over(self.lease_horizon);
         if !leases_over && !self.vms_known {
             return AccountCap::UNLIMITED.limits();
         }
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -423,12 +423,11 @@
             && !self.workers.values().any(unknown)
             && !self.vms.values().any(unregistered);
         // What a worker left open is settled once its leases have lapsed.
-        let now = self.now.mono;
         let open = |worker: &Worker| {
-            worker.service == *service && worker.has_unknown_runs() && !worker.has_lapsed(now)
+            worker.service == *service && worker.has_unknown_runs() && !self.has_lapsed(worker)
         };
-        let reconciled =
-            all_listed || (now > self.lease_horizon && !self.workers.values().any(open));
+        let reconciled = all_listed
+            || (self.is_lease_over(self.lease_horizon) && !self.workers.values().any(open));
         if reconciled {
             self.reconciled.insert(service.clone(), self.now.mono);
         }
--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -4,7 +4,7 @@
 
 use log::info;
 
-use crate::sched::scheduler::Scheduler;
+use crate::sched::{scheduler::Scheduler, worker::Worker};
 
 /// Duration of the ownership lease: commands to workers, and leases of runs, end within this time after the owner's
 /// last acknowledged heartbeat was sent.
@@ -84,6 +84,18 @@
         self.now.mono + DECISION_MARGIN < self.ownership.sole_until
     }
 
+    /// True when leases that end at `end` have ended, whichever owner granted them. A later end than `sole_until` proves nothing:
+    /// another owner may have taken over and extended them.
+    pub(super) fn is_lease_over(&self, end: Instant) -> bool {
+        end < self.now.mono && end < self.ownership.sole_until
+    }
+
+    /// True when a worker is unresponsive and all its leases have ended.
+    pub(super) fn has_lapsed(&self, worker: &Worker) -> bool {
+        let unresponsive = worker.missed_listings > 0 || !worker.reconciled;
+        unresponsive && worker.lease_end.is_none_or(|end| self.is_lease_over(end))
+    }
+
     /// True while VMs may be moved. Where the platform doesn't check fencing tokens, only a sole owner may.
     pub(super) fn may_move_vms(&self) -> bool {
         if self.limits.vm_fencing {
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -433,11 +433,13 @@
 
     /// Gives up the runs on unresponsive workers whose leases have ended, and removes the workers that have left.
     fn expire_leases(&mut self) {
-        let now = self.now.mono;
+        if !self.may_command() {
+            return;
+        }
         let expired: Vec<_> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.has_lapsed(now) && !worker.runs.is_empty())
+            .filter(|(_, worker)| self.has_lapsed(worker) && !worker.runs.is_empty())
             .map(|(key, _)| key)
             .collect();
         for key in expired {
@@ -447,16 +449,22 @@
                 self.mark_lost(at, RunEvidence::LeaseExpired);
             }
         }
-        let left = |worker: &Worker| {
-            !worker.registered && worker.runs.is_empty() && worker.has_lapsed(now)
+        let has_left = |worker: &Worker| {
+            !worker.registered && worker.runs.is_empty() && self.has_lapsed(worker)
         };
-        let lease_horizon = self.lease_horizon;
-        let gone: Vec<_> =
-            self.workers.iter().filter(|(_, worker)| left(worker)).map(|(key, _)| key).collect();
-        for key in gone {
+        let left: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| has_left(worker))
+            .map(|(key, _)| key)
+            .collect();
+        let forget = self.is_lease_over(self.lease_horizon);
+        for key in left {
             self.refund_orphans(key);
+            if forget {
+                self.workers.remove(key);
+            }
         }
-        self.workers.retain(|_, worker| !(left(worker) && now > lease_horizon));
         let workers = &self.workers;
         self.worker_keys.retain(|_, key| workers.contains_key(*key));
     }
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -359,7 +359,7 @@
         let Some(id) = row.worker.as_ref() else { return true };
         let Some(&key) = self.worker_keys.get(id) else {
             // Tasks that an earlier owner started may run on a worker that isn't known yet.
-            return self.now.mono > self.lease_horizon;
+            return self.is_lease_over(self.lease_horizon);
         };
         self.workers[key].vm_draining = true;
         if self.workers[key].runs.is_empty() {
@@ -382,12 +382,13 @@
     /// True if a worker without runs has answered after `since`, so that no other incarnation runs on its VM.
     fn is_confirmed_empty(&mut self, key: WorkerKey, since: Instant) -> bool {
         let now = self.now.mono;
+        let leases_over = self.is_lease_over(self.lease_horizon);
         let worker = &mut self.workers[key];
         let answered = worker.runs_known() && worker.last_answer.is_some_and(|at| at > since);
         if !answered && worker.missed_listings == 0 {
             worker.list_by(now);
         }
-        answered || (!worker.reconciled && now > self.lease_horizon)
+        answered || (!worker.reconciled && leases_over)
     }
 
     /// True if no command of an earlier owner can still interrupt tasks of this service, and this owner's last heartbeat is
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -76,7 +76,7 @@
     pub(super) listing_pending: bool,
     /// When the next listing is due; `None` if none is needed.
     pub(super) next_listing: Option<Instant>,
-    /// Time by which every lease granted to the worker has ended.
+    /// Time by which every lease that this owner granted to the worker, or may have taken over, has ended.
     pub(super) lease_end: Option<Instant>,
     /// When it last answered.
     pub(super) last_answer: Option<Instant>,
@@ -210,12 +210,6 @@
         !self.unlisted_ends && self.ends_processed <= self.ends_durable
     }
 
-    /// True when it is unresponsive and all leases that this owner granted to it have ended.
-    pub(super) fn has_lapsed(&self, now: Instant) -> bool {
-        let unresponsive = self.missed_listings > 0 || !self.reconciled;
-        unresponsive && self.lease_end.is_none_or(|end| end < now)
-    }
-
     /// Free capacity.
     pub(super) fn free(&self) -> Resources {
         self.capacity.minus(self.used)
--- a/crates/cj-sched/tests/sim/decisions.rs
+++ b/crates/cj-sched/tests/sim/decisions.rs
@@ -65,11 +65,26 @@
         job_index: &JobIndex,
         racks: &[&str],
         advice: Option<Advice>,
+    ) -> Self {
+        let mut harness = Harness::unlisted(job_index, racks, advice, Duration::ZERO);
+        for n in 0..racks.len() {
+            harness.list_worker(n, Vec::new());
+        }
+        harness
+    }
+
+    /// A new owner that hasn't listed its workers yet. Runs of earlier owners have ended after `lease_horizon`.
+    pub(crate) fn unlisted(
+        job_index: &JobIndex,
+        racks: &[&str],
+        advice: Option<Advice>,
+        lease_horizon: Duration,
     ) -> Self {
         let start = Instant::now();
         let now = Now { mono: start, wall: UnixMillis(START_UNIX_MS) };
+        let horizon = start + lease_horizon;
         let mut scheduler =
-            Scheduler::new(1, Limits::default(), config(advice), job_index, start, now);
+            Scheduler::new(1, Limits::default(), config(advice), job_index, horizon, now);
         scheduler.set_submissions_read();
         let mut harness =
             Harness { scheduler, start, elapsed_ms: 0, workers: Vec::new(), vm_rows: Vec::new() };
@@ -88,9 +103,6 @@
         harness.vm_rows = rows.collect();
         let rows = Event::VmsListed(start, harness.vm_rows.clone());
         harness.handle(rows);
-        for n in 0..racks.len() {
-            harness.list_worker(n, Vec::new());
-        }
         harness
     }
 
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -6,6 +6,7 @@
 mod decisions;
 mod evidence;
 mod large_jobs;
+mod lease_evidence;
 mod listings;
 mod log_lines;
 mod logs;
