--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -95,4 +95,16 @@
     pub(super) fn is_known_to_successor(&self, worker: &Worker) -> bool {
         worker.reconciled_at.is_some_and(|at| at < self.ownership.sole_until)
     }
+
+    /// True when leases that end at `end` have ended, whichever owner granted them. A later end than `sole_until` proves nothing:
+    /// another owner may have taken over and extended them.
+    pub(super) fn is_lease_over(&self, end: Instant) -> bool {
+        end < self.now.mono && end < self.ownership.sole_until
+    }
+
+    /// True when a worker is unresponsive and all its leases have ended.
+    pub(super) fn has_lapsed(&self, worker: &Worker) -> bool {
+        let unresponsive = worker.missed_listings > 0 || !worker.is_reconciled();
+        unresponsive && worker.lease_end.is_none_or(|end| self.is_lease_over(end))
+    }
 }
