End leases on slow clocks with the ownership

What would be seen: a task runs twice (rule TWICE): a new owner that doesn't reach a worker starts its task elsewhere once all leases of earlier owners have ended by its own reckoning, while the run goes on.

Cause: the end of a lease is given on the worker's clock, which may be 2% slow, and was reckoned from the last reading of that clock as if the clock were right. The owner allowed for the longer lease in its own view only. A worker without runs isn't listed, so the reading may be minutes old: after 10 minutes a lease of 5 s lasts 17 s, or as long as the worker accepts, 10.2 s. A new owner counts on leases that end 8 s after the earlier owner's last heartbeat, with a margin of 0.65 s and the 1.3 s of silence. Class: the bound that one's own grant has is taken for the bound that the next owner knows.

Evidence: the test with a clock at 98% fails before the change: a lease of 10.2 s instead of at most 8 s. Ruled out: the worker's limit max_hold_ms as a bound, which is longer than the ownership lease.

Change: a lease ends in time also on a slow clock, and on a right clock 2% of the time since the reading earlier. Workers without runs are listed every 30 s to read their clocks, so that this costs at most 0.7 s of a lease of 5 s.

Result: the tests pass, also one that such a lease outlasts a takeover (3.5 s) after ten idle minutes. cj-sched and cj-entry pass. The cost: one more listing of each idle worker in 30 s.

--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -17,8 +17,8 @@
         evidence::{IncarnationEvidence, RunEvidence},
         scheduler::Scheduler,
         settings::{
-            LISTING_INTERVAL, LISTING_RETRY, LISTING_WAIT, QUARANTINE_FAILURES, QUARANTINE_TIME,
-            RENEWAL_INTERVAL, STARTUP_INTERVAL,
+            IDLE_INTERVAL, LISTING_INTERVAL, LISTING_RETRY, LISTING_WAIT, QUARANTINE_FAILURES,
+            QUARANTINE_TIME, RENEWAL_INTERVAL, STARTUP_INTERVAL,
         },
         work::{Phase, Placement, Stage, TaskRef},
         worker::{ClockReading, Worker, WorkerKey},
@@ -195,6 +195,8 @@
             worker.list_by(now + STARTUP_INTERVAL);
         } else if !worker.runs.is_empty() {
             worker.list_by(now + RENEWAL_INTERVAL);
+        } else {
+            worker.list_by(now + IDLE_INTERVAL);
         }
         if worker.ends_durable > worker.ends_acknowledged {
             worker.list_by(now + LISTING_INTERVAL);
--- a/crates/cj-sched/src/sched/settings.rs
+++ b/crates/cj-sched/src/sched/settings.rs
@@ -52,6 +52,10 @@
 /// tasks of the step may be interrupted only once that task is ready.
 pub(super) const STARTUP_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Interval between listings of a worker without runs. They read its clock: the longer ago that was, the shorter is a lease that
+/// surely ends in time.
+pub(super) const IDLE_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Delay before a listing is requested again from a worker that didn't answer.
 pub(super) const LISTING_RETRY: Duration = Duration::from_millis(350);
 
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -186,8 +186,9 @@
         Target { worker: self.id.clone(), address: self.address.clone() }
     }
 
-    /// Grants a lease with a command sent now. It lasts at most until `limit`, and for at most `max_lease`.
-    /// Returns its end in ms on the worker's clock, or `None` when that clock isn't known, and extends `lease_end`.
+    /// Grants a lease with a command sent now. It lasts at most until `limit`, and for at most `max_lease`, also on a slow clock:
+    /// the next owner counts on that. Returns its end in ms on the worker's clock, or `None` when that clock isn't known, and
+    /// extends `lease_end`.
     pub(super) fn grant_lease(
         &mut self,
         now: Instant,
@@ -196,12 +197,10 @@
     ) -> Option<u64> {
         let clock = self.clock?;
         let lease = RUN_LEASE.min(max_lease).min(limit.saturating_duration_since(now));
-        let elapsed = now.saturating_duration_since(clock.at);
-        let lease_end = clock.value.saturating_add((elapsed + lease).as_millis() as u64);
-        let span = Duration::from_millis(lease_end - clock.value).div_f64(MIN_CLOCK_RATE);
-        let end = clock.at + span;
+        let end = now + lease;
+        let span = end.saturating_duration_since(clock.at).mul_f64(MIN_CLOCK_RATE);
         self.lease_end = Some(self.lease_end.map_or(end, |known| known.max(end)));
-        Some(lease_end)
+        Some(clock.value.saturating_add(span.as_millis() as u64))
     }
 
     /// True when all its ends are listed and their effects are durable. Its VM may be moved or maintained only then, because
--- a/crates/cj-sched/tests/sim/replaced_owner.rs
+++ b/crates/cj-sched/tests/sim/replaced_owner.rs
@@ -1,11 +1,17 @@
 //! An owner that is cut off from the store and may have been replaced: it decides on what it did itself, while the next owner
 //! acts on the workers that it reaches.
 
-use std::{rc::Rc, time::Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use cj_sched::{
     Action, Event, Pool,
-    sched::{CommandAnswer, OwnershipLease, RunRow, StartCommand, WorkerId},
+    sched::{
+        CommandAnswer, Limits, ListAnswer, Listing, OWNERSHIP_LEASE, OwnershipLease, RunRow,
+        StartCommand, WorkerId,
+    },
 };
 
 use crate::{
@@ -106,3 +112,40 @@
     }
     assert!(moved, "idle VMs move once the store confirms the ownership");
 }
+
+/// Longest time that a lease which is granted now lasts on a worker that is idle for ten minutes before, with a clock of this rate.
+fn longest_lease(clock_rate: f64) -> Duration {
+    let mut harness = Harness::new(&["r0"], None);
+    let clock = |harness: &Harness| 1_000 + (harness.elapsed_ms as f64 * clock_rate) as u64;
+    for _ in 0..600 {
+        let actions = harness.poll_after(1_000);
+        if actions.iter().any(|action| matches!(action, Action::List { .. })) {
+            let listing = Listing {
+                started_at: Some(1),
+                clock: clock(&harness),
+                ends_complete: true,
+                ..Listing::default()
+            };
+            let (id, sent) = (harness.workers[0].clone(), harness.now().mono);
+            harness.handle(Event::Listed(id, sent, ListAnswer::Listed(listing)));
+        }
+    }
+    harness.submit(1, vec![step(1, 1_000, 60_000)], None);
+    let actions = harness.poll_after(100);
+    let lease_ms = starts(&actions)[0].1.lease_end - clock(&harness);
+    Duration::from_millis(lease_ms).min(Limits::default().max_lease).div_f64(clock_rate)
+}
+
+/// Guards against a lease that outlasts the ownership, so that the next owner takes the run for over while it goes on.
+#[test]
+fn leases_on_a_slow_clock_end_with_the_ownership() {
+    let lease = longest_lease(0.98);
+    assert!(lease <= OWNERSHIP_LEASE, "{lease:?}");
+}
+
+/// Guards against a lease that is too short for a takeover, because it is given on a clock that was read long ago.
+#[test]
+fn leases_on_an_idle_worker_outlast_a_takeover() {
+    let lease = longest_lease(1.0);
+    assert!(lease >= Duration::from_millis(3_500), "{lease:?}");
+}
