Count an adopted run until its longest lease has ended

Cause: an owner adopts a listed run that it didn't know, and bounded its lease by the lease horizon of the takeover. That bound holds for leases granted for the clock of the worker's present incarnation. A start that went unanswered may be carried out seconds later by the next incarnation under the same id, whose clock starts anew, so that its lease lasts as long as the worker accepts (10 s). Long after the takeover the horizon bounds nothing, and the lease of the renewal (5 s) counted, whether or not it was carried out.

Ruled out: a lease that this owner granted before it adopts a run, as a reason for the wrong bound: an earlier owner's start can't be carried out once the worker has answered this one, and a worker with an unread submission gets no tasks.

The cost: when a worker falls silent within 5 s after a takeover and no list of VMs shows that it is gone, its tasks start again 10.2 s after the takeover instead of 8.65 s.

--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -4,7 +4,7 @@
 //! earlier command had done it, and the VM may run another incarnation since. Ending an incarnation too early would
 //! start its tasks a second time while they still run.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use cj_types::VmId;
 use derive_more::Display;
@@ -162,13 +162,18 @@
     /// Bounds the leases of runs that a new incarnation may still start. It has another clock than the one for which their
     /// leases were granted, so each may last as long as a worker accepts.
     fn extend_kept_leases(&mut self, key: WorkerKey) {
-        let longest = self.limits.max_lease.div_f64(MIN_CLOCK_RATE);
+        let longest = self.longest_lease();
         let worker = &mut self.workers[key];
         if !worker.runs.is_empty() {
             worker.lease_end = Some(self.now.mono + longest);
         }
     }
 
+    /// Longest time from when a worker accepts a lease until it ends, whatever clock it was granted for.
+    pub(super) fn longest_lease(&self) -> Duration {
+        self.limits.max_lease.div_f64(MIN_CLOCK_RATE)
+    }
+
     /// Records that a run ended without a listed end; its task becomes idle.
     pub(super) fn mark_lost(&mut self, at: TaskRef, evidence: RunEvidence) {
         self.log_loss(at, evidence);
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -287,11 +287,11 @@
         self.task_mut(at).checkpoint = row.checkpoint;
         self.assign(at, placement);
         self.mark_started(at);
-        // The lease granted by the earlier owner is unknown; the next listing renews it.
-        self.workers[key].list_by(now);
-        if self.workers[key].lease_end.is_none() {
-            self.workers[key].lease_end = Some(self.lease_horizon);
-        }
+        // Its lease is unknown, and may have been granted for the clock of another incarnation; the next listing renews it.
+        let longest = now + self.longest_lease();
+        let worker = &mut self.workers[key];
+        worker.list_by(now);
+        worker.lease_end = worker.lease_end.max(Some(longest));
     }
 
     /// Processes a reported end of a run.
--- a/crates/cj-sched/tests/sim/replaced_owner.rs
+++ b/crates/cj-sched/tests/sim/replaced_owner.rs
@@ -7,7 +7,7 @@
 };
 
 use cj_sched::{
-    Action, Event, Pool,
+    Action, Event, JobKey, Pool, TaskId,
     sched::{
         CommandAnswer, Limits, ListAnswer, Listing, OWNERSHIP_LEASE, OwnershipLease, RunRow,
         StartCommand, WorkerId,
@@ -149,3 +149,30 @@
     let lease = longest_lease(1.0);
     assert!(lease >= Duration::from_millis(3_500), "{lease:?}");
 }
+
+/// Guards against a task that runs twice: a start that was carried out late, on an incarnation with another clock, has a lease for as
+/// long as the worker accepts, however long ago the lease horizon was.
+#[test]
+fn a_run_that_turns_up_late_counts_until_its_longest_lease_has_ended() {
+    let mut harness = Harness::new(&["r0", "r1"], None);
+    harness.poll_after(20_000);
+    harness.list_all();
+    harness.submit(1, vec![step(1, 1_000, 60_000)], None);
+    let task = TaskId { job: JobKey(1), occurrence: 0, step: 0, index: 0 };
+    let run = RunRow { task, run: (1 << 20) + 1, checkpoint: "".into(), percent: 1, sample: 0 };
+    harness.list_worker(0, vec![run]);
+    let listed_at = harness.now().mono;
+    let longest = Limits::default().max_lease;
+    loop {
+        let actions = harness.poll_after(100);
+        let since = harness.now().mono - listed_at;
+        if !starts(&actions).is_empty() {
+            assert!(since > longest, "started again after {since:?}");
+            return;
+        }
+        assert!(since < longest * 2, "it isn't started again");
+        let (id, sent) = (harness.workers[0].clone(), harness.now().mono);
+        harness.handle(Event::Listed(id, sent, ListAnswer::Unanswered));
+        harness.list_worker(1, Vec::new());
+    }
+}
