Log when an owner's lease for commands to workers has ended

Change: `cell=C choice=lease_expired` follows `choice=may_be_replaced`; `choice=sole_owner` ends both states. Still one line a change.

--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -61,11 +61,17 @@
         self.now.mono.saturating_duration_since(self.heartbeat_at).as_millis()
     }
 
-    /// Logs when another node may have taken over, and when a heartbeat shows again that none has.
-    pub(super) fn log_sole_change(&mut self) {
-        let sole = self.now.mono < self.ownership.sole_until;
-        if std::mem::replace(&mut self.logged_sole, sole) != sole {
-            let choice = if sole { "sole_owner" } else { "may_be_replaced" };
+    /// Logs when another node may have taken over, when no more commands are sent to workers, and when a heartbeat shows
+    /// again that this is the only owner.
+    pub(super) fn log_lease_change(&mut self) {
+        let choice = if self.now.mono < self.ownership.sole_until {
+            "sole_owner"
+        } else if self.may_command() {
+            "may_be_replaced"
+        } else {
+            "lease_expired"
+        };
+        if std::mem::replace(&mut self.logged_lease, choice) != choice {
             info!(
                 target: "decision",
                 "cell={} choice={choice} epoch={} heartbeat_age_ms={}",
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -76,8 +76,8 @@
     pub(super) ownership: OwnershipLease,
     /// When the last acknowledged heartbeat was first sent.
     pub(super) heartbeat_at: Instant,
-    /// Whether this was the only possible owner when that was last logged.
-    pub(super) logged_sole: bool,
+    /// State of the ownership lease that was last logged.
+    pub(super) logged_lease: &'static str,
     pub(super) policies: Policies,
     /// Lost runs whose start command may still reach a later incarnation of the worker.
     pub(super) unanswered_starts: Vec<UnansweredStart>,
@@ -134,7 +134,7 @@
             lease_horizon,
             ownership: OwnershipLease::expired(now.mono),
             heartbeat_at: now.mono,
-            logged_sole: true,
+            logged_lease: "sole_owner",
             policies: Policies::default(),
             unanswered_starts: Vec::new(),
             estimators: HashMap::new(),
@@ -205,7 +205,7 @@
     /// Runs what is due and returns the actions to carry out now.
     pub fn poll(&mut self, now: Now) -> Vec<Action> {
         self.now = now;
-        self.log_sole_change();
+        self.log_lease_change();
         if now.mono >= self.checked_at + CHECK_INTERVAL {
             self.checked_at = now.mono;
             self.run_checks();
--- a/crates/cj-story/src/timeline.rs
+++ b/crates/cj-story/src/timeline.rs
@@ -86,6 +86,7 @@
         "no_claim",
         "may_be_replaced",
         "sole_owner",
+        "lease_expired",
     ];
     line.get("choice").is_some_and(|choice| choices.contains(&choice))
         && line.get("worker").is_none()
