Set the pace of adopted best-effort runs again

What would be seen: a best-effort task that was slowed down, or paused, by the owner before a takeover stays so for as long as the tails beside it are low; its share of work isn't earned.

Cause: a listing doesn't name the pace of a run. A new owner took it for 100%, as that of its own starts, so it sent nothing until its own pace for the worker changed. Class: what is true of one's own commands is taken for true of all.

Evidence: the test fails before the change: no pace is sent for an adopted run. Ruled out: leaving it to the next change, since a pace of 100% isn't raised further.

Change: the pace of an adopted run is unknown, as after an unanswered command, so it is sent again: 100%, or 50% first on a worker with serving tasks, from where it rises or falls by their tails as usual.

Result: the test passes, as do cj-sched and cj-entry. The cost: one command for each adopted best-effort run, and beside serving tasks that were calm about 5 s until the pace is back at 100%.

--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -15,6 +15,7 @@
             Action, EndKind, EndRow, ListAnswer, Listing, Refusal, RunRow, VmRow, VmState, WorkerId,
         },
         evidence::{IncarnationEvidence, RunEvidence},
+        pace::UNKNOWN_PACE,
         scheduler::Scheduler,
         settings::{
             IDLE_INTERVAL, LISTING_INTERVAL, LISTING_RETRY, LISTING_WAIT, QUARANTINE_FAILURES,
@@ -279,7 +280,7 @@
             progress_at: now,
             first_progress: None,
             sample: row.sample,
-            pace: 100,
+            pace: UNKNOWN_PACE,
             // It was started before the earlier owner was replaced.
             settled: self.task(at).crashed_runs.is_empty(),
             crashed: false,
--- a/crates/cj-sched/src/sched/pace.rs
+++ b/crates/cj-sched/src/sched/pace.rs
@@ -36,8 +36,11 @@
 /// Time from a change to the next increase.
 const SPEED_UP_INTERVAL: Duration = Duration::from_millis(1_600);
 
-/// Marks a run whose pace isn't known because its pace command went unanswered.
-const UNKNOWN_PACE: u8 = u8::MAX;
+/// Marks a run whose pace isn't known because its pace command went unanswered, or because an earlier owner set it.
+pub(super) const UNKNOWN_PACE: u8 = u8::MAX;
+
+/// First pace of adopted tasks beside serving ones: the earlier owner may have slowed them down.
+const ADOPTED_PACE: u8 = 50;
 
 impl Scheduler {
     /// Updates the pace of each worker with best-effort tasks, and sends changed paces to their runs.
@@ -51,6 +54,9 @@
             if best_effort.is_empty() {
                 continue;
             }
+            if worst.is_some() {
+                self.slow_down_adopted(key, &best_effort);
+            }
             self.update_pace(key, worst);
             self.send_pace(key, &best_effort);
         }
@@ -76,6 +82,16 @@
         (best_effort, worst)
     }
 
+    /// Sets the first pace of a worker with adopted best-effort tasks.
+    fn slow_down_adopted(&mut self, key: WorkerKey, best_effort: &[TaskRef]) {
+        let is_unknown =
+            |at: &TaskRef| self.task(*at).placement().is_some_and(|p| p.pace == UNKNOWN_PACE);
+        if self.workers[key].pace_changed.is_none() && best_effort.iter().any(is_unknown) {
+            self.workers[key].pace = ADOPTED_PACE;
+            self.workers[key].pace_changed = Some(self.now.mono);
+        }
+    }
+
     fn update_pace(&mut self, key: WorkerKey, worst: Option<u32>) {
         let now = self.now.mono;
         let worker = &mut self.workers[key];
--- a/crates/cj-sched/tests/sim/replaced_owner.rs
+++ b/crates/cj-sched/tests/sim/replaced_owner.rs
@@ -7,7 +7,7 @@
 };
 
 use cj_sched::{
-    Action, Event, JobKey, Pool, TaskId,
+    Action, Event, JobKey, Pool, StepSpec, TaskId,
     sched::{
         CommandAnswer, Limits, ListAnswer, Listing, OWNERSHIP_LEASE, OwnershipLease, RunRow,
         StartCommand, WorkerId,
@@ -176,3 +176,33 @@
         harness.list_worker(1, Vec::new());
     }
 }
+
+/// The paces that a new owner sends after it has listed these steps, one running task each, on one worker.
+fn paces_after_adoption(steps: Vec<StepSpec>) -> Vec<u8> {
+    let mut harness = Harness::new(&["r0"], None);
+    let tasks = 0..steps.len() as u32;
+    harness.submit(1, steps, None);
+    let rows = tasks.map(|step| RunRow {
+        task: TaskId { job: JobKey(1), occurrence: 0, step, index: 0 },
+        run: 1 << 20,
+        checkpoint: "".into(),
+        percent: 100,
+        sample: 80,
+    });
+    harness.list_worker(0, rows.collect());
+    let pace = |action: &Action| match action {
+        Action::Pace(_, _, _, percent, _) => Some(*percent),
+        _ => None,
+    };
+    harness.poll_after(100).iter().filter_map(pace).collect()
+}
+
+/// Guards against a best-effort task that stays slowed down for good, since the earlier owner's pace isn't listed.
+#[test]
+fn the_pace_of_an_adopted_run_is_set_again() {
+    let lasting = StepSpec { long_running: true, ..step(1, 1_000, 0) };
+    let best_effort = StepSpec { best_effort: true, ..lasting.clone() };
+    let serving = StepSpec { target: Some(Duration::from_millis(100)), ..lasting };
+    assert_eq!(paces_after_adoption(vec![best_effort.clone()]), [100]);
+    assert_eq!(paces_after_adoption(vec![best_effort, serving]), [50]);
+}
