Check that no task begins after its completed end was acknowledged

The simulation missed that case: an acknowledged end of a completed run was checked only against starts before the acknowledgement, so a start after it went unnoticed.

Change: the checks keep the tasks whose completed ends were acknowledged while the lease had not expired, and refuse later starts of them.

--- a/crates/cj-standin/src/task_checks.rs
+++ b/crates/cj-standin/src/task_checks.rs
@@ -16,6 +16,8 @@
     done: HashMap<TaskId, Vec<(WorkerId, u64, u64)>>,
     /// Ends of completed runs whose task was started again; they must never be acknowledged.
     rerun_ends: HashSet<(WorkerId, u64, u64)>,
+    /// Tasks with an acknowledged end of a completed run; they must never be started again.
+    acknowledged: HashSet<TaskId>,
     /// Run numbers of acknowledged failures, by task.
     failed: HashMap<TaskId, HashSet<u64>>,
     /// Number of runs started.
@@ -44,6 +46,7 @@
                 EndKind::Done if !expired => {
                     let end = (worker.id.clone(), worker.started_at, row.number);
                     assert!(!self.rerun_ends.contains(&end), "{} was done and ran again", row.task);
+                    self.acknowledged.insert(row.task);
                 }
                 EndKind::Failed => {
                     self.failed.entry(row.task).or_default().insert(row.run);
@@ -71,6 +74,11 @@
             let runs = other.runs.contains_key(&task);
             assert!(!runs, "{task} runs twice at {now}: on {} and on {}", other.id, worker.id);
         }
+        assert!(
+            step.long_running || !self.acknowledged.contains(&task),
+            "{task} began at {now} on {} after its end was acknowledged",
+            worker.id
+        );
         for earlier in &step.after {
             for index in 0..spec.steps[*earlier as usize].count {
                 let needed = TaskId { step: *earlier, index, ..task };
