Simulate cuts of single paths between owners, workers and the store

Missing: a simulated worker was unreachable for all owners or for none, and an owner lost the store's parts all at once and for good.

Change: each path between an owner and a worker, or between an owner and a part of the store (appends, reads of jobs, registrations, list of VMs, commands for VMs), can be cut in each direction for a time. Owners read what they missed after a cut, repeat appends in order, and confirm their ownership by heartbeats whose answers may be late. Calls moved from world.rs to calls.rs, the exchange with the store to store.rs.

cuts.rs draws such cuts together with crashes, restarts, new workers, expired registrations, late lists and takeovers at OWNER_TIMEOUT or later, with several owners active at once.

--- a/crates/cj-sched/tests/sim/logs.rs
+++ b/crates/cj-sched/tests/sim/logs.rs
@@ -12,8 +12,12 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::accounts::account_of;
-use crate::world::{Owner, SimEvent, World, service};
+use crate::{
+    accounts::account_of,
+    network::Peer,
+    store::{APPEND_RETRY_MS, Appends},
+    world::{Owner, SimEvent, World, service},
+};
 
 /// Probability that a caller's record goes to the overflow log while that is in use.
 const OVERFLOW_SHARE: f64 = 0.5;
@@ -50,14 +54,20 @@
         let offset = records.len() as u64;
         self.job_index.apply(log, offset, record.clone(), true);
         for owner in 0..self.owners.len() {
-            if !self.owners[owner].active || !self.owners[owner].connected {
+            if !self.owners[owner].active {
+                continue;
+            }
+            if !self.reaches(owner, Peer::JobReads) {
+                self.owners[owner].missed_overflow |= log == OVERFLOW;
                 continue;
             }
             if log == OVERFLOW {
                 let delay = self.logs.rng.random_range(4..MAX_READ_DELAY_MS);
                 self.schedule(delay, SimEvent::ReadOverflow { owner });
-            } else {
-                self.owners[owner].job_index.apply(log, offset, record.clone(), true);
+            } else if self.owners[owner].jobs_read as u64 + 1 == offset {
+                let reader = &mut self.owners[owner];
+                reader.jobs_read += 1;
+                reader.job_index.apply(log, offset, record.clone(), true);
             }
         }
     }
@@ -75,6 +85,7 @@
         }
         let epoch = self.job_index.epoch() + 1;
         self.append(Log::Jobs, heartbeat(epoch));
+        self.heartbeat_at = self.now;
         let now = self.clocks();
         let lease_horizon =
             now.mono + OWNERSHIP_LEASE + OWNERSHIP_LEASE / 20 + Duration::from_millis(250);
@@ -97,24 +108,27 @@
             scheduler,
             epoch,
             active: true,
-            connected: true,
             confirmed_at,
             job_index,
+            jobs_read: self.logs.jobs.len(),
             overflow_read,
+            missed_overflow: false,
+            missed_events: Vec::new(),
+            appends: Appends::default(),
         };
         self.owners.push(owner);
         let owner = self.owners.len() - 1;
         for index in 0..self.workers.len() {
             if self.workers[index].alive {
                 let event = Event::Registered(self.workers[index].registration());
-                self.schedule(3, SimEvent::Notify { owner, event });
+                self.notify(owner, &event, 3);
             }
         }
         let vms = Event::VmsListed(self.clocks().mono, self.vm_rows());
         self.schedule(5, SimEvent::Notify { owner, event: vms });
         if let Some(wave) = self.wave.clone() {
             let progress = self.job_index.wave(wave.number);
-            self.schedule(4, SimEvent::Notify { owner, event: Event::Wave(wave, progress) });
+            self.notify(owner, &Event::Wave(wave, progress), 4);
         }
         self.schedule(6, SimEvent::Poll { owner });
         if !self.logs.use_overflow {
@@ -143,8 +157,12 @@
 
     /// Writes the owner's marker into the overflow log, unless the owner ended or a later one has marked the log.
     pub(crate) fn mark_overflow(&mut self, epoch: u64) {
-        let alive = self.owners.iter().any(|owner| owner.epoch == epoch && owner.active);
-        if alive && epoch > self.logs.marked_epoch {
+        let is_owner = |owner: &Owner| owner.epoch == epoch && owner.active;
+        let Some(owner) = self.owners.iter().position(is_owner) else { return };
+        if !self.network.delivers_calls(owner, Peer::Appends, self.now) {
+            return self.schedule(APPEND_RETRY_MS, SimEvent::MarkOverflow { epoch });
+        }
+        if epoch > self.logs.marked_epoch {
             self.logs.marked_epoch = epoch;
             self.append(OVERFLOW, heartbeat(epoch));
         }
@@ -153,10 +171,11 @@
     /// An owner reads the overflow log up to its end. It steps down if it finds a marker of a later owner.
     pub(crate) fn read_overflow(&mut self, owner: usize) {
         let now = self.clocks();
-        let reader = &mut self.owners[owner];
-        if !reader.connected {
+        if !self.reaches(owner, Peer::JobReads) {
+            self.owners[owner].missed_overflow = true;
             return;
         }
+        let reader = &mut self.owners[owner];
         while reader.active && reader.overflow_read < self.logs.overflow.len() {
             let record = self.logs.overflow[reader.overflow_read].clone();
             reader.overflow_read += 1;
@@ -183,6 +202,38 @@
         }
     }
 
+    fn has_read_jobs(&self, owner: usize) -> bool {
+        self.owners[owner].jobs_read == self.logs.jobs.len()
+    }
+
+    /// An owner that reads the logs again reads what it has missed. It steps down if it finds a later owner.
+    pub(crate) fn read_missed_records(&mut self, owner: usize) {
+        if !self.reaches(owner, Peer::JobReads) {
+            return;
+        }
+        if std::mem::take(&mut self.owners[owner].missed_overflow) {
+            self.schedule(MAX_READ_DELAY_MS, SimEvent::ReadOverflow { owner });
+        }
+        let now = self.clocks();
+        let reader = &mut self.owners[owner];
+        for record in &self.logs.jobs[reader.jobs_read..] {
+            reader.jobs_read += 1;
+            let offset = reader.jobs_read as u64;
+            match reader.job_index.apply(Log::Jobs, offset, record.clone(), true) {
+                Change::Submitted(job) => {
+                    let event = Event::for_job(&reader.job_index, job).unwrap();
+                    reader.scheduler.handle(event, now);
+                }
+                Change::Cancelled(job) => reader.scheduler.handle(Event::Cancelled(job), now),
+                _ => {}
+            }
+            if reader.job_index.epoch() > reader.epoch {
+                break;
+            }
+        }
+        reader.active &= reader.job_index.epoch() <= reader.epoch;
+    }
+
     pub(crate) fn submit(&mut self, key: u64, name: &str, steps: Vec<StepSpec>) {
         let job = JobKey(key);
         let submission = Submission {
@@ -217,7 +268,7 @@
             let reader = &self.owners[owner];
             // An earlier owner reads the heartbeat of the later one first, and so learns of no submission that follows it.
             let current = reader.epoch == self.job_index.epoch();
-            if reader.active && reader.connected && current {
+            if reader.active && current && self.has_read_jobs(owner) {
                 let event = Event::for_job(&reader.job_index, job).unwrap();
                 self.schedule(4, SimEvent::Notify { owner, event });
             }
@@ -227,8 +278,14 @@
     pub(crate) fn cancel(&mut self, key: u64) {
         let log = self.caller_log();
         self.append(log, Record::Cancel(JobKey(key), self.clocks().wall));
-        if log == Log::Jobs {
-            self.notify_owners(&Event::Cancelled(JobKey(key)));
+        if log == OVERFLOW {
+            return;
+        }
+        for owner in 0..self.owners.len() {
+            if self.owners[owner].active && self.has_read_jobs(owner) {
+                let event = Event::Cancelled(JobKey(key));
+                self.schedule(2, SimEvent::Notify { owner, event });
+            }
         }
     }
 }
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -1,16 +1,20 @@
 //! Tests of the scheduler against a simulated store and simulated workers, in virtual time.
 
 mod accounts;
+mod calls;
 mod capacity;
 mod crashes;
+mod cuts;
 mod decisions;
 mod evidence;
 mod large_jobs;
 mod listings;
 mod logs;
+mod network;
 mod policies;
 mod random;
 mod regressions;
+mod store;
 mod withdrawals;
 mod world;
 
