--- a/crates/cj-sched/tests/sim/calls.rs
+++ b/crates/cj-sched/tests/sim/calls.rs
@@ -139,12 +139,25 @@
                 if self.workers[index].service == pool {
                     return Some(Event::Moved(vm, VmAnswer::Done));
                 }
+                if !delayed {
+                    self.check_vm_command(&vm, token);
+                    self.checks.check_interruption(
+                        &self.workers[index],
+                        &self.workers,
+                        &self.job_index,
+                    );
+                }
                 self.crash(index);
                 let (back_at, state) = (now + 1_500, VmState::Moving);
                 self.offline.push(OfflineVm { vm: vm.clone(), pool, back_at, state });
                 Some(Event::Moved(vm, VmAnswer::Done))
             }
-            Action::MaintainVm(vm, wave, _) => Some(self.maintain(vm, wave, delayed)),
+            Action::MaintainVm(vm, wave, _) => {
+                if !delayed {
+                    self.check_vm_command(&vm, token);
+                }
+                Some(self.maintain(vm, wave, delayed))
+            }
             Action::ReportWave { completed, .. } => {
                 self.wave_completed |= completed;
                 None
@@ -161,6 +174,17 @@
         self.rng.random_bool(0.5)
     }
 
+    /// Checks that no later owner has sent a command for the VM before.
+    fn check_vm_command(&mut self, vm: &VmId, token: u64) {
+        let newest = self.vm_tokens.entry(vm.clone()).or_default();
+        assert!(
+            token >= *newest,
+            "command for {vm} by owner {token} at {} after owner {newest}",
+            self.now
+        );
+        *newest = token;
+    }
+
     fn maintain(&mut self, vm: VmId, wave: u64, delayed: bool) -> Event {
         let index = self.workers.iter().position(|worker| worker.vm == vm).unwrap();
         if !self.workers[index].alive {
--- a/crates/cj-sched/tests/sim/cuts.rs
+++ b/crates/cj-sched/tests/sim/cuts.rs
@@ -1,9 +1,9 @@
 //! Random cuts of single paths: between an owner and a worker or a part of the store, in one direction or both. Several owners
 //! act at the same time, each with some of the workers.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
-use cj_sched::{Event, JobState, StepSpec, TaskId};
+use cj_sched::{Event, JobKey, JobSpec, JobState, Schedule, StepSpec, TaskId};
 use rand::{Rng, seq::IndexedRandom};
 
 use crate::{
@@ -122,7 +122,7 @@
     let index = world.rng.random_range(0..world.workers.len());
     let is_spare = world.workers[index].service.as_str() == "spare";
     let alive = world.workers[index].alive;
-    match world.rng.random_range(0..10) {
+    match world.rng.random_range(0..11) {
         0 | 1 if alive && !is_spare => {
             let ms = world.rng.random_range(50..4_000);
             world.crash_for(index, ms);
@@ -136,7 +136,12 @@
         6 => world.workers[index].fails_all = world.rng.random_bool(0.3),
         7 => world.late_heartbeats = [0, 300, 2_500][world.rng.random_range(0..3)],
         8 => world.vm_list_ms = [5, 400, 3_000][world.rng.random_range(0..3)],
-        9 if world.workers.len() < 18 => {
+        9 => {
+            if let Some(owner) = random_owner(world) {
+                world.owners[owner].paused_until = world.now + world.rng.random_range(200..8_000);
+            }
+        }
+        10 if world.workers.len() < 18 => {
             let name = if world.rng.random_bool(0.5) { "red" } else { "blue" };
             world.add_worker(&format!("n{}", world.workers.len()), name, "rack-1");
         }
@@ -163,7 +168,12 @@
     if world.rng.random_bool(0.15) {
         steps = vec![StepSpec { long_running: true, max_unavailable: Some(1), ..steps.remove(0) }];
     }
-    world.submit(key, name, steps);
+    let schedule = (world.rng.random_bool(0.15) && !steps[0].long_running).then(|| Schedule {
+        count: world.rng.random_range(1..4),
+        start: world.clocks().wall + Duration::from_millis(world.rng.random_range(0..6_000)),
+        interval: Duration::from_millis(world.rng.random_range(1_000..8_000)),
+    });
+    world.submit_spec(key, name, JobSpec { text: String::new(), steps, schedule });
 }
 
 fn start_world(seed: u64) -> World {
@@ -240,6 +250,16 @@
     world.run_for(SETTLE_MS);
 }
 
+fn tasks_of(job: JobKey, spec: &JobSpec) -> Vec<TaskId> {
+    let mut tasks = Vec::new();
+    for occurrence in 0..spec.schedule.map_or(1, |schedule| schedule.count) {
+        for (step, of_step) in (0..).zip(&spec.steps) {
+            tasks.extend((0..of_step.count).map(|index| TaskId { job, occurrence, step, index }));
+        }
+    }
+    tasks
+}
+
 /// Checks that all jobs are final, and that each task of a completed job has completed.
 fn assert_jobs_ended(world: &World, seed: u64) {
     for (key, entry) in world.job_index.jobs() {
@@ -247,11 +267,8 @@
         if entry.state() != JobState::Completed {
             continue;
         }
-        for (step, spec) in entry.submission().unwrap().spec.steps.iter().enumerate() {
-            for index in 0..spec.count {
-                let task = TaskId { job: key, occurrence: 0, step: step as u32, index };
-                assert!(world.checks.is_done(&task), "seed {seed}: {task} never completed");
-            }
+        for task in tasks_of(key, &entry.submission().unwrap().spec) {
+            assert!(world.checks.is_done(&task), "seed {seed}: {task} never completed");
         }
     }
 }
--- a/crates/cj-sched/tests/sim/logs.rs
+++ b/crates/cj-sched/tests/sim/logs.rs
@@ -108,6 +108,7 @@
             scheduler,
             epoch,
             active: true,
+            paused_until: 0,
             confirmed_at,
             job_index,
             jobs_read: self.logs.jobs.len(),
@@ -235,6 +236,10 @@
     }
 
     pub(crate) fn submit(&mut self, key: u64, name: &str, steps: Vec<StepSpec>) {
+        self.submit_spec(key, name, JobSpec { text: String::new(), steps, schedule: None });
+    }
+
+    pub(crate) fn submit_spec(&mut self, key: u64, name: &str, spec: JobSpec) {
         let job = JobKey(key);
         let submission = Submission {
             queue: name.into(),
@@ -243,7 +248,7 @@
             max_attempts: 3,
             objective: Duration::from_secs(4),
             received_at: self.clocks().wall,
-            spec: JobSpec { text: String::new(), steps, schedule: None },
+            spec,
             account: self.config.accounts.as_ref().and_then(|_| account_of(key)),
         };
         let log = self.caller_log();
--- a/crates/cj-sched/tests/sim/store.rs
+++ b/crates/cj-sched/tests/sim/store.rs
@@ -73,6 +73,19 @@
         }
     }
 
+    /// When the process of the event's owner runs again, if it stands still.
+    pub(crate) fn resumption_of(&self, event: &SimEvent) -> Option<u64> {
+        let owner = match event {
+            SimEvent::Poll { owner }
+            | SimEvent::Notify { owner, .. }
+            | SimEvent::ReadOverflow { owner }
+            | SimEvent::RetryAppend { owner }
+            | SimEvent::Confirm { owner, .. } => *owner,
+            _ => return None,
+        };
+        Some(self.owners[owner].paused_until).filter(|until| *until > self.now)
+    }
+
     /// Sends a heartbeat of the owner. It ends its ownership if the answer names a later owner.
     fn send_heartbeat(&mut self, owner: usize) {
         if !self.network.delivers_calls(owner, Peer::Appends, self.now) {
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -100,6 +100,8 @@
     pub(crate) epoch: u64,
     /// It runs and has not learned of a later owner.
     pub(crate) active: bool,
+    /// Its process stands still until then, in ms.
+    pub(crate) paused_until: u64,
     /// When its last acknowledged heartbeat was sent, in ms.
     pub(crate) confirmed_at: u64,
     /// Jobs from the records that it has read.
@@ -145,6 +147,8 @@
     pub(crate) wave: Option<WaveSpec>,
     /// VMs whose maintenance in the wave has begun.
     pub(crate) maintained: HashSet<VmId>,
+    /// Highest fencing token in commands for a VM.
+    pub(crate) vm_tokens: HashMap<VmId, u64>,
     /// An owner reported the wave as completed.
     pub(crate) wave_completed: bool,
     /// Actual run times of tasks, in ms. Those of other tasks are drawn at random around their estimates.
@@ -227,6 +231,7 @@
             offline: Vec::new(),
             wave: None,
             maintained: HashSet::new(),
+            vm_tokens: HashMap::new(),
             wave_completed: false,
             run_times: HashMap::new(),
             pool_vm_ms: 0,
@@ -341,6 +346,9 @@
     }
 
     fn dispatch(&mut self, event: SimEvent) {
+        if let Some(resumed_at) = self.resumption_of(&event) {
+            return self.schedule(resumed_at - self.now, event);
+        }
         match event {
             SimEvent::Poll { owner } => self.poll_owner(owner),
             SimEvent::ReadOverflow { owner } => self.read_overflow(owner),
