--- a/crates/cj-standin/src/task_worker.rs
+++ b/crates/cj-standin/src/task_worker.rs
@@ -19,6 +19,9 @@
 /// Remaining time that a draining worker reports.
 const DRAIN_REMAINING: Duration = Duration::from_secs(3);
 
+/// Longest lease that the worker accepts; a longer one is shortened.
+const MAX_LEASE_MS: u64 = 10_000;
+
 /// Number of ends that a listing names at most.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -210,7 +213,9 @@
         done
     }
 
-    fn renew(&mut self, deadline: u64) {
+    /// Extends the lease to `deadline`, or to the longest lease that the worker accepts.
+    fn renew(&mut self, deadline: u64, now: u64) {
+        let deadline = deadline.min(self.clock(now) + MAX_LEASE_MS);
         self.lease_end = Some(self.lease_end.map_or(deadline, |lease| lease.max(deadline)));
     }
 
@@ -251,7 +256,7 @@
         if command.lease_end <= self.clock(now) {
             return Err(Refusal::LeaseExpired);
         }
-        self.renew(command.lease_end);
+        self.renew(command.lease_end, now);
         let step = &command.submission.spec.steps[command.task.step as usize];
         let demand = step.allocation();
         let saved_ms = step.checkpoints.then(|| command.checkpoint.parse().unwrap_or_default());
@@ -298,7 +303,7 @@
     ) -> Result<(Listing, Vec<EndRow>), Refusal> {
         self.check_token(token)?;
         if let Some(deadline) = deadline {
-            self.renew(deadline);
+            self.renew(deadline, now);
         }
         let (acknowledged, pending): (Vec<_>, Vec<_>) =
             self.ended_runs.drain(..).partition(|row| row.number <= seen);
