--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the scheduler against a simulated store and simulated workers, in virtual time.
 
 mod accounts;
+mod calls;
 mod capacity;
 mod crashes;
+mod cuts;
 mod decisions;
 mod evidence;
 mod large_jobs;
@@ -10,10 +12,12 @@
 mod listings;
 mod log_lines;
 mod logs;
+mod network;
 mod policies;
 mod random;
 mod regressions;
 mod replaced_owner;
+mod store;
 mod withdrawals;
 mod world;
 
