--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -16,6 +16,7 @@
 mod policies;
 mod random;
 mod regressions;
+mod replaced_owner;
 mod store;
 mod withdrawals;
 mod world;
