--- a/crates/cj-sched/tests/sim/cuts.rs
+++ b/crates/cj-sched/tests/sim/cuts.rs
@@ -18,7 +18,7 @@
 const JOBS: u64 = 25;
 
 /// Time for the finite jobs of a seed to end after all faults and cuts have ended.
-const SETTLE_MS: u64 = 60_000;
+const SETTLE_MS: u64 = 160_000;
 
 /// Minimum number of takeovers while an earlier owner is active, over all seeds of CI, so that the test covers enough.
 const MIN_REPLACED: u64 = 50;
