--- a/crates/cj-sched/tests/sim/late_calls.rs
+++ b/crates/cj-sched/tests/sim/late_calls.rs
@@ -15,7 +15,6 @@
 /// Guards against a task that runs twice because a list of VMs, requested while its worker was down, ends the incarnation that
 /// the worker has begun since.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn a_list_of_vms_from_before_an_incarnation_does_not_end_it() {
     let mut harness = Harness::new(&["r0", "r1"], None);
     harness.poll_after(2_000);
