Repeat the stop of an unanswered start until it is confirmed

Cause: a lost run whose start went unanswered is stopped on the next incarnation, which then refuses it. That stop was sent once; when it was lost, the late start was carried out.

--- a/crates/cj-sched/src/sched/commands.rs
+++ b/crates/cj-sched/src/sched/commands.rs
@@ -311,6 +311,7 @@
             self.workers[key].list_by(now + LISTING_INTERVAL);
             self.workers[key].orphan_stops.remove(&(*task, run));
         }
+        self.late_start_stopped(worker, task, run, answer);
         let Some(at) = self.current_task(worker, task, run) else { return };
         let placement =
             self.task_mut(at).placement_mut().expect("current_task() found a placement");
@@ -344,6 +345,7 @@
                 }
             }
         }
+        self.retry_late_stops();
         for at in again {
             let placement = self.task_mut(at).placement_mut().expect("found above");
             if placement.kept_if_listed {
--- a/crates/cj-sched/src/sched/late_start.rs
+++ b/crates/cj-sched/src/sched/late_start.rs
@@ -5,9 +5,10 @@
 use crate::{
     job::TaskId,
     sched::{
-        event::WorkerId,
+        event::{CommandAnswer, WorkerId},
         ledger::Charge,
         scheduler::Scheduler,
+        settings::STOP_RETRY_INTERVAL,
         work::{Stage, TaskRef},
         worker::WorkerKey,
     },
@@ -23,6 +24,8 @@
     run: u64,
     lost_at: Instant,
     charge: Option<Charge>,
+    /// When its stop is sent again to the present incarnation, after one that may not have been carried out.
+    stop_again_at: Option<Instant>,
 }
 
 impl UnansweredStart {
@@ -54,7 +57,9 @@
             self.ledger.charge(charge);
             self.ledger.add_unconfirmed(charge.account);
         }
-        self.unanswered_starts.push(UnansweredStart { worker, task, run, lost_at: now, charge });
+        let stop_again_at = None;
+        let start = UnansweredStart { worker, task, run, lost_at: now, charge, stop_again_at };
+        self.unanswered_starts.push(start);
     }
 
     /// Stops the unanswered starts on a new incarnation of a worker: it then refuses these runs, also when their start
@@ -72,6 +77,41 @@
         }
     }
 
+    /// Records the answer to the stop of an unanswered start. Without a confirmation the start may still be carried out, so the stop
+    /// is repeated.
+    pub(super) fn late_start_stopped(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        run: u64,
+        answer: CommandAnswer,
+    ) {
+        let repeat_at = self.now.mono + STOP_RETRY_INTERVAL;
+        let stop_again_at = (answer != CommandAnswer::Done).then_some(repeat_at);
+        for start in &mut self.unanswered_starts {
+            if start.worker == *worker && start.task == *task && start.run == run {
+                start.stop_again_at = stop_again_at;
+            }
+        }
+    }
+
+    /// Repeats the stops of unanswered starts that weren't confirmed.
+    pub(super) fn retry_late_stops(&mut self) {
+        let now = self.now.mono;
+        let mut due = Vec::new();
+        for start in &mut self.unanswered_starts {
+            if start.stop_again_at.is_some_and(|at| at <= now) {
+                start.stop_again_at = None;
+                due.push((start.worker.clone(), start.task, start.run));
+            }
+        }
+        for (worker, task, run) in due {
+            if let Some(&key) = self.worker_keys.get(&worker) {
+                self.stop_orphan(key, task, run);
+            }
+        }
+    }
+
     /// Stops counting lost runs whose start commands can no longer be carried out.
     pub(super) fn refund_late_starts(&mut self) {
         let now = self.now.mono;
--- a/crates/cj-sched/tests/sim/late_calls.rs
+++ b/crates/cj-sched/tests/sim/late_calls.rs
@@ -51,7 +51,6 @@
 /// Guards against a task that runs twice because the stop of its unanswered start, sent once to the next incarnation of the
 /// worker, is lost.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn an_unanswered_start_is_stopped_until_the_next_incarnation_answers() {
     let mut harness = Harness::new(&["r0", "r1"], None);
     harness.submit(1, vec![step(1, 1_000, 60_000)], None);
