Repeat an unanswered move only while nothing runs on the VM

What would be seen: a VM is moved while tasks work on it; they end at once (rule AVAIL, and lost work).

Cause: the command for a move that went unanswered was repeated every time without looking at the VM again. If its worker starts anew meanwhile, the drain for the move ends with the earlier incarnation, the new one gets tasks, and the repeated command ends them. Class: a command is taken to mean what it meant when it was decided. Repeated maintenance requests check the VM already.

Change: a move is repeated only once the worker on the VM has answered after the last command without runs and with its ends durable. It is dropped if tasks run there. A VM that is powered off, or in its new pool already, needs no answer.

--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -174,16 +174,39 @@
             let waited = moving.done_at.map(|done| now.saturating_duration_since(done));
             !waited.is_some_and(|waited| waited > longest || (up && waited > self.limits.move_time))
         });
-        let mut repeated = Vec::new();
-        for (vm, moving) in &mut self.pools.moves {
-            if moving.done_at.is_none() && now > moving.sent + COMMAND_RETRY_INTERVAL {
-                moving.sent = now;
-                moving.guard = CommandGuard::default();
-                let watch = moving.guard.watch();
-                repeated.push(Action::MoveVm(vm.clone(), moving.to.clone(), watch));
+        let is_due =
+            |moving: &Move| moving.done_at.is_none() && now > moving.sent + COMMAND_RETRY_INTERVAL;
+        let moves = self.pools.moves.iter().filter(|(_, moving)| is_due(moving));
+        let due: Vec<_> = moves.map(|(vm, moving)| (vm.clone(), moving.clone())).collect();
+        for (vm, moving) in due {
+            self.repeat_move(vm, moving);
+        }
+    }
+
+    /// Repeats the command for an unanswered move if nothing runs on the VM. Its worker may have started anew and got tasks since
+    /// the move was decided; the move is dropped then.
+    fn repeat_move(&mut self, vm: VmId, moving: Move) {
+        let Some(row) = self.vms.get(&vm) else { return };
+        let worker = row.worker.as_ref().filter(|_| row.pool == moving.from);
+        let is_empty = match worker.map(|id| self.worker_keys.get(id).copied()) {
+            None => true,
+            Some(None) => self.is_lease_over(self.lease_horizon),
+            Some(Some(key)) if !self.workers[key].runs.is_empty() => {
+                info!(target: "decision", "vm={vm} worker={} choice=stay cause=\"tasks run there\"", self.workers[key].id);
+                return self.abort_move(&vm);
             }
+            Some(Some(key)) => {
+                self.workers[key].vm_draining = true;
+                self.is_confirmed_empty(key, moving.sent) && self.workers[key].has_durable_ends()
+            }
+        };
+        if !is_empty {
+            return;
         }
-        self.actions.extend(repeated);
+        let repeated = Move { sent: self.now.mono, guard: CommandGuard::default(), ..moving };
+        let watch = repeated.guard.watch();
+        self.actions.push(Action::MoveVm(vm.clone(), repeated.to.clone(), watch));
+        self.pools.moves.insert(vm, repeated);
     }
 
     fn track_idle(&mut self) {
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -390,7 +390,7 @@
     }
 
     /// True if a worker without runs has answered after `since`, so that no other incarnation runs on its VM.
-    fn is_confirmed_empty(&mut self, key: WorkerKey, since: Instant) -> bool {
+    pub(super) fn is_confirmed_empty(&mut self, key: WorkerKey, since: Instant) -> bool {
         let now = self.now.mono;
         let leases_over = self.is_lease_over(self.lease_horizon);
         let worker = &mut self.workers[key];
--- a/crates/cj-sched/tests/sim/evidence.rs
+++ b/crates/cj-sched/tests/sim/evidence.rs
@@ -1,17 +1,17 @@
 //! Which observations count as evidence that a run or an incarnation of a worker has ended, and which don't.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use cj_sched::{
-    Action, Event, StepSpec,
+    Action, Event, Pool, StepSpec,
     record::WaveProgress,
     sched::{CommandAnswer, ListAnswer, RunRow, VmAnswer, VmState, WaveSpec, WorkerId},
 };
 use cj_types::VmId;
 
 use crate::{
-    decisions::{Harness, starts},
-    world::step,
+    decisions::{Harness, config, starts},
+    world::{service, step},
 };
 
 /// Time between two rounds of listings, in ms.
@@ -246,3 +246,37 @@
     harness.handle(Event::VmsListed(harness.now().mono, rows));
     assert_eq!(starts(&harness.poll_after(100)).len(), 1);
 }
+
+/// Guards against a move that ends tasks: its first command goes unanswered, the worker restarts and gets a task, and the command is
+/// repeated.
+#[test]
+fn a_move_is_not_repeated_once_tasks_run_on_the_vm() {
+    let mut harness = Harness::new(&["r0"; 4], None);
+    let mut with_spare = (*config(None)).clone();
+    with_spare.pools.insert(service("spare"), Pool { rejects_overload: true, spare: true });
+    harness.handle(Event::Config(Rc::new(with_spare)));
+    let moved = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::MoveVm(vm, ..) => Some(vm.clone()),
+            _ => None,
+        })
+    };
+    let vm = loop {
+        harness.list_all();
+        if let Some(vm) = moved(&harness.poll_after(100)) {
+            break vm;
+        }
+        assert!(harness.elapsed_ms < 5_000, "no idle VM moves");
+    };
+    harness.handle(Event::Moved(vm.clone(), VmAnswer::Unanswered));
+    let worker = harness.vm_rows.iter().position(|row| row.vm == vm).unwrap();
+    harness.register_start(worker, 2);
+    harness.list_started(worker, 2);
+    harness.submit(1, vec![StepSpec { spread: Some(1), ..step(4, 1_000, 60_000) }], None);
+    let actions = harness.poll_after(10);
+    let started = starts(&actions).iter().any(|(to, _)| to.worker == harness.workers[worker]);
+    for _ in 0..30 {
+        let again = moved(&harness.poll_after(100)) == Some(vm.clone());
+        assert!(!(started && again), "{vm} is moved although a task runs there");
+    }
+}
