Give the line about dropped log lines a time and a node

Cause: `choice=drop_lines` was written without `at=` and `node=`. `copperjunction explain` ignores lines without a time, and so does whoever sorts or selects lines by time, so nobody could see that lines were missing.

Change: the line has both, like all others.

Conclusion: `the_line_about_dropped_lines_names_time_and_node` checks it.

--- a/crates/cj-entry/src/logging.rs
+++ b/crates/cj-entry/src/logging.rs
@@ -104,10 +104,10 @@
         let kind = ErrorKind::Failed(format!("cannot start logging: {cause}").into());
         Error::new(kind, "install the logger once, and check the limits of the process")
     };
-    let counted = (dropped.clone(), pending.clone());
+    let counted = (dropped.clone(), pending.clone(), node.clone());
     let writer = thread::Builder::new().name("log".to_owned());
     writer
-        .spawn(move || write_lines(&received, &counted.0, &counted.1))
+        .spawn(move || write_lines(&received, &counted.0, &counted.1, &counted.2))
         .map_err(|e| failed(e.to_string()))?;
     let boxed: Box<dyn Write + Send> = Box::new(queue);
     fern::Dispatch::new()
@@ -125,7 +125,18 @@
     Ok(dropped)
 }
 
-fn write_lines(received: &Receiver<Vec<u8>>, dropped: &DroppedLines, pending: &AtomicUsize) {
+/// The line that tells how many lines were dropped so far.
+pub fn dropped_line(node: &NodeId, total: u64) -> String {
+    let at = SystemClock.wall().since(Default::default()).as_millis();
+    format!("at={at} level=WARN node={node} kind=process choice=drop_lines total={total}\n")
+}
+
+fn write_lines(
+    received: &Receiver<Vec<u8>>,
+    dropped: &DroppedLines,
+    pending: &AtomicUsize,
+    node: &NodeId,
+) {
     let mut reported = 0;
     let mut batch = Vec::new();
     while let Ok(first) = received.recv() {
@@ -142,9 +153,7 @@
         }
         let lost = dropped.count();
         if lost > reported {
-            batch.extend_from_slice(
-                format!("level=WARN kind=process choice=drop_lines total={lost}\n").as_bytes(),
-            );
+            batch.extend_from_slice(dropped_line(node, lost).as_bytes());
             reported = lost;
         }
         write_batch(&mut batch);
--- a/crates/cj-entry/tests/entry/logging.rs
+++ b/crates/cj-entry/tests/entry/logging.rs
@@ -2,7 +2,8 @@
 
 use std::io::Write;
 
-use cj_entry::logging::{DroppedLines, LineQueue};
+use cj_entry::logging::{DroppedLines, LineQueue, dropped_line};
+use cj_types::NodeId;
 
 /// Guards against broken lines: the logger writes a line in several parts, and dropping only some of them would break
 /// it.
@@ -31,3 +32,12 @@
     assert!(lines.last().unwrap().ends_with(b"choice=start\n"));
     assert_eq!(dropped.count() as usize, 21 - lines.len());
 }
+
+/// Guards against lost lines that nobody notices, because the line that counts them names neither time nor node.
+#[test]
+fn the_line_about_dropped_lines_names_time_and_node() {
+    let line = dropped_line(&NodeId::try_from("n1").unwrap(), 7);
+    let (at, rest) = line.trim_end().split_once(' ').unwrap();
+    assert!(at.strip_prefix("at=").unwrap().parse::<u64>().unwrap() > 0);
+    assert_eq!(rest, "level=WARN node=n1 kind=process choice=drop_lines total=7");
+}
