Write lines about runs 5 ms after they are logged

Cause: all lines were gathered for 60 ms before they were written, so a process that was killed lost the lines of commands that it had sent.

Change: the writing thread ends its wait within 5 ms once a line about a run is queued. Other lines still wait for up to 60 ms. Lines are queued as before: bounded, whole, and without blocking the event loop.

Conclusion: `lines_about_runs_do_not_wait_for_others` checks which lines end the wait.

--- a/crates/cj-entry/src/logging.rs
+++ b/crates/cj-entry/src/logging.rs
@@ -7,7 +7,7 @@
     io::{self, Write},
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
@@ -27,9 +27,15 @@
 /// Marks a line about a request of a caller.
 const REQUEST_FIELD: &[u8] = b" request=";
 
+/// Marks a line about a run.
+const TASK_FIELD: &[u8] = b" task=";
+
 /// How long lines are gathered before they are written together.
 const BATCH_INTERVAL: Duration = Duration::from_millis(60);
 
+/// How long lines are gathered once one of them is about a run: a process that is killed loses them.
+const RUN_BATCH_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Time limit for writing the last lines when the process ends.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -37,7 +43,34 @@
 /// collector that reads from several processes never gets parts of lines.
 const MAX_WRITE_BYTES: usize = 4_096;
 
-static PENDING: OnceLock<Arc<AtomicUsize>> = OnceLock::new();
+static QUEUED: OnceLock<Arc<Queued>> = OnceLock::new();
+
+/// What is queued.
+#[derive(Debug, Default)]
+struct Queued {
+    /// Number of lines that aren't written yet.
+    lines: AtomicUsize,
+    /// A line about a run was queued since the last batch.
+    has_run: AtomicBool,
+}
+
+impl Queued {
+    fn take_has_run(&self) -> bool {
+        self.has_run.swap(false, Ordering::Relaxed)
+    }
+
+    /// Waits while lines gather.
+    fn gather(&self) {
+        let mut waited = Duration::ZERO;
+        while waited < BATCH_INTERVAL {
+            thread::sleep(RUN_BATCH_INTERVAL);
+            waited += RUN_BATCH_INTERVAL;
+            if self.take_has_run() {
+                return;
+            }
+        }
+    }
+}
 
 /// Counter of dropped lines.
 #[derive(Clone, Debug, Default)]
@@ -57,15 +90,20 @@
     capacity: usize,
     lines: SyncSender<Vec<u8>>,
     dropped: DroppedLines,
-    pending: Arc<AtomicUsize>,
+    queued: Arc<Queued>,
 }
 
 impl LineQueue {
     /// A queue for up to `capacity` lines, and its receiver.
     pub fn new(capacity: usize, dropped: DroppedLines) -> (Self, Receiver<Vec<u8>>) {
         let (lines, received) = sync_channel(capacity);
-        let pending = Arc::new(AtomicUsize::new(0));
-        (LineQueue { line: Vec::new(), capacity, lines, dropped, pending }, received)
+        let queued = Arc::new(Queued::default());
+        (LineQueue { line: Vec::new(), capacity, lines, dropped, queued }, received)
+    }
+
+    /// True when a line about a run was queued since the last call, so that the queued lines are written soon.
+    pub fn take_has_run(&self) -> bool {
+        self.queued.take_has_run()
     }
 }
 
@@ -76,12 +114,15 @@
             return Ok(bytes.len());
         }
         let line = std::mem::take(&mut self.line);
-        let taken = self.pending.fetch_add(1, Ordering::Relaxed);
-        let is_request = line.windows(REQUEST_FIELD.len()).any(|part| part == REQUEST_FIELD);
+        let taken = self.queued.lines.fetch_add(1, Ordering::Relaxed);
+        let has_field = |field: &[u8]| line.windows(field.len()).any(|part| part == field);
+        let (is_request, is_run) = (has_field(REQUEST_FIELD), has_field(TASK_FIELD));
         let has_room = !is_request || taken < self.capacity * REQUEST_QUARTERS / 4;
         if !has_room || self.lines.try_send(line).is_err() {
-            self.pending.fetch_sub(1, Ordering::Relaxed);
+            self.queued.lines.fetch_sub(1, Ordering::Relaxed);
             self.dropped.0.fetch_add(1, Ordering::Relaxed);
+        } else if is_run {
+            self.queued.has_run.store(true, Ordering::Relaxed);
         }
         Ok(bytes.len())
     }
@@ -99,12 +140,12 @@
 pub fn install(node: NodeId) -> Result<DroppedLines> {
     let dropped = DroppedLines::default();
     let (queue, received) = LineQueue::new(BUFFER_LINES, dropped.clone());
-    let pending = queue.pending.clone();
+    let queued = queue.queued.clone();
     let failed = |cause: String| {
         let kind = ErrorKind::Failed(format!("cannot start logging: {cause}").into());
         Error::new(kind, "install the logger once, and check the limits of the process")
     };
-    let counted = (dropped.clone(), pending.clone(), node.clone());
+    let counted = (dropped.clone(), queued.clone(), node.clone());
     let writer = thread::Builder::new().name("log".to_owned());
     writer
         .spawn(move || write_lines(&received, &counted.0, &counted.1, &counted.2))
@@ -121,7 +162,7 @@
         .apply()
         .map_err(|e| failed(e.to_string()))?;
     // This can't fail: only one logger can be installed in a process.
-    let _ = PENDING.set(pending);
+    let _ = QUEUED.set(queued);
     Ok(dropped)
 }
 
@@ -134,13 +175,13 @@
 fn write_lines(
     received: &Receiver<Vec<u8>>,
     dropped: &DroppedLines,
-    pending: &AtomicUsize,
+    queued: &Queued,
     node: &NodeId,
 ) {
     let mut reported = 0;
     let mut batch = Vec::new();
     while let Ok(first) = received.recv() {
-        thread::sleep(BATCH_INTERVAL);
+        queued.gather();
         batch.clear();
         batch.extend_from_slice(&first);
         let mut count = 1;
@@ -157,7 +198,7 @@
             reported = lost;
         }
         write_batch(&mut batch);
-        pending.fetch_sub(count, Ordering::Relaxed);
+        queued.lines.fetch_sub(count, Ordering::Relaxed);
     }
 }
 
@@ -170,10 +211,10 @@
 
 /// Waits up to `FLUSH_TIMEOUT` until all queued lines are written.
 pub fn flush() {
-    let Some(pending) = PENDING.get() else { return };
+    let Some(queued) = QUEUED.get() else { return };
     let poll_interval = BATCH_INTERVAL / 4;
     let mut waited = Duration::ZERO;
-    while pending.load(Ordering::Relaxed) > 0 && waited < FLUSH_TIMEOUT {
+    while queued.lines.load(Ordering::Relaxed) > 0 && waited < FLUSH_TIMEOUT {
         thread::sleep(poll_interval);
         waited += poll_interval;
     }
--- a/crates/cj-entry/tests/entry/logging.rs
+++ b/crates/cj-entry/tests/entry/logging.rs
@@ -41,3 +41,15 @@
     assert!(at.strip_prefix("at=").unwrap().parse::<u64>().unwrap() > 0);
     assert_eq!(rest, "level=WARN node=n1 kind=process choice=drop_lines total=7");
 }
+
+/// Guards against starts whose lines are lost with a process that is killed while its lines gather.
+#[test]
+fn lines_about_runs_do_not_wait_for_others() {
+    let (mut queue, _received) = LineQueue::new(8, DroppedLines::default());
+    queue.write_all(b"kind=decision job=1 request=submit choice=accepted\n").unwrap();
+    assert!(!queue.take_has_run());
+    queue.write_all(b"kind=decision task=1.0.0.0 choice=start\n").unwrap();
+    queue.write_all(b"kind=decision job=2 request=submit choice=accepted\n").unwrap();
+    assert!(queue.take_has_run());
+    assert!(!queue.take_has_run());
+}
