--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -15,10 +15,11 @@
             Action, EndKind, EndRow, ListAnswer, Listing, Refusal, RunRow, VmRow, VmState, WorkerId,
         },
         evidence::{IncarnationEvidence, RunEvidence},
+        pace::UNKNOWN_PACE,
         scheduler::Scheduler,
         settings::{
-            LISTING_INTERVAL, LISTING_RETRY, LISTING_WAIT, QUARANTINE_FAILURES, QUARANTINE_TIME,
-            RENEWAL_INTERVAL, STARTUP_INTERVAL,
+            IDLE_INTERVAL, LISTING_INTERVAL, LISTING_RETRY, LISTING_WAIT, QUARANTINE_FAILURES,
+            QUARANTINE_TIME, RENEWAL_INTERVAL, STARTUP_INTERVAL,
         },
         work::{Phase, Placement, Stage, TaskRef},
         worker::{ClockReading, Worker, WorkerKey},
@@ -42,14 +43,14 @@
             .map(|(key, _)| key)
             .collect();
         for key in due {
-            let finite = self.workers[key].reconciled && self.has_finite_run(key);
+            let finite = self.workers[key].is_reconciled() && self.has_finite_run(key);
             let watched = self.watches_suspect(&self.workers[key]);
             let worker = &mut self.workers[key];
             worker.listing_pending = true;
             worker.next_listing = None;
             // An unanswered renewal may be carried out later. An unresponsive worker gets none, so that its leases end.
             let renews =
-                worker.reconciled && worker.missed_listings == 0 && !worker.runs.is_empty();
+                worker.is_reconciled() && worker.missed_listings == 0 && !worker.runs.is_empty();
             let lease_end = if renews { worker.grant_lease(now, limit, max_lease) } else { None };
             worker.ends_acknowledged = worker.ends_durable;
             let wait = if finite && !watched { LISTING_WAIT } else { Default::default() };
@@ -101,8 +102,8 @@
         worker.clock = Some(ClockReading { at: now, value: listing.clock });
         worker.last_answer = Some(now);
         worker.missed_listings = 0;
-        if !worker.reconciled {
-            worker.reconciled = true;
+        if worker.reconciled_at.is_none() {
+            worker.reconciled_at = Some(now);
             self.place_due = true;
         }
         let mut ended: Vec<_> = listing.ended;
@@ -195,6 +196,8 @@
             worker.list_by(now + STARTUP_INTERVAL);
         } else if !worker.runs.is_empty() {
             worker.list_by(now + RENEWAL_INTERVAL);
+        } else {
+            worker.list_by(now + IDLE_INTERVAL);
         }
         if worker.ends_durable > worker.ends_acknowledged {
             worker.list_by(now + LISTING_INTERVAL);
@@ -277,7 +280,7 @@
             progress_at: now,
             first_progress: None,
             sample: row.sample,
-            pace: 100,
+            pace: UNKNOWN_PACE,
             // It was started before the earlier owner was replaced.
             settled: self.task(at).crashed_runs.is_empty(),
             crashed: false,
@@ -285,11 +288,11 @@
         self.task_mut(at).checkpoint = row.checkpoint;
         self.assign(at, placement);
         self.mark_started(at);
-        // The lease granted by the earlier owner is unknown; the next listing renews it.
-        self.workers[key].list_by(now);
-        if self.workers[key].lease_end.is_none() {
-            self.workers[key].lease_end = Some(self.lease_horizon);
-        }
+        // Its lease is unknown, and may have been granted for the clock of another incarnation; the next listing renews it.
+        let longest = now + self.longest_lease();
+        let worker = &mut self.workers[key];
+        worker.list_by(now);
+        worker.lease_end = worker.lease_end.max(Some(longest));
     }
 
     /// Processes a reported end of a run.
--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -13,7 +13,7 @@
 /// After this time without a heartbeat of the owner, another node may claim ownership.
 pub const OWNER_TIMEOUT: Duration = Duration::from_millis(1_300);
 
-/// A command whose receiver doesn't check fencing tokens is sent at least this long before another owner can act.
+/// A command whose receiver may not know the next owner's token is sent at least this long before another owner can act.
 const SEND_MARGIN: Duration = Duration::from_millis(200);
 
 /// Such a command is decided at least this long before its lease ends, so that there is time to send it.
@@ -27,7 +27,7 @@
 pub struct OwnershipLease {
     /// For commands whose receivers refuse the fencing tokens of earlier owners.
     pub fenced_until: Instant,
-    /// For commands whose receivers may not check tokens: no other node can have taken over before this time.
+    /// For commands whose receivers may not know the token of the next owner: no other node can have taken over before this time.
     pub sole_until: Instant,
     /// When the last acknowledged heartbeat was first sent; `None` while the ownership has to be confirmed.
     pub heartbeat_at: Option<Instant>,
@@ -80,16 +80,28 @@
         }
     }
 
+    /// Sets when this owner begins to act, if that is later than its first record.
+    pub fn begin_at(&mut self, at: Instant) {
+        self.owner_since = self.owner_since.max(at);
+    }
+
     /// True while commands may be sent to workers, which check fencing tokens.
     pub(super) fn may_command(&self) -> bool {
         self.now.mono + LEASE_MARGIN < self.ownership.fenced_until
     }
 
-    /// True while no other node can have taken over.
+    /// True while no other node can have taken over. VMs are moved and maintained only then: the platform's fence of a VM rises
+    /// with the next owner's first command for it, not when that owner starts tasks there.
     pub(super) fn is_sole_owner(&self) -> bool {
         self.now.mono + DECISION_MARGIN < self.ownership.sole_until
     }
 
+    /// True if a node that takes over starts older tasks only once this worker refuses the commands of this owner. It knows a
+    /// worker that answered while this owner was the only one; one that started later may be listed by this owner alone.
+    pub(super) fn is_known_to_successor(&self, worker: &Worker) -> bool {
+        worker.reconciled_at.is_some_and(|at| at < self.ownership.sole_until)
+    }
+
     /// True when leases that end at `end` have ended, whichever owner granted them. A later end than `sole_until` proves nothing:
     /// another owner may have taken over and extended them.
     pub(super) fn is_lease_over(&self, end: Instant) -> bool {
@@ -98,16 +110,7 @@
 
     /// True when a worker is unresponsive and all its leases have ended.
     pub(super) fn has_lapsed(&self, worker: &Worker) -> bool {
-        let unresponsive = worker.missed_listings > 0 || !worker.reconciled;
+        let unresponsive = worker.missed_listings > 0 || !worker.is_reconciled();
         unresponsive && worker.lease_end.is_none_or(|end| self.is_lease_over(end))
     }
-
-    /// True while VMs may be moved. Where the platform doesn't check fencing tokens, only a sole owner may.
-    pub(super) fn may_move_vms(&self) -> bool {
-        if self.limits.vm_fencing {
-            self.now.mono + LEASE_MARGIN * 2 <= self.ownership.fenced_until
-        } else {
-            self.is_sole_owner()
-        }
-    }
 }
--- a/crates/cj-sched/src/sched/settings.rs
+++ b/crates/cj-sched/src/sched/settings.rs
@@ -15,8 +15,6 @@
     pub move_time: Duration,
     /// Time that a VM is off for its maintenance.
     pub maintenance_time: Duration,
-    /// The platform refuses commands to move or maintain a VM that carry the fencing token of an earlier owner.
-    pub vm_fencing: bool,
 }
 
 impl Default for Limits {
@@ -27,7 +25,6 @@
             restore_time: Duration::from_millis(100),
             move_time: Duration::from_millis(1500),
             maintenance_time: Duration::from_secs(2),
-            vm_fencing: false,
         }
     }
 }
@@ -55,6 +52,10 @@
 /// tasks of the step may be interrupted only once that task is ready.
 pub(super) const STARTUP_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Interval between listings of a worker without runs. They read its clock: the longer ago that was, the shorter is a lease that
+/// surely ends in time.
+pub(super) const IDLE_INTERVAL: Duration = Duration::from_secs(30);
+
 /// Delay before a listing is requested again from a worker that didn't answer.
 pub(super) const LISTING_RETRY: Duration = Duration::from_millis(350);
 
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use cj_types::{Resources, ServiceId};
+use cj_types::{Resources, ServiceId, VmId};
 use compact_str::CompactString;
 use slotmap::new_key_type;
 
@@ -52,8 +52,12 @@
     /// Start of its process, in Unix milliseconds; it identifies the incarnation.
     pub(super) started_at: Option<u64>,
     pub(super) clock: Option<ClockReading>,
-    /// It has answered under this owner's fencing token, so it no longer carries out commands of earlier owners.
-    pub(super) reconciled: bool,
+    /// When it first answered under this owner's fencing token; since then it carries out no commands of earlier owners.
+    pub(super) reconciled_at: Option<Instant>,
+    /// VM that a list of VMs last named it on.
+    pub(super) vm: Option<VmId>,
+    /// Consecutive lists of VMs without a running VM that names it.
+    pub(super) unnamed_lists: u8,
     /// Its last listing named a task whose submission this owner may not have read yet.
     pub(super) unread_submission: bool,
     /// Its last listing named only the oldest of its ends, so a run that isn't listed may be among the others.
@@ -119,7 +123,9 @@
             registered: true,
             started_at: None,
             clock: None,
-            reconciled: false,
+            reconciled_at: None,
+            vm: None,
+            unnamed_lists: 0,
             unread_submission: false,
             unlisted_ends: false,
             used: Resources::default(),
@@ -170,7 +176,7 @@
         self.ends_durable = 0;
         self.ends_acknowledged = 0;
         self.lease_end = None;
-        self.reconciled = false;
+        self.reconciled_at = None;
         self.unread_submission = false;
         self.unlisted_ends = false;
         self.failures = 0;
@@ -186,8 +192,9 @@
         Target { worker: self.id.clone(), address: self.address.clone() }
     }
 
-    /// Grants a lease with a command sent now. It lasts at most until `limit`, and for at most `max_lease`.
-    /// Returns its end in ms on the worker's clock, or `None` when that clock isn't known, and extends `lease_end`.
+    /// Grants a lease with a command sent now. It lasts at most until `limit`, and for at most `max_lease`, also on a slow clock:
+    /// the next owner counts on that. Returns its end in ms on the worker's clock, or `None` when that clock isn't known, and
+    /// extends `lease_end`.
     pub(super) fn grant_lease(
         &mut self,
         now: Instant,
@@ -196,12 +203,10 @@
     ) -> Option<u64> {
         let clock = self.clock?;
         let lease = RUN_LEASE.min(max_lease).min(limit.saturating_duration_since(now));
-        let elapsed = now.saturating_duration_since(clock.at);
-        let lease_end = clock.value.saturating_add((elapsed + lease).as_millis() as u64);
-        let span = Duration::from_millis(lease_end - clock.value).div_f64(MIN_CLOCK_RATE);
-        let end = clock.at + span;
+        let end = now + lease;
+        let span = end.saturating_duration_since(clock.at).mul_f64(MIN_CLOCK_RATE);
         self.lease_end = Some(self.lease_end.map_or(end, |known| known.max(end)));
-        Some(lease_end)
+        Some(clock.value.saturating_add(span.as_millis() as u64))
     }
 
     /// True when all its ends are listed and their effects are durable. Its VM may be moved or maintained only then, because
@@ -217,7 +222,12 @@
 
     /// True when all runs on it, and all ends that aren't acknowledged, are known to this owner.
     pub(super) fn runs_known(&self) -> bool {
-        self.reconciled && !self.has_unknown_runs()
+        self.is_reconciled() && !self.has_unknown_runs()
+    }
+
+    /// True when it has answered under this owner's fencing token.
+    pub(super) fn is_reconciled(&self) -> bool {
+        self.reconciled_at.is_some()
     }
 
     /// True when its last listing left open what became of some runs.
