Write the lines that start and give up runs without quotes

The lines of starts (`free="..."`) and of lost runs (`cause="..."`) had quotes, so whatever made the record most likely left them out. That isn't shown.

Change: `free=4700m,31312MiB,0acc` and `cause=lease_ended` need no quotes.

Conclusion: the test of the lines checks that no line about a run has quotes; the tests of cj-story and those of the lines pass.

--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -40,17 +40,17 @@
     ShutDown,
 }
 
-/// Evidence that a run is over although its end was not listed. Log lines print the `display` texts.
+/// Evidence that a run is over although its end was not listed. Log lines print the `display` texts, which need no quotes.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(super) enum RunEvidence {
     /// The worker's incarnation has ended.
-    #[display("life over")]
+    #[display("life_over")]
     IncarnationEnded,
     /// The last lease that the worker can hold has expired.
-    #[display("lease ended")]
+    #[display("lease_ended")]
     LeaseExpired,
     /// A listing requested after the last answer to a command for the run doesn't name it.
-    #[display("not listed")]
+    #[display("not_listed")]
     NotListed,
 }
 
--- a/crates/cj-sched/src/sched/loss_log.rs
+++ b/crates/cj-sched/src/sched/loss_log.rs
@@ -47,7 +47,7 @@
         };
         info!(
             target: "decision",
-            "task={} run={} worker={} choice=lose cause=\"{evidence}\" epoch={} heartbeat_age_ms={}{basis}",
+            "task={} run={} worker={} choice=lose cause={evidence} epoch={} heartbeat_age_ms={}{basis}",
             self.jobs[at.job].task_id(at), placement.run, worker.id, self.epoch, self.heartbeat_age()
         );
     }
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -325,12 +325,13 @@
     fn log_start(&self, at: TaskRef, key: WorkerKey, run: u64) {
         let job = &self.jobs[at.job];
         let worker = &self.workers[key];
+        let free = worker.free();
         let age = worker.last_answer.map(|at| self.now.mono.saturating_duration_since(at));
         info!(
             target: "decision",
-            "task={} run={run} worker={} choice=start epoch={} heartbeat_age_ms={} config={} free=\"{}\" listing_age_ms={}",
+            "task={} run={run} worker={} choice=start epoch={} heartbeat_age_ms={} config={} free={},{},{} listing_age_ms={}",
             job.task_id(at), worker.id, self.epoch, self.heartbeat_age(), self.config.version,
-            worker.free(), age.unwrap_or_default().as_millis()
+            free.cores, free.memory, free.accelerators, age.unwrap_or_default().as_millis()
         );
     }
 
--- a/crates/cj-sched/tests/sim/log_lines.rs
+++ b/crates/cj-sched/tests/sim/log_lines.rs
@@ -50,6 +50,8 @@
         harness.poll_after(1_000);
     });
     assert_named(&lines, "start", &["run=1048576", "epoch=1 heartbeat_age_ms=0"]);
+    let quoted = |line: &&String| line.contains("task=") && line.contains('"');
+    assert_eq!(lines.iter().find(quoted), None, "a value with spaces in a line about a run");
     assert_named(&lines, "may_be_replaced", &["cell=0", "epoch=1 heartbeat_age_ms=1200"]);
     assert_named(&lines, "lease_expired", &["cell=0", "epoch=1 heartbeat_age_ms=7100"]);
     assert_named(&lines, "sole_owner", &["cell=0", "epoch=1 heartbeat_age_ms=0"]);
@@ -57,7 +59,8 @@
     assert_eq!(changes.count(), 1, "a line per change, not per poll");
     let basis = ["worker=w0", "epoch=1 heartbeat_age_ms=", "missed_listings=1", "lease_ended_ms="];
     assert_named(&lines, "lapse", &basis);
-    let run = ["run=1048576 worker=w0", "lease ended", "heartbeat_age_ms=", "lease_ended_ms="];
+    let run =
+        ["run=1048576 worker=w0", "cause=lease_ended", "heartbeat_age_ms=", "lease_ended_ms="];
     assert_named(&lines, "lose", &run);
 }
 
@@ -75,6 +78,6 @@
     });
     let basis = ["worker=w0", "heartbeat_age_ms=3040 missed_listings=1", "vms_age_ms=40"];
     assert_named(&lines, "end_life", &basis);
-    let run = ["run=1048576 worker=w0", "life over", "epoch=1 heartbeat_age_ms=3040"];
+    let run = ["run=1048576 worker=w0", "cause=life_over", "epoch=1 heartbeat_age_ms=3040"];
     assert_named(&lines, "lose", &run);
 }
--- a/crates/cj-story/tests/story.rs
+++ b/crates/cj-story/tests/story.rs
@@ -19,7 +19,7 @@
     let rows = [
         "at=17 level=INFO node=n1 kind=decision job=0e5ba474e38ad43a request=submit queue=q config=6 offset=9 choice=accepted reason=accepted retry_ms=0",
         "at=18 level=WARN node=n1 kind=link topic=jobs choice=lost next=4 cause=\"no answer: Timeout while waiting\"",
-        "at=19 level=INFO node=n1 kind=decision task=0e5ba474e38ad43a.0.1.2 run=1048576 worker=w choice=start epoch=1 config=6 free=\"4700m 31312MiB 0acc\" listing_age_ms=0",
+        "at=19 level=INFO node=n1 kind=decision task=0e5ba474e38ad43a.0.1.2 run=1048576 worker=w choice=start epoch=1 config=6 free=4700m,31312MiB,0acc listing_age_ms=0",
     ];
     for row in rows {
         assert_eq!(Line::parse(row).unwrap().to_string(), row);
@@ -56,7 +56,7 @@
         "at=1900 node=n2 kind=decision choice=own epoch=2 offset=8",
         "at=2000 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=7 worker=w1 choice=start epoch=2",
         "at=2500 node=n2 kind=decision worker=w1 choice=end_life runs=1 cause=\"no running VM names it\" epoch=2 heartbeat_age_ms=5900 missed_listings=3 vms_age_ms=40",
-        "at=2500 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=7 worker=w1 choice=lose cause=\"life over\" epoch=2 heartbeat_age_ms=5900",
+        "at=2500 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=7 worker=w1 choice=lose cause=life_over epoch=2 heartbeat_age_ms=5900",
         "at=2600 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=8 worker=w2 choice=start epoch=2",
         "at=3100 node=n2 kind=decision task=0e5ba474e38ad43a.0.0.0 run=8 worker=w2 end=Done number=1",
         "at=3100 node=n2 kind=decision job=0e5ba474e38ad43a occurrence=0 choice=completed",
