--- a/crates/cj-sched/tests/sim/cuts.rs
+++ b/crates/cj-sched/tests/sim/cuts.rs
@@ -319,7 +319,6 @@
 /// Guards against duplicate, lost, out-of-order and excess runs while paths between owners, workers and the store are cut one by
 /// one, and owners that were replaced act beside the current one.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn keeps_guarantees_under_cuts_of_single_paths() {
     let mut replaced = 0;
     for seed in 0..SEEDS {
--- a/crates/cj-sched/tests/sim/late_calls.rs
+++ b/crates/cj-sched/tests/sim/late_calls.rs
@@ -83,7 +83,6 @@
 /// Guards against the move of a VM that ends tasks there: the command was repeated because it went unanswered, and the tasks were
 /// started on an incarnation that began after the VM had been drained.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn an_unanswered_move_is_not_repeated_while_the_next_incarnation_has_tasks() {
     let mut harness = Harness::new(&["r1", "r2", "r3", "r4"], None);
     let mut with_spare = (*config(None)).clone();
