Reconcile a service only while no other owner can have acted

What would be seen: a task that is done, and whose end was acknowledged, is started again (rule TWICE).

Cause: a new owner starts older tasks once all workers of the service are listed. A worker that it never listed leaves that condition when a list of VMs no longer names it. If another owner has taken over by then, that owner has read the ends there, and may have moved the VM itself.

Change: the owner keeps when it found the service reconciled, and counts on it once an acknowledged heartbeat shows that no other node had taken over by then.

--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -410,12 +410,18 @@
         }
     }
 
-    /// True when the initial reconciliation of a service is done: none of its workers can run tasks of earlier owners
-    /// that are unknown to this owner.
+    /// True when the initial reconciliation of a service is done: none of its workers can run tasks of earlier owners that are
+    /// unknown to this owner. It counts only once no other owner can have acted before it: a worker that is gone may be one whose
+    /// ends the next owner has read.
     pub(super) fn is_reconciled(&mut self, service: &ServiceId) -> bool {
-        if self.reconciled.contains_key(service) {
-            return true;
+        if !self.reconciled.contains_key(service) && self.knows_all_runs(service) {
+            self.reconciled.insert(service.clone(), self.now.mono);
         }
+        self.reconciled.get(service).is_some_and(|at| *at < self.ownership.sole_until)
+    }
+
+    /// True when all workers of a service are listed, or the leases of earlier owners have ended.
+    fn knows_all_runs(&self, service: &ServiceId) -> bool {
         let unknown = |worker: &Worker| worker.service == *service && !worker.runs_known();
         let unregistered = |row: &VmRow| {
             let runs = row.pool == *service && row.state == VmState::Up;
@@ -429,11 +435,6 @@
         let open = |worker: &Worker| {
             worker.service == *service && worker.has_unknown_runs() && !self.has_lapsed(worker)
         };
-        let reconciled = all_listed
-            || (self.is_lease_over(self.lease_horizon) && !self.workers.values().any(open));
-        if reconciled {
-            self.reconciled.insert(service.clone(), self.now.mono);
-        }
-        reconciled
+        all_listed || (self.is_lease_over(self.lease_horizon) && !self.workers.values().any(open))
     }
 }
--- a/crates/cj-sched/tests/sim/replaced_owner.rs
+++ b/crates/cj-sched/tests/sim/replaced_owner.rs
@@ -210,7 +210,6 @@
 /// Guards against a task that starts after it was done: the only worker that this owner hasn't listed is gone, and the next owner
 /// has read its ends.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn a_replaced_owner_takes_no_service_for_reconciled_because_a_worker_is_gone() {
     let horizon = Duration::from_secs(9);
     let mut harness = Harness::unlisted(&JobIndex::default(), &["r0", "r1"], None, horizon);
