Wait for the runs of every service that a queue may have had

What would be seen: a task runs twice (rule TWICE) when a configuration moves its queue to another service and the owner is replaced before the run ends.

Cause: a new owner starts older tasks of a queue once all workers of its present service are listed. A run that an earlier owner started may be on a worker of the service that the queue had before, which this owner hasn't reached.

Change: an older job whose queue has another service now than at its submission waits until all services are reconciled. Not covered: a queue that is back at the service of the submission after it had another.

--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -1,7 +1,7 @@
 //! Listings of workers: requests them, adopts or stops the runs they name, and processes the ends they report.
 
 use std::{
-    collections::HashSet,
+    collections::{BTreeSet, HashSet},
     time::{Duration, Instant},
 };
 
@@ -420,6 +420,15 @@
         self.reconciled.get(service).is_some_and(|at| *at < self.ownership.sole_until)
     }
 
+    /// True when the initial reconciliation of all services is done.
+    pub(super) fn is_fleet_reconciled(&mut self) -> bool {
+        let pools = self.vms.values().map(|row| &row.pool);
+        let services: BTreeSet<&ServiceId> =
+            self.workers.values().map(|worker| &worker.service).chain(pools).collect();
+        let services: Vec<ServiceId> = services.into_iter().cloned().collect();
+        services.iter().all(|service| self.is_reconciled(service))
+    }
+
     /// True when all workers of a service are listed, or the leases of earlier owners have ended.
     fn knows_all_runs(&self, service: &ServiceId) -> bool {
         let unknown = |worker: &Worker| worker.service == *service && !worker.runs_known();
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -247,6 +247,7 @@
 
     fn candidates(&mut self) -> Vec<Candidate> {
         let slots: Vec<JobSlot> = self.jobs.keys().collect();
+        let mut fleet_reconciled = None;
         let mut found = Vec::new();
         for slot in slots {
             let job = &self.jobs[slot];
@@ -254,7 +255,15 @@
                 continue;
             }
             let service = self.service_of(&job.submission).clone();
-            if !job.fresh && !self.is_reconciled(&service) {
+            let (fresh, moved) = (job.fresh, service != job.submission.service);
+            if !fresh && !self.is_reconciled(&service) {
+                continue;
+            }
+            // Runs of a queue that has changed its service may be on the workers of any service that it had.
+            if !fresh
+                && moved
+                && !*fleet_reconciled.get_or_insert_with(|| self.is_fleet_reconciled())
+            {
                 continue;
             }
             let job = &self.jobs[slot];
--- a/crates/cj-sched/tests/sim/review_cases.rs
+++ b/crates/cj-sched/tests/sim/review_cases.rs
@@ -122,7 +122,6 @@
 
 /// Guards against a second run on the new service of a queue while the first goes on where the queue led before.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn new_owner_waits_for_workers_of_the_earlier_service_of_a_queue() {
     let horizon = Duration::from_millis(LEASE_HORIZON_MS);
     let mut harness = Harness::unlisted(&JobIndex::default(), &["r0"], None, horizon);
@@ -389,7 +388,6 @@
 /// Guards against a second run after a takeover, on the service to which the configuration has moved the queue, while the first
 /// goes on a worker of the earlier service that the new owner doesn't reach.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn task_whose_queue_moved_to_another_service_runs_once_after_a_takeover() {
     let mut world = World::new(1);
     world.add_worker("w0", "red", "r0");
