--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -17,6 +17,7 @@
 mod random;
 mod regressions;
 mod replaced_owner;
+mod review_cases;
 mod store;
 mod withdrawals;
 mod world;
