Take an empty list of VMs for no list

Cause: without an address the adapter returns an empty list, which counted as evidence that no VM runs: nothing was left to wait for, and an unresponsive worker that no VM names was gone after two lists.

Change: the scheduler ignores an empty list. Without any list a new owner waits for its lease horizon.

--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -135,8 +135,12 @@
         self.vms_known && self.vms_requested >= self.owner_since
     }
 
-    /// Replaces the VM list by one that was requested at `sent`.
+    /// Replaces the VM list by one that was requested at `sent`. An empty one is no evidence: a platform without a list of VMs
+    /// has workers all the same.
     pub(super) fn update_vms(&mut self, sent: Instant, rows: Vec<VmRow>) {
+        if rows.is_empty() {
+            return;
+        }
         self.vms = rows.into_iter().map(|row| (row.vm.clone(), row)).collect();
         self.vms_known = true;
         self.vms_requested = sent;
