Judge an incarnation only by lists of VMs requested after it was known

Cause: a list requested less than 0.5 s after a worker was first seen is no evidence against it, but the time of the first registration counted, not that of the present incarnation.

The new test plays this and fails before the change. Ruled out: the replacement of the owner as the cause, whose heartbeat was 1.1 s old.

Change: the time at which the incarnation became known counts, and lists without a VM that names it are counted from then on.

--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -186,7 +186,7 @@
                 worker.unnamed_lists = 0;
                 continue;
             }
-            if worker.first_seen + VM_LIST_LAG > sent {
+            if worker.known_since + VM_LIST_LAG > sent {
                 continue;
             }
             worker.unnamed_lists = worker.unnamed_lists.saturating_add(1);
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -45,8 +45,8 @@
     pub(super) draining: bool,
     /// Earliest time at which it leaves.
     pub(super) leaves_at: Option<Instant>,
-    /// When it first registered.
-    pub(super) first_seen: Instant,
+    /// When its incarnation became known.
+    pub(super) known_since: Instant,
     /// It is registered at present.
     pub(super) registered: bool,
     /// Start of its process, in Unix milliseconds; it identifies the incarnation.
@@ -119,7 +119,7 @@
             labels: Vec::new(),
             draining: false,
             leaves_at: None,
-            first_seen: now,
+            known_since: now,
             registered: true,
             started_at: None,
             clock: None,
@@ -169,6 +169,8 @@
     /// Resets the state that belongs to the previous incarnation.
     pub(super) fn begin_incarnation(&mut self, started_at: Option<u64>, now: Instant) {
         self.started_at = started_at;
+        self.known_since = now;
+        self.unnamed_lists = 0;
         self.clock = None;
         self.orphan_runs = 0;
         self.orphan_stops.clear();
--- a/crates/cj-sched/tests/sim/evidence.rs
+++ b/crates/cj-sched/tests/sim/evidence.rs
@@ -5,7 +5,7 @@
 use cj_sched::{
     Action, Event, Pool, StepSpec,
     record::WaveProgress,
-    sched::{CommandAnswer, ListAnswer, RunRow, VmAnswer, VmState, WaveSpec, WorkerId},
+    sched::{CommandAnswer, ListAnswer, Listing, RunRow, VmAnswer, VmState, WaveSpec, WorkerId},
 };
 use cj_types::VmId;
 
@@ -280,3 +280,46 @@
         assert!(!(started && again), "{vm} is moved although a task runs there");
     }
 }
+
+/// Guards against a task that runs twice: a list of VMs was requested while the worker was down, and arrives once it has started
+/// anew, got a task and missed a listing.
+#[test]
+fn a_list_of_vms_from_before_an_incarnation_does_not_end_it() {
+    let mut harness = Harness::new(&["r0"], None);
+    harness.poll_after(1_000);
+    let requested_at = harness.now().mono;
+    let mut rows = harness.vm_rows.clone();
+    rows[0].state = VmState::Down;
+    harness.poll_after(500);
+    harness.register_start(0, 2);
+    harness.list_started(0, 2);
+    harness.submit(1, vec![step(1, 1_000, 60_000)], None);
+    let actions = harness.poll_after(10);
+    let (target, command) = starts(&actions)[0];
+    let done = CommandAnswer::Done;
+    harness.handle(Event::Started(target.worker.clone(), command.task, command.run, done));
+    harness.poll_after(600);
+    let run = RunRow {
+        task: command.task,
+        run: command.run,
+        checkpoint: "".into(),
+        percent: 1,
+        sample: 0,
+    };
+    let listing = Listing {
+        started_at: Some(2),
+        clock: 1_000 + harness.elapsed_ms,
+        running: vec![run],
+        ends_complete: true,
+        ..Listing::default()
+    };
+    for answer in [ListAnswer::Listed(listing), ListAnswer::Unanswered] {
+        let sent = harness.now().mono;
+        harness.handle(Event::Listed(target.worker.clone(), sent, answer));
+    }
+    harness.workers.push(WorkerId("w1".into()));
+    harness.register(1, "r0", 8_000);
+    harness.list_worker(1, Vec::new());
+    harness.handle(Event::VmsListed(requested_at, rows));
+    assert!(starts(&harness.poll_after(1_000)).is_empty());
+}
