--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -170,6 +170,7 @@
     pub(super) fn begin_incarnation(&mut self, started_at: Option<u64>, now: Instant) {
         self.started_at = started_at;
         self.known_since = now;
+        self.unnamed_lists = 0;
         self.clock = None;
         self.orphan_runs = 0;
         self.orphan_stops.clear();
