--- a/crates/cj-sched/tests/sim/review_cases.rs
+++ b/crates/cj-sched/tests/sim/review_cases.rs
@@ -81,7 +81,6 @@
 
 /// Guards against a start after an end as done that the next owner has acknowledged before the worker started anew.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn replaced_owner_starts_no_task_of_a_worker_that_started_anew() {
     let (mut harness, worker, _) = owner_with_run();
     let last = harness.now().mono;
@@ -92,7 +91,6 @@
 
 /// Guards against a start after an end as done that the next owner has acknowledged before it moved the VM.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn replaced_owner_starts_no_task_of_a_worker_that_no_vm_names() {
     let (mut harness, worker, _) = owner_with_run();
     let last = harness.now().mono;
@@ -108,7 +106,6 @@
 
 /// Guards against a run that outlasts the lease horizon of the next owner because a slow clock was read long ago.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn lease_on_a_slow_clock_that_was_read_long_ago_ends_before_the_lease_horizon() {
     let mut harness = Harness::new(&["r0"], None);
     for _ in 0..300 {
@@ -166,7 +163,6 @@
 
 /// Guards against the loss of a run that was adopted after the lease horizon, while its lease goes on.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn run_adopted_after_the_lease_horizon_is_not_lost_at_the_first_missed_listing() {
     let mut harness = Harness::unlisted(&JobIndex::default(), &["r0", "r1"], None, Duration::ZERO);
     let task = TaskId { job: JobKey(1), occurrence: 0, step: 0, index: 0 };
@@ -200,7 +196,6 @@
 /// Guards against a start of an older task on the word of a list of VMs that misses a worker on which the earlier owner, still
 /// the only one, started the task after that list was requested.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn new_owner_needs_a_list_of_vms_requested_after_earlier_owners_stopped_acting_alone() {
     let horizon = Duration::from_millis(LEASE_HORIZON_MS);
     let mut harness = Harness::unlisted(&JobIndex::default(), &["r0"], None, horizon);
@@ -253,7 +248,6 @@
 /// Guards against a start after an end as done that the next owner has acknowledged: the worker then started anew, and only the
 /// replaced owner reaches its next incarnation.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn replaced_owner_starts_no_completed_task_of_a_worker_that_started_anew() {
     let mut world = World::new(1);
     for n in 0..2 {
@@ -302,7 +296,6 @@
 /// Guards against a second run because a list of VMs that was requested before the worker started anew arrives after it. Found
 /// by the simulation of cuts with seed 126.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn late_list_of_vms_does_not_end_an_incarnation_that_answered_after_its_request() {
     let mut harness = Harness::new(&["r0", "r1"], None);
     harness.poll_after(1_000);
@@ -333,7 +326,6 @@
 /// Guards against a start that is carried out late by the next incarnation of a worker, because the stop that would have ruled it
 /// out was lost. Found by the simulation of cuts with seed 189.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn unanswered_stop_of_a_start_that_may_come_late_is_repeated() {
     let mut harness = Harness::new(&["r0", "r1"], None);
     harness.submit(1, vec![step(1, 1_000, 60_000)], None);
@@ -370,7 +362,6 @@
 /// Guards against a second run by a new owner whose lease horizon a lease outlasts: the earlier owner granted it late in its own
 /// time, from an old reading of a slow clock.
 #[test]
-#[ignore = "known failing: issue 44"]
 fn run_on_an_idle_worker_with_a_slow_clock_ends_before_the_next_owner_starts_it() {
     let mut world = World::new(1);
     for n in 0..2 {
