Let an expired ownership lease vouch for nothing

Cause: a lease that has to be confirmed set the time until which no other node can have taken over to now, so every lease of a run that had ended counted as over. Only the checks whether commands may be sent kept that from deciding anything; no fault was seen.

Change: such a lease keeps the time that the last acknowledged heartbeat gave. Found in the review.

--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -57,9 +57,11 @@
 }
 
 impl Scheduler {
-    /// Sets the ownership lease.
+    /// Sets the ownership lease. An expired one doesn't say that no other node has taken over until now.
     pub fn set_ownership(&mut self, lease: OwnershipLease) {
-        self.ownership = lease;
+        let known = self.ownership.sole_until;
+        let sole_until = lease.heartbeat_at.map_or(known, |_| lease.sole_until);
+        self.ownership = OwnershipLease { sole_until, ..lease };
         self.heartbeat_at = lease.heartbeat_at.unwrap_or(self.heartbeat_at);
     }
 
