Release no ownership before its first record was read back

What would be seen: two owners act at once after a node stops right after its claim.

Cause: a new owner waits out a heartbeat of the earlier one that it reads before its own first record. A node that stopped before it had read that far didn't know of such a heartbeat and released the cell, so that the next node acted at once.

Change: it then ends without a release, and the next node waits for its silence. Found in the review by reading; not shown by a test.

--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -122,6 +122,7 @@
         }
         let _ = tokio::time::timeout(READ_POLL_INTERVAL, member.changed.notified()).await;
     }
+    let caught_up = member.job_log.next() > ownership.offset;
     let acts_from = member.rivals_until().unwrap_or(ownership.acknowledged_at);
     let (events, mut received) = mpsc::unbounded_channel();
     *member.events.borrow_mut() = Some(events.clone());
@@ -158,7 +159,7 @@
     owner.lease.set(None);
     tasks.abort_all();
     info!(target: "decision", "cell={} choice=disown epoch={} deposed={}", member.id, ownership.epoch, owner.is_deposed());
-    if owner.is_deposed() || node.clock.now() < acts_from {
+    if owner.is_deposed() || !caught_up || node.clock.now() < acts_from {
         // The store refuses further appends of this owner, or can't be reached; or an earlier owner may still act, so that the next
         // one mustn't take over at once.
         writer.abort();
