--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -40,17 +40,17 @@
     ShutDown,
 }
 
-/// Evidence that a run is over although its end was not listed. Log lines print the `display` texts.
+/// Evidence that a run is over although its end was not listed. Log lines print the `display` texts, which need no quotes.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(super) enum RunEvidence {
     /// The worker's incarnation has ended.
-    #[display("life over")]
+    #[display("life_over")]
     IncarnationEnded,
     /// The last lease that the worker can hold has expired.
-    #[display("lease ended")]
+    #[display("lease_ended")]
     LeaseExpired,
     /// A listing requested after the last answer to a command for the run doesn't name it.
-    #[display("not listed")]
+    #[display("not_listed")]
     NotListed,
 }
 
@@ -179,6 +179,7 @@
     pub(super) fn mark_lost(&mut self, at: TaskRef, evidence: RunEvidence) {
         self.log_loss(at, evidence);
         self.remember_start(at);
+        self.task_mut(at).lost_at = Some(self.now.mono);
         self.release(at);
         self.stop_gang(at);
         self.retire(at.job);
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -45,7 +45,7 @@
     pub(super) draining: bool,
     /// Earliest time at which it leaves.
     pub(super) leaves_at: Option<Instant>,
-    /// When its incarnation became known.
+    /// When its present incarnation became known.
     pub(super) known_since: Instant,
     /// It is registered at present.
     pub(super) registered: bool,
