Bound the memory that requests take before they are handled

Cause: nothing limited what a process holds for requests that aren't complete or haven't had their turn. The limit of a body, 1 MiB, times 975 connections is four times the memory, and the buffer doubled as it grew. The HTTP library reads up to 128 KiB ahead of the handler and parses all of it: 32 bytes for each chunk, about 1 KB for each pipelined request. A chunked body that the handler didn't read was drained without an end, and its connection stayed open when the client stopped. The kernel's socket buffers and the log were ruled out: the peak is in the process, and follows the number of incomplete bodies and queued requests.

Change: a budget for the bodies of all requests of a process, a quarter of `memory_mb`. The capacity of a buffer is charged before it grows, by at most 32 KiB and not beyond the announced length, and given back when the request ends in whatever way. When the budget is used up, the largest incomplete body is refused (503 with `retry-after`) and freed at once; part of it is kept for bodies up to 64 KiB. A complete body is never refused. The stream of a connection passes on one head at a time, a body as the handler takes it, and nothing while the client doesn't read its answers. A connection with an unread body is closed. The same stream serves the listeners for callers, nodes, probes and metrics; callers and nodes share the budget.

Not covered: records that wait for the store, parsed jobs with very many steps, answers of the store and of workers, and the kernel's buffers.

--- a/crates/cj-http/src/listener.rs
+++ b/crates/cj-http/src/listener.rs
@@ -4,7 +4,7 @@
     convert::Infallible, future::Future, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
 };
 
-use actix_http::{HttpService, KeepAlive, Protocol, Request, Response};
+use actix_http::{ConnectionType, HttpService, KeepAlive, Payload, Protocol, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::Bytes;
 use tokio::{
@@ -17,6 +17,7 @@
 use cj_types::{Error, ErrorKind, Result};
 
 use crate::{
+    body_budget::BodyBudget,
     connection::{Activity, TrackedStream},
     shutdown::Shutdown,
 };
@@ -31,6 +32,8 @@
 const ACCEPT_DRAIN_TIME: Duration = Duration::from_millis(20);
 /// Time after the start of a shutdown in which idle connections stay open for requests that are on their way.
 const IDLE_DRAIN_TIME: Duration = Duration::from_millis(500);
+/// Answers that are collected before they are written.
+const WRITE_BUFFER_BYTES: usize = 8 << 10;
 /// Connection limit of a listener unless another one is set.
 const DEFAULT_MAX_CONNECTIONS: usize = 4096;
 
@@ -40,6 +43,8 @@
     address: SocketAddr,
     /// Maximum number of open connections; further ones wait in the kernel's accept queue.
     max_connections: usize,
+    /// Budget for the bodies of requests.
+    budget: BodyBudget,
 }
 
 impl Listener {
@@ -55,7 +60,8 @@
         };
         let socket = TcpListener::bind(address).await.map_err(failed)?;
         let address = socket.local_addr().map_err(failed)?;
-        Ok(Listener { socket, address, max_connections: DEFAULT_MAX_CONNECTIONS })
+        let budget = BodyBudget::default();
+        Ok(Listener { socket, address, max_connections: DEFAULT_MAX_CONNECTIONS, budget })
     }
 
     /// Sets the maximum number of open connections.
@@ -63,6 +69,12 @@
         Listener { max_connections, ..self }
     }
 
+    /// Sets the budget for the bodies of requests, which several listeners can share. Without one they are limited only in
+    /// size.
+    pub fn with_budget(self, budget: BodyBudget) -> Self {
+        Listener { budget, ..self }
+    }
+
     /// The bound address.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -90,26 +102,28 @@
         F: Fn(Request) -> R + 'static,
         R: Future<Output = Response<Bytes>> + 'static,
     {
-        let shutdown_flag = shutdown.clone();
+        let (shutdown_flag, budget) = (shutdown.clone(), self.budget.clone());
         let factory = HttpService::build()
             .client_request_timeout(HEAD_TIMEOUT)
             .client_disconnect_timeout(DISCONNECT_TIMEOUT)
             .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
-            .on_connect_ext(|stream: &TrackedStream<S>, data| {
+            .h1_write_buffer_size(WRITE_BUFFER_BYTES)
+            .on_connect_ext(move |stream: &TrackedStream<S>, data| {
                 data.insert(stream.activity().clone());
+                data.insert(budget.clone());
             })
-            .finish(fn_service(move |request: Request| {
+            .finish(fn_service(move |mut request: Request| {
                 let (handler, shutdown_flag) = (handler.clone(), shutdown_flag.clone());
                 async move {
-                    let activity = request.conn_data::<Rc<Activity>>().cloned();
+                    let activity = request.conn_data::<Rc<Activity>>().cloned().unwrap_or_default();
+                    let has_body = !matches!(request.payload(), Payload::None);
+                    activity.begin_request().await;
                     let guard = shutdown_flag.track_request();
                     let mut response = handler(request).await;
-                    if shutdown_flag.begun() {
-                        response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
-                    }
                     drop(guard);
-                    if let Some(activity) = activity {
-                        activity.finish_request();
+                    let has_unread = activity.finish_request(has_body);
+                    if has_unread || shutdown_flag.begun() {
+                        response.head_mut().set_connection_type(ConnectionType::Close);
                     }
                     Ok::<_, Infallible>(response)
                 }
@@ -171,5 +185,6 @@
             }
         }
         () = drain => {}
+        () = activity.wait_lingered(DISCONNECT_TIMEOUT) => {}
     }
 }
