Close the longest idle connection when a listener is full

Cause: a listener at its limit didn't accept until a connection ended by itself, after 5 s without a head or 30 s of idle time. Clients that connect again at once stay ahead of a caller in the accept queue, who gives up first. Memory and descriptors were ruled out: the process had 97 descriptors of 512 and 13 MB.

Change: a listener at its limit accepts, and closes the connection that has been idle for the longest time. One with a part of a request or with an answer that its client doesn't read counts only after 1 s without progress, one whose request is at work never.

--- a/crates/cj-http/src/connection.rs
+++ b/crates/cj-http/src/connection.rs
@@ -14,6 +14,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     sync::Notify,
+    time::Instant,
 };
 
 use crate::body_budget::{BodyBudget, ChargedBody};
@@ -31,6 +32,10 @@
 /// Maximum number of bytes of a body with a known length that are read at a time.
 const BODY_READ_BYTES: usize = 8 << 10;
 
+/// A connection with a part of a request, or with an answer that its client doesn't read, can be closed in favour of a new
+/// one after this time without progress.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
 /// What a connection does with its current request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Phase {
@@ -62,12 +67,15 @@
     has_ahead: Cell<bool>,
     /// The client doesn't read its answers.
     write_blocked: Cell<bool>,
+    /// Time of the last byte read or written.
+    progress_at: Cell<Instant>,
     reader: RefCell<Option<Waker>>,
     handler: RefCell<Option<Waker>>,
     body: RefCell<Option<Rc<ChargedBody>>>,
     /// The body of the current request has been read to its end.
     body_read: Cell<bool>,
     closing: Notify,
+    closed: Notify,
 }
 
 impl Default for Activity {
@@ -81,11 +89,13 @@
             line_empty: Cell::default(),
             has_ahead: Cell::default(),
             write_blocked: Cell::default(),
+            progress_at: Cell::new(Instant::now()),
             reader: RefCell::default(),
             handler: RefCell::default(),
             body: RefCell::default(),
             body_read: Cell::default(),
             closing: Notify::new(),
+            closed: Notify::new(),
         }
     }
 }
@@ -150,6 +160,7 @@
     fn set_phase(&self, phase: Phase, allowance: usize) {
         self.phase.set(phase);
         self.allowance.set(allowance);
+        self.progress_at.set(Instant::now());
     }
 
     /// Ends the connection as soon as it has no request and nothing to read.
@@ -158,6 +169,16 @@
         self.wake_reader();
     }
 
+    /// Closes the connection at once.
+    pub(crate) fn close(&self) {
+        self.closed.notify_one();
+    }
+
+    /// Resolves when the connection is to be closed at once.
+    pub(crate) async fn wait_closed(&self) {
+        self.closed.notified().await;
+    }
+
     /// Resolves when a response to a request with unread bytes has been written and the client has had `time` to read it.
     pub(crate) async fn wait_lingered(&self, time: Duration) {
         self.closing.notified().await;
@@ -169,6 +190,17 @@
         }
     }
 
+    /// Time of the last progress, if the connection can be closed in favour of a new one.
+    pub(crate) fn idle_since(&self, now: Instant) -> Option<Instant> {
+        let since = self.progress_at.get();
+        let may_close = match self.phase.get() {
+            Phase::Handling => false,
+            Phase::Head if !self.has_request.get() && !self.write_blocked.get() => true,
+            Phase::Head | Phase::Body | Phase::Closing => now - since >= STALL_TIME,
+        };
+        may_close.then_some(since)
+    }
+
     fn wake_reader(&self) {
         if let Some(waker) = self.reader.take() {
             waker.wake();
@@ -201,6 +233,7 @@
         self.has_request.set(true);
         self.head_bytes.set(self.head_bytes.get() + count);
         self.allowance.set(self.allowance.get().saturating_sub(count));
+        self.progress_at.set(Instant::now());
     }
 
     /// Number of bytes to pass on of those that were read, at most `limit`: none beyond the end of a head, so that the
@@ -235,6 +268,7 @@
         if blocked {
             return;
         }
+        self.progress_at.set(Instant::now());
         if was_blocked {
             self.wake_reader();
             if let Some(waker) = self.handler.take() {
--- a/crates/cj-http/src/lib.rs
+++ b/crates/cj-http/src/lib.rs
@@ -5,6 +5,7 @@
 mod body_budget;
 mod client;
 mod connection;
+mod connections;
 mod listener;
 mod shutdown;
 
--- a/crates/cj-http/src/listener.rs
+++ b/crates/cj-http/src/listener.rs
@@ -1,8 +1,6 @@
 //! A single-threaded HTTP listener on top of `actix-http`, with graceful shutdown.
 
-use std::{
-    convert::Infallible, future::Future, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
-};
+use std::{convert::Infallible, future::Future, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{ConnectionType, HttpService, KeepAlive, Payload, Protocol, Request, Response};
 use actix_service::{Service, ServiceFactory, fn_service};
@@ -10,7 +8,6 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
-    sync::Semaphore,
     task::{JoinHandle, JoinSet},
 };
 
@@ -19,6 +16,7 @@
 use crate::{
     body_budget::BodyBudget,
     connection::{Activity, TrackedStream},
+    connections::Connections,
     shutdown::Shutdown,
 };
 
@@ -41,7 +39,7 @@
 pub struct Listener {
     socket: TcpListener,
     address: SocketAddr,
-    /// Maximum number of open connections; further ones wait in the kernel's accept queue.
+    /// Maximum number of open connections. For a further one, the one that has been idle for the longest time is closed.
     max_connections: usize,
     /// Budget for the bodies of requests.
     budget: BodyBudget,
@@ -130,8 +128,8 @@
             }));
         let Ok(service) = factory.new_service(()).await else { return };
         let service = Rc::new(service);
-        let slots = Arc::new(Semaphore::new(self.max_connections));
-        let mut connections = JoinSet::new();
+        let connections = Connections::new(self.max_connections);
+        let mut tasks = JoinSet::new();
         let stop = async {
             shutdown.wait_begun().await;
             tokio::time::sleep(ACCEPT_DRAIN_TIME).await;
@@ -139,25 +137,26 @@
         tokio::pin!(stop);
         loop {
             let next = async {
-                let slot = slots.clone().acquire_owned().await;
-                (slot, self.socket.accept().await)
+                let accepted = self.socket.accept().await;
+                (connections.acquire_slot().await, accepted)
             };
             let (slot, accepted) = tokio::select! {
                 next = next => next,
                 () = &mut stop => break,
             };
-            while connections.try_join_next().is_some() {}
-            let Ok((stream, peer)) = accepted else { continue };
+            while tasks.try_join_next().is_some() {}
+            let (Some(slot), Ok((stream, peer))) = (slot, accepted) else { continue };
             let _ = stream.set_nodelay(true);
             let stream = TrackedStream::new(wrap(stream));
+            let open = connections.insert(stream.activity().clone(), slot);
             let connection = serve_connection(service.clone(), stream, peer, shutdown.clone());
-            connections.spawn_local(async move {
+            tasks.spawn_local(async move {
                 connection.await;
-                drop(slot);
+                drop(open);
             });
         }
         drop(self.socket);
-        while connections.join_next().await.is_some() {}
+        while tasks.join_next().await.is_some() {}
     }
 }
 
@@ -185,6 +184,9 @@
             }
         }
         () = drain => {}
+        () = activity.wait_closed() => {
+            log::debug!(target: "http", "connection from {peer} closed in favour of a new one");
+        }
         () = activity.wait_lingered(DISCONNECT_TIMEOUT) => {}
     }
 }
--- a/crates/cj-http/tests/limits.rs
+++ b/crates/cj-http/tests/limits.rs
@@ -1,4 +1,4 @@
-//! Limits on what connections hold: the budget for bodies, and what is read ahead.
+//! Limits on what connections hold: the budget for bodies, what is read ahead, and the number of connections.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -241,3 +241,22 @@
     assert_eq!(lengths, expected);
     drop(sender.await.unwrap());
 }
+
+/// Guards against a listener that closes a connection at work, or one that was idle for a shorter time, for a new one.
+#[actix_rt::test]
+async fn longest_idle_connection_makes_room_for_a_new_one() {
+    let server = TestServer::start(3).await;
+    let mut held = server.connect_incomplete("/held", 10).await;
+    held.write_all(b"x").await.unwrap();
+    server.received.notified().await;
+    let mut oldest = server.connect().await;
+    assert!(post(&mut oldest, "/", 1).await.starts_with("http/1.1 200"));
+    let mut younger = server.connect().await;
+    assert!(post(&mut younger, "/", 1).await.starts_with("http/1.1 200"));
+    let mut newest = server.connect().await;
+    assert!(post(&mut newest, "/", 1).await.starts_with("http/1.1 200"));
+    assert_eq!(read_until(&mut oldest, "]").await, "", "the longest idle connection is closed");
+    assert!(post(&mut younger, "/", 1).await.starts_with("http/1.1 200"));
+    server.release.notify_one();
+    assert!(read_until(&mut held, "]").await.starts_with("http/1.1 200"));
+}
