Answer a head that is too large with 431

Clients that send a head of over 16 KiB got no answer since: `refusals_are_clear_and_nothing_runs` of `cj-node` failed with "oversized headers: no answer".

Cause: the stream of a connection ends the connection at the limit, long before the HTTP library sees a head of its own maximum of 128 KiB and answers it.

Change: the stream answers 431 itself, reads nothing more, and the connection is closed 1 s later, as after a refused body.

`cj-http` (12 tests) and `bad_input` of `cj-node` pass; the other tests of `cj-node` were not run on this commit.

--- a/crates/cj-http/src/connection.rs
+++ b/crates/cj-http/src/connection.rs
@@ -22,6 +22,10 @@
 /// Maximum size of a request head.
 const MAX_HEAD_BYTES: usize = 16 << 10;
 
+/// Answer to a head beyond [`MAX_HEAD_BYTES`]. The library has an answer of its own only for heads of 128 KiB.
+const HEAD_TOO_LARGE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
+    content-length: 0\r\nconnection: close\r\n\r\n";
+
 /// Bytes that the HTTP library is given at a time while the length of what arrives isn't known, so in heads and in chunked
 /// bodies. It keeps 32 bytes for each chunk, which can be a single byte long.
 const UNSIZED_READ_BYTES: usize = 1 << 10;
@@ -125,8 +129,7 @@
         self.head_bytes.set(0);
         self.line_empty.set(false);
         if unread {
-            self.set_phase(Phase::Closing, 0);
-            self.closing.notify_one();
+            self.start_closing();
         } else {
             self.set_phase(Phase::Head, UNSIZED_READ_BYTES);
         }
@@ -134,6 +137,19 @@
         unread
     }
 
+    /// Reads nothing more, and closes the connection once its client has had time to read the response.
+    fn start_closing(&self) {
+        self.set_phase(Phase::Closing, 0);
+        self.closing.notify_one();
+    }
+
+    /// True when a head has reached its maximum size without an end.
+    fn is_head_too_large(&self) -> bool {
+        self.phase.get() == Phase::Head
+            && !self.write_blocked.get()
+            && self.head_bytes.get() >= MAX_HEAD_BYTES
+    }
+
     /// Starts to receive the body of the current request.
     pub(crate) fn start_body(&self, budget: &BodyBudget) -> Rc<ChargedBody> {
         let body = Rc::new(budget.start_body());
@@ -208,24 +224,18 @@
     }
 
     /// Number of bytes that may be read now; `None` until the reader is woken.
-    fn readable_bytes(&self, cx: &Context<'_>) -> io::Result<Option<usize>> {
+    fn readable_bytes(&self, cx: &Context<'_>) -> Option<usize> {
         let in_head = self.phase.get() == Phase::Head && !self.write_blocked.get();
-        if in_head && self.head_bytes.get() >= MAX_HEAD_BYTES {
-            return Err(io::Error::new(
-                io::ErrorKind::InvalidData,
-                "the request head is too large",
-            ));
-        }
         let allowance = self.allowance.get();
         if allowance > 0 && !self.write_blocked.get() {
-            return Ok(Some(allowance));
+            return Some(allowance);
         }
         if in_head {
             // The library parses what it has before it reads the next part.
             self.allowance.set(UNSIZED_READ_BYTES);
             cx.waker().wake_by_ref();
         }
-        Ok(None)
+        None
     }
 
     /// Records that bytes were passed on to the HTTP library.
@@ -352,7 +362,7 @@
 
 impl<S> AsyncRead for TrackedStream<S>
 where
-    S: AsyncRead + Unpin,
+    S: AsyncRead + AsyncWrite + Unpin,
 {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -360,7 +370,12 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let activity = self.activity.clone();
-        let Some(limit) = activity.readable_bytes(cx)? else {
+        if activity.is_head_too_large() {
+            // Nothing else is being written. If the socket takes none of it, the connection is closed without an answer.
+            let _ = Pin::new(&mut self.stream).poll_write(cx, HEAD_TOO_LARGE);
+            activity.start_closing();
+        }
+        let Some(limit) = activity.readable_bytes(cx) else {
             *activity.reader.borrow_mut() = Some(cx.waker().clone());
             return Poll::Pending;
         };
--- a/crates/cj-http/tests/limits.rs
+++ b/crates/cj-http/tests/limits.rs
@@ -199,6 +199,18 @@
     }
 }
 
+/// Guards against a head that is too large and gets no answer.
+#[actix_rt::test]
+async fn head_without_an_end_is_answered() {
+    let server = TestServer::start(8).await;
+    let mut stream = server.connect().await;
+    let start = format!("GET / HTTP/1.1\r\nhost: a\r\nx-long: {}", "x".repeat(100_000));
+    stream.write_all(start.as_bytes()).await.unwrap();
+    let answer = read_until(&mut stream, "\r\n\r\n").await;
+    assert!(answer.starts_with("http/1.1 431"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+}
+
 /// Guards against limits on reading that stop a connection whose requests arrive in one piece, in many, or pipelined.
 #[actix_rt::test]
 async fn requests_of_any_form_are_answered_on_one_connection() {
