Show the memory for request bodies in the metrics

An operator couldn't tell how much of the budget for bodies is in use, nor how many bodies were refused but from a log line that is written at most once in 10 s. The metrics `copperjunction_body_bytes` and `copperjunction_bodies_refused` say both.

No test covers the values; the counters behind them are covered by `cj-http`, `limits`.

--- a/crates/cj-entry/src/metrics.rs
+++ b/crates/cj-entry/src/metrics.rs
@@ -42,6 +42,10 @@
     pub config_version: Gauge<i64, AtomicI64>,
     /// Seconds since the operator's topic was last read completely; -1 before the first read.
     config_age: Gauge<f64, AtomicU64>,
+    /// Bytes in use for the bodies of requests.
+    body_bytes: Gauge<i64, AtomicI64>,
+    /// Number of bodies refused for want of memory.
+    refused_bodies: Gauge<i64, AtomicI64>,
     /// Number of log lines dropped because the output was too slow.
     dropped_lines: Gauge<i64, AtomicI64>,
 }
@@ -57,6 +61,8 @@
             owned_cells: Gauge::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
+            body_bytes: Gauge::default(),
+            refused_bodies: Gauge::default(),
             dropped_lines: Gauge::default(),
             registry: Registry::default(),
         };
@@ -79,12 +85,24 @@
             "Time since the configuration was last read",
             metrics.config_age.clone(),
         );
+        registry.register("body_bytes", "Bytes of request bodies", metrics.body_bytes.clone());
+        registry.register(
+            "bodies_refused",
+            "Bodies refused for want of memory",
+            metrics.refused_bodies.clone(),
+        );
         registry.register("log_lines_dropped", "Log lines dropped", metrics.dropped_lines.clone());
         Metrics { registry, ..metrics }
     }
 }
 
 impl Metrics {
+    /// Sets the bytes in use for the bodies of requests, and the number of bodies refused so far.
+    pub fn set_bodies(&self, bytes: usize, refused: u64) {
+        self.body_bytes.set(bytes as i64);
+        self.refused_bodies.set(refused as i64);
+    }
+
     /// Sets the number of log lines dropped so far.
     pub fn set_dropped_lines(&self, lines: u64) {
         self.dropped_lines.set(lines as i64);
