Stop the other copy of a repeated start on the next incarnation of a worker

What would be seen: a task that is done, and whose end was acknowledged, begins again (rule TWICE).

Cause: a start that went unanswered is sent again. The run ends as done, the worker starts anew under its id, and the first of the two commands is carried out there seconds later. Only runs that were given up were remembered and stopped on the next incarnation.

Change: a run with a listed end whose start was sent more than once is remembered as well, for as long as a command may be carried out late. Not covered: the late command arrives before the stop, or the repeat was sent by an earlier owner.

--- a/crates/cj-sched/src/sched/late_start.rs
+++ b/crates/cj-sched/src/sched/late_start.rs
@@ -44,6 +44,20 @@
 
     /// Remembers a run that is being lost, if its start command may still be carried out.
     pub(super) fn remember_start(&mut self, at: TaskRef) {
+        let charge = self.charge_of(at).filter(|_| self.may_still_start(at));
+        if let Some(charge) = charge {
+            self.ledger.charge(charge);
+            self.ledger.add_unconfirmed(charge.account);
+        }
+        self.remember_charged(at, charge);
+    }
+
+    /// Remembers a run with a listed end, if its start command was sent again: the next incarnation may carry out the other one.
+    pub(super) fn remember_ended_start(&mut self, at: TaskRef) {
+        self.remember_charged(at, None);
+    }
+
+    fn remember_charged(&mut self, at: TaskRef, charge: Option<Charge>) {
         let now = self.now.mono;
         if !self.may_still_start(at) {
             return;
@@ -52,11 +66,6 @@
         let Some(placement) = self.task(at).placement() else { return };
         let Some(worker) = self.workers.get(placement.worker) else { return };
         let (worker, run) = (worker.id.clone(), placement.run);
-        let charge = self.charge_of(at);
-        if let Some(charge) = charge {
-            self.ledger.charge(charge);
-            self.ledger.add_unconfirmed(charge.account);
-        }
         let stop_again_at = None;
         let start = UnansweredStart { worker, task, run, lost_at: now, charge, stop_again_at };
         self.unanswered_starts.push(start);
--- a/crates/cj-sched/tests/sim/late_calls.rs
+++ b/crates/cj-sched/tests/sim/late_calls.rs
@@ -4,7 +4,9 @@
 
 use cj_sched::{
     Action, Event, Pool,
-    sched::{CommandAnswer, ListAnswer, Listing, RunRow, Target, VmAnswer, VmRow, VmState},
+    sched::{
+        CommandAnswer, EndKind, ListAnswer, Listing, RunRow, Target, VmAnswer, VmRow, VmState,
+    },
 };
 
 use crate::{
@@ -131,3 +133,23 @@
     world.run_for(5_000);
     assert_eq!(world.checks.starts, 6);
 }
+
+/// Guards against a task that runs again after it was done, because the first of its two start commands is carried out by the next
+/// incarnation of the worker.
+#[test]
+fn a_repeated_start_is_stopped_on_the_next_incarnation_after_the_run_is_done() {
+    let mut harness = Harness::new(&["r0"], None);
+    harness.submit(1, vec![step(1, 1_000, 60_000)], None);
+    let actions = harness.poll_after(10);
+    let (target, command) = starts(&actions)[0];
+    let (id, command) = (target.worker.clone(), command.clone());
+    let started = |answer| Event::Started(id.clone(), command.task, command.run, answer);
+    harness.handle(started(CommandAnswer::Unanswered));
+    assert_eq!(starts(&harness.poll_after(10)).len(), 1, "the start is repeated");
+    harness.handle(started(CommandAnswer::Done));
+    harness.list_end(0, &command, EndKind::Done);
+    harness.poll_after(1_000);
+    harness.register_start(0, 2);
+    let is_stop = |action: &Action| matches!(action, Action::Stop(_, task, run, _) if *task == command.task && *run == command.run);
+    assert!(harness.poll_after(10).iter().any(is_stop));
+}
