--- a/crates/cj-standin/src/task_checks.rs
+++ b/crates/cj-standin/src/task_checks.rs
@@ -48,7 +48,7 @@
                     assert!(!self.rerun_ends.contains(&end), "{} was done and ran again", row.task);
                     self.acknowledged.insert(row.task);
                 }
-                EndKind::Failed => {
+                EndKind::Failed if !expired => {
                     self.failed.entry(row.task).or_default().insert(row.run);
                 }
                 _ => {}
