--- a/crates/cj-entry/src/member.rs
+++ b/crates/cj-entry/src/member.rs
@@ -54,7 +54,7 @@
     /// When the owner's last heartbeat was read from the job log.
     pub last_heartbeat: Cell<Option<Instant>>,
     /// When the last heartbeat of another node's ownership that wasn't released was read from the job log.
-    rival_heartbeat: Cell<Option<Instant>>,
+    earlier_heartbeat: Cell<Option<Instant>>,
     /// Sender of events to the scheduler, while this node owns the cell.
     pub events: RefCell<Option<mpsc::UnboundedSender<Event>>>,
     /// The scheduler needs an up-to-date list of VMs.
@@ -84,7 +84,7 @@
             outbox,
             changed: Notify::new(),
             last_heartbeat: Cell::default(),
-            rival_heartbeat: Cell::default(),
+            earlier_heartbeat: Cell::default(),
             events: RefCell::default(),
             needs_vm_list: Cell::default(),
             completed_waves: RefCell::default(),
@@ -131,16 +131,16 @@
         self.last_heartbeat.set(Some(now));
         let Some(owner) = job_index.owner() else { return };
         if owner.heartbeat.released {
-            self.rival_heartbeat.set(None);
+            self.earlier_heartbeat.set(None);
         } else if owner.heartbeat.node != self.node.settings.node {
-            self.rival_heartbeat.set(Some(now));
+            self.earlier_heartbeat.set(Some(now));
         }
     }
 
     /// Time from which no earlier owner takes itself for the only one; `None` if there is nothing to wait for. An earlier owner's
     /// heartbeat may have been appended after this node had found the cell without an owner.
-    pub(crate) fn rivals_until(&self) -> Option<Instant> {
-        self.rival_heartbeat.get().map(|read_at| read_at + OWNER_TIMEOUT)
+    pub(crate) fn earlier_owner_until(&self) -> Option<Instant> {
+        self.earlier_heartbeat.get().map(|read_at| read_at + OWNER_TIMEOUT)
     }
 
     /// Appends the records of callers, and follows the cell if it is a home cell, until the task is dropped.
@@ -167,7 +167,7 @@
         self.following.set(false);
         self.job_index.take();
         self.last_heartbeat.set(None);
-        self.rival_heartbeat.set(None);
+        self.earlier_heartbeat.set(None);
         self.job_log.reset();
         self.overflow_logs.iter().for_each(FollowState::reset);
     }
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -123,7 +123,7 @@
         let _ = tokio::time::timeout(READ_POLL_INTERVAL, member.changed.notified()).await;
     }
     let caught_up = member.job_log.next() > ownership.offset;
-    let acts_from = member.rivals_until().unwrap_or(ownership.acknowledged_at);
+    let acts_from = member.earlier_owner_until().unwrap_or(ownership.acknowledged_at);
     let (events, mut received) = mpsc::unbounded_channel();
     *member.events.borrow_mut() = Some(events.clone());
     let mut owner = Owner::new(member, &layout, &ownership, events);
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -424,7 +424,7 @@
         if !self.reconciled.contains_key(service) && self.knows_all_runs(service) {
             self.reconciled.insert(service.clone(), self.now.mono);
         }
-        self.reconciled.get(service).is_some_and(|at| *at < self.ownership.sole_until)
+        self.reconciled.get(service).is_some_and(|at| self.was_sole_owner(*at))
     }
 
     /// True when the initial reconciliation of all services is done.
--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -105,12 +105,17 @@
         self.now.mono + DECISION_MARGIN < self.ownership.sole_until
     }
 
+    /// True if no other owner can have acted by `at`, so that what this owner knew at that time held for all owners.
+    pub(super) fn was_sole_owner(&self, at: Instant) -> bool {
+        at < self.ownership.sole_until
+    }
+
     /// True if a node that takes over starts older tasks only once this worker refuses the commands of this owner. It knows a
     /// worker that answered while this owner was the only one; one that started later may be listed by this owner alone.
     pub(super) fn is_known_to_successor(&self, worker: &Worker) -> bool {
         let answered_lately =
             worker.last_answer.is_some_and(|at| self.now.mono < at + MAX_ANSWER_AGE);
-        worker.reconciled_at.is_some_and(|at| at < self.ownership.sole_until)
+        worker.reconciled_at.is_some_and(|at| self.was_sole_owner(at))
             && (self.is_sole_owner() || answered_lately)
     }
 
@@ -131,13 +136,13 @@
     /// True if no other owner can have read how the lost runs of a task ended. Evidence such as a new incarnation of the worker shows
     /// that a run is over, but not whether it was done.
     pub(super) fn is_loss_final(&self, task: &Task) -> bool {
-        task.lost_at.is_none_or(|at| at < self.ownership.sole_until)
+        task.lost_at.is_none_or(|at| self.was_sole_owner(at))
     }
 
     /// True when leases that end at `end` have ended, whichever owner granted them. A later end than `sole_until` proves nothing:
     /// another owner may have taken over and extended them.
     pub(super) fn is_lease_over(&self, end: Instant) -> bool {
-        end < self.now.mono && end < self.ownership.sole_until
+        end < self.now.mono && self.was_sole_owner(end)
     }
 
     /// True when a worker is unresponsive and all its leases have ended.
