--- /dev/null
+++ b/crates/cj-sched/src/sched/reconcile.rs
@@ -0,0 +1,50 @@
+//! The initial reconciliation of a service: from then on the owner knows all runs that earlier owners started there.
+
+use std::collections::BTreeSet;
+
+use cj_types::ServiceId;
+
+use crate::sched::{
+    event::{VmRow, VmState},
+    scheduler::Scheduler,
+    worker::Worker,
+};
+
+impl Scheduler {
+    /// True when the initial reconciliation of a service is done: none of its workers can run tasks of earlier owners that are
+    /// unknown to this owner. It counts only once no other owner can have acted before it: a worker that is gone may be one whose
+    /// ends the next owner has read.
+    pub(super) fn is_reconciled(&mut self, service: &ServiceId) -> bool {
+        if !self.reconciled.contains_key(service) && self.knows_all_runs(service) {
+            self.reconciled.insert(service.clone(), self.now.mono);
+        }
+        self.reconciled.get(service).is_some_and(|at| self.was_sole_owner(*at))
+    }
+
+    /// True when the initial reconciliation of all services is done.
+    pub(super) fn is_fleet_reconciled(&mut self) -> bool {
+        let pools = self.vms.values().map(|row| &row.pool);
+        let services: BTreeSet<&ServiceId> =
+            self.workers.values().map(|worker| &worker.service).chain(pools).collect();
+        let services: Vec<ServiceId> = services.into_iter().cloned().collect();
+        services.iter().all(|service| self.is_reconciled(service))
+    }
+
+    /// True when all workers of a service are listed, or the leases of earlier owners have ended.
+    fn knows_all_runs(&self, service: &ServiceId) -> bool {
+        let unknown = |worker: &Worker| worker.service == *service && !worker.runs_known();
+        let unregistered = |row: &VmRow| {
+            let runs = row.pool == *service && row.state == VmState::Up;
+            let worker = row.worker.as_ref().filter(|_| runs);
+            worker.is_some_and(|id| !self.worker_keys.contains_key(id))
+        };
+        let all_listed = self.has_current_vms()
+            && !self.workers.values().any(unknown)
+            && !self.vms.values().any(unregistered);
+        // What a worker left open is settled once its leases have lapsed.
+        let open = |worker: &Worker| {
+            worker.service == *service && worker.has_unknown_runs() && !self.has_lapsed(worker)
+        };
+        all_listed || (self.is_lease_over(self.lease_horizon) && !self.workers.values().any(open))
+    }
+}
--- /dev/null
+++ b/crates/cj-sched/src/sched/vm_list.rs
@@ -0,0 +1,79 @@
+//! The list of VMs: when it is needed, and what follows from a new one.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use crate::sched::{
+    event::{VmRow, VmState},
+    evidence::IncarnationEvidence,
+    scheduler::Scheduler,
+    worker::Worker,
+};
+
+/// A worker that became known this long before the VM list was requested is on the list, if its VM runs.
+const VM_LIST_LAG: Duration = Duration::from_millis(500);
+
+impl Scheduler {
+    /// True while the VM list has to be kept up to date: a wave or a move is in progress, the effect of a command that
+    /// ends an incarnation has to be confirmed, or a worker isn't reconciled yet or is unresponsive with tasks on it.
+    pub fn needs_vm_list(&self) -> bool {
+        let unresolved = |worker: &Worker| {
+            !worker.is_reconciled() || (worker.missed_listings > 0 && !worker.runs.is_empty())
+        };
+        let awaits_list = !self.waves.is_empty() || self.has_moves() || !self.shutdowns.is_empty();
+        awaits_list || !self.has_current_vms() || self.workers.values().any(unresolved)
+    }
+
+    /// True if the VM list was requested under this ownership. An older one lacks the workers that an earlier owner has got since.
+    pub(super) fn has_current_vms(&self) -> bool {
+        self.vms_known && self.vms_requested >= self.owner_since
+    }
+
+    /// Replaces the VM list by one that was requested at `sent`. An empty one is no evidence: a platform without a list of VMs
+    /// has workers all the same.
+    pub(super) fn update_vms(&mut self, sent: Instant, rows: Vec<VmRow>) {
+        if rows.is_empty() {
+            return;
+        }
+        self.vms = rows.into_iter().map(|row| (row.vm.clone(), row)).collect();
+        self.vms_known = true;
+        self.vms_requested = sent;
+        self.confirm_shutdowns(sent);
+        self.record_maintained();
+        self.end_replaced_incarnations(sent);
+        self.place_due = true;
+    }
+
+    /// Ends the incarnations of unresponsive workers that no running VM names any more, whatever their leases say.
+    fn end_replaced_incarnations(&mut self, sent: Instant) {
+        let up = self.vms.values().filter(|row| row.state == VmState::Up);
+        let hosts: HashMap<_, _> =
+            up.filter_map(|row| Some((row.worker.as_ref()?, &row.vm))).collect();
+        let mut gone = Vec::new();
+        for (key, worker) in &mut self.workers {
+            if let Some(vm) = hosts.get(&worker.id) {
+                worker.vm = Some((*vm).clone());
+                worker.unnamed_lists = 0;
+                continue;
+            }
+            if worker.known_since + VM_LIST_LAG > sent {
+                continue;
+            }
+            worker.unnamed_lists = worker.unnamed_lists.saturating_add(1);
+            // A list is read in pages, so that a VM may be missing in it by mistake.
+            let taken_off = worker.vm.as_ref().is_some_and(|vm| self.vms.contains_key(vm));
+            let unresponsive = worker.missed_listings > 0 || !worker.is_reconciled();
+            if unresponsive && (taken_off || worker.unnamed_lists > 1) {
+                gone.push(key);
+            }
+        }
+        for key in gone {
+            self.end_incarnation(key, None, IncarnationEvidence::NotInVmList);
+            if let Some(worker) = self.workers.remove(key) {
+                self.worker_keys.remove(&worker.id);
+            }
+        }
+    }
+}
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -4,7 +4,7 @@
 //! and at most `cap` VMs of a wave are in maintenance at once.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -15,11 +15,11 @@
     record::{Record, WaveProgress},
     sched::{
         event::{Action, VmAnswer, VmRow, VmState, WaveSpec},
-        evidence::{Incarnation, IncarnationEvidence},
+        evidence::Incarnation,
         scheduler::Scheduler,
         watch::CommandGuard,
         work::{Stage, TaskRef},
-        worker::{Worker, WorkerKey},
+        worker::WorkerKey,
     },
 };
 
@@ -35,9 +35,6 @@
 /// VMs that may drain in advance, beyond those that may be in maintenance at once.
 const DRAIN_AHEAD: usize = 2;
 
-/// A worker that became known this long before the VM list was requested is on the list, if its VM runs.
-const VM_LIST_LAG: Duration = Duration::from_millis(500);
-
 /// Commands of an earlier owner have taken effect this long after the current ownership began.
 const TAKEOVER_COMMAND_DELAY: Duration = Duration::from_millis(1_000);
 
@@ -120,40 +117,10 @@
         }
     }
 
-    /// True while the VM list has to be kept up to date: a wave or a move is in progress, the effect of a command that
-    /// ends an incarnation has to be confirmed, or a worker isn't reconciled yet or is unresponsive with tasks on it.
-    pub fn needs_vm_list(&self) -> bool {
-        let unresolved = |worker: &Worker| {
-            !worker.is_reconciled() || (worker.missed_listings > 0 && !worker.runs.is_empty())
-        };
-        let awaits_list = !self.waves.is_empty() || self.has_moves() || !self.shutdowns.is_empty();
-        awaits_list || !self.has_current_vms() || self.workers.values().any(unresolved)
-    }
-
-    /// True if the VM list was requested under this ownership. An older one lacks the workers that an earlier owner has got since.
-    pub(super) fn has_current_vms(&self) -> bool {
-        self.vms_known && self.vms_requested >= self.owner_since
-    }
-
-    /// Replaces the VM list by one that was requested at `sent`. An empty one is no evidence: a platform without a list of VMs
-    /// has workers all the same.
-    pub(super) fn update_vms(&mut self, sent: Instant, rows: Vec<VmRow>) {
-        if rows.is_empty() {
-            return;
-        }
-        self.vms = rows.into_iter().map(|row| (row.vm.clone(), row)).collect();
-        self.vms_known = true;
-        self.vms_requested = sent;
-        self.confirm_shutdowns(sent);
-        self.record_maintained();
-        self.end_replaced_incarnations(sent);
-        self.place_due = true;
-    }
-
     /// Records the maintenance that the VM list shows. The maintenance of such a VM counts as begun if a wave recorded
     /// a request for it, whoever sent the command and whether or not it was answered: the answer to an earlier owner may not
     /// have become durable.
-    fn record_maintained(&mut self) {
+    pub(super) fn record_maintained(&mut self) {
         let now = self.now.mono;
         let in_maintenance =
             |vm: &VmId| self.vms.get(vm).is_some_and(|row| row.state == VmState::Maintenance);
@@ -183,37 +150,6 @@
         }
     }
 
-    /// Ends the incarnations of unresponsive workers that no running VM names any more, whatever their leases say.
-    fn end_replaced_incarnations(&mut self, sent: Instant) {
-        let up = self.vms.values().filter(|row| row.state == VmState::Up);
-        let hosts: HashMap<_, _> =
-            up.filter_map(|row| Some((row.worker.as_ref()?, &row.vm))).collect();
-        let mut gone = Vec::new();
-        for (key, worker) in &mut self.workers {
-            if let Some(vm) = hosts.get(&worker.id) {
-                worker.vm = Some((*vm).clone());
-                worker.unnamed_lists = 0;
-                continue;
-            }
-            if worker.known_since + VM_LIST_LAG > sent {
-                continue;
-            }
-            worker.unnamed_lists = worker.unnamed_lists.saturating_add(1);
-            // A list is read in pages, so that a VM may be missing in it by mistake.
-            let taken_off = worker.vm.as_ref().is_some_and(|vm| self.vms.contains_key(vm));
-            let unresponsive = worker.missed_listings > 0 || !worker.is_reconciled();
-            if unresponsive && (taken_off || worker.unnamed_lists > 1) {
-                gone.push(key);
-            }
-        }
-        for key in gone {
-            self.end_incarnation(key, None, IncarnationEvidence::NotInVmList);
-            if let Some(worker) = self.workers.remove(key) {
-                self.worker_keys.remove(&worker.id);
-            }
-        }
-    }
-
     /// Advances all waves and drops the completed ones.
     pub(super) fn run_waves(&mut self) {
         if !self.vms_known || !self.may_command() {
