Charge a parsed job to the budget instead of limiting its steps

Cause: a step takes far more room than its shortest text, and the memory that a body takes once it is parsed wasn't charged to the budget. A limit on steps stood in for that: a special case beside the budget that exists for it.

Over budget it is a 503, as for any body.

--- a/crates/cj-http/src/body.rs
+++ b/crates/cj-http/src/body.rs
@@ -84,6 +84,18 @@
     result
 }
 
+/// Charges the budget of a request's listener with `bytes` that the request takes beside its body, which has been read. They are
+/// given back when the request ends.
+///
+/// # Errors
+///
+/// [`BodyError::OverBudget`] when there is no memory for them.
+pub fn charge_request(request: &Request, bytes: usize) -> Result<(), BodyError> {
+    let activity = request.conn_data::<Rc<Activity>>();
+    let body = activity.and_then(|activity| activity.body());
+    body.map_or(Ok(()), |body| body.add(bytes)).map_err(BodyError::from)
+}
+
 /// A body that is being received.
 struct BodyReader {
     payload: Payload<BoxedPayloadStream>,
--- a/crates/cj-http/src/body_budget.rs
+++ b/crates/cj-http/src/body_budget.rs
@@ -192,6 +192,15 @@
         Ok(())
     }
 
+    /// Charges `bytes` beside the buffer.
+    ///
+    /// # Errors
+    ///
+    /// [`OverBudget`] when there is no room for them.
+    pub(crate) fn add(&self, bytes: usize) -> Result<(), OverBudget> {
+        self.budget.charge(&self.body, self.body.charged.get() + bytes)
+    }
+
     /// True when the body was refused in favour of a smaller one.
     pub(crate) fn is_refused(&self) -> bool {
         self.body.state.get() == BodyState::Refused
--- a/crates/cj-http/src/connection.rs
+++ b/crates/cj-http/src/connection.rs
@@ -158,6 +158,11 @@
         body
     }
 
+    /// The body of the current request.
+    pub(crate) fn body(&self) -> Option<Rc<ChargedBody>> {
+        self.body.borrow().clone()
+    }
+
     /// Lets the connection read the next bytes of a body, of which `remaining` are missing if its length is known.
     pub(crate) fn read_body_bytes(&self, remaining: Option<usize>) {
         let allowance =
--- a/crates/cj-http/src/lib.rs
+++ b/crates/cj-http/src/lib.rs
@@ -9,7 +9,7 @@
 mod listener;
 mod shutdown;
 
-pub use body::{BodyError, read_body};
+pub use body::{BodyError, charge_request, read_body};
 pub use body_budget::BodyBudget;
 pub use client::is_unsent;
 pub use listener::Listener;
