Ignore old lists of VMs where they arrive

Whether a list counts was asked in one place only (`has_current_vms`, for the reconciliation); caps, pools, waves and ended incarnations took a list from before the owner began to act for a current one, and an older list could replace a newer one.

Change: a list that was requested before the current one, or before this owner began to act, is ignored when it arrives. The second predicate goes.

--- a/crates/cj-sched/src/sched/ownership.rs
+++ b/crates/cj-sched/src/sched/ownership.rs
@@ -92,6 +92,8 @@
     /// Sets when this owner begins to act, if that is later than its first record.
     pub fn begin_at(&mut self, at: Instant) {
         self.owner_since = self.owner_since.max(at);
+        self.vms_requested = self.owner_since;
+        self.vms_known = false;
     }
 
     /// True while commands may be sent to workers, which check fencing tokens.
--- a/crates/cj-sched/src/sched/reconcile.rs
+++ b/crates/cj-sched/src/sched/reconcile.rs
@@ -38,7 +38,7 @@
             let worker = row.worker.as_ref().filter(|_| runs);
             worker.is_some_and(|id| !self.worker_keys.contains_key(id))
         };
-        let all_listed = self.has_current_vms()
+        let all_listed = self.vms_known
             && !self.workers.values().any(unknown)
             && !self.vms.values().any(unregistered);
         // What a worker left open is settled once its leases have lapsed.
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -61,7 +61,7 @@
     pub(super) vms: BTreeMap<VmId, VmRow>,
     /// The list of VMs has been read under this ownership.
     pub(super) vms_known: bool,
-    /// When the current list of VMs was requested.
+    /// When the current list of VMs was requested, or this ownership began.
     pub(super) vms_requested: Instant,
     /// When this ownership began.
     pub(super) owner_since: Instant,
--- a/crates/cj-sched/src/sched/vm_list.rs
+++ b/crates/cj-sched/src/sched/vm_list.rs
@@ -23,18 +23,14 @@
             !worker.is_reconciled() || (worker.missed_listings > 0 && !worker.runs.is_empty())
         };
         let awaits_list = !self.waves.is_empty() || self.has_moves() || !self.shutdowns.is_empty();
-        awaits_list || !self.has_current_vms() || self.workers.values().any(unresolved)
+        awaits_list || !self.vms_known || self.workers.values().any(unresolved)
     }
 
-    /// True if the VM list was requested under this ownership. An older one lacks the workers that an earlier owner has got since.
-    pub(super) fn has_current_vms(&self) -> bool {
-        self.vms_known && self.vms_requested >= self.owner_since
-    }
-
-    /// Replaces the VM list by one that was requested at `sent`. An empty one is no evidence: a platform without a list of VMs
-    /// has workers all the same.
+    /// Replaces the VM list by one that was requested at `sent`. One that was requested before the current list, or before this
+    /// owner began to act, lacks what has changed since. An empty one is no evidence: a platform without a list of VMs has workers
+    /// all the same.
     pub(super) fn update_vms(&mut self, sent: Instant, rows: Vec<VmRow>) {
-        if rows.is_empty() {
+        if rows.is_empty() || sent < self.vms_requested {
             return;
         }
         self.vms = rows.into_iter().map(|row| (row.vm.clone(), row)).collect();
