Take a move for over only by a list of VMs from after it

What would be seen: long-running tasks are interrupted (rule AVAIL): a list of VMs that was requested before a move was answered, and arrives 3 s late, shows the VM in the spare pool, so it is moved again while its new worker has tasks.

Cause: a move counted as over once it had had the time that it takes, whether or not a list had shown it.

Change: the move is kept until a list that was requested after its answer.

--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -166,13 +166,16 @@
     fn update_moves(&mut self) {
         let now = self.now.mono;
         let longest = self.limits.move_time + ARRIVAL_MARGIN;
-        let vms = &self.vms;
+        let (vms, requested) = (&self.vms, self.vms_requested);
         self.pools.moves.retain(|vm, moving| {
             let up = vms.get(vm).is_none_or(|row| {
                 row.state == VmState::Up && row.pool == moving.to && row.worker.is_some()
             });
             let waited = moving.done_at.map(|done| now.saturating_duration_since(done));
-            !waited.is_some_and(|waited| waited > longest || (up && waited > self.limits.move_time))
+            // A list of VMs from before the answer may show the VM where it was.
+            let listed = moving.done_at.is_some_and(|done| requested > done);
+            let arrived = |waited| waited > longest || (up && waited > self.limits.move_time);
+            !(listed && waited.is_some_and(arrived))
         });
         let is_due =
             |moving: &Move| moving.done_at.is_none() && now > moving.sent + COMMAND_RETRY_INTERVAL;
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -20,6 +20,7 @@
 mod replaced_owner;
 mod review_cases;
 mod store;
+mod vm_lists;
 mod withdrawals;
 mod world;
 
