Remember and stop late starts in one way each

Three functions remembered a run whose start may come late, and two sent its stop. One function remembers it, with what it is charged with; a stop has a due time, and one function sends those that are due.

--- a/crates/cj-sched/src/sched/commands.rs
+++ b/crates/cj-sched/src/sched/commands.rs
@@ -345,7 +345,7 @@
                 }
             }
         }
-        self.retry_late_stops();
+        self.send_due_stops();
         for at in again {
             let placement = self.task_mut(at).placement_mut().expect("found above");
             if placement.kept_if_listed {
--- a/crates/cj-sched/src/sched/late_start.rs
+++ b/crates/cj-sched/src/sched/late_start.rs
@@ -17,20 +17,20 @@
 /// A command that went unanswered is carried out within this time or never.
 const COMMAND_LIFETIME: Duration = Duration::from_secs(15);
 
-/// A lost run whose start command went unanswered.
+/// A run that is over for this owner, but whose start command went unanswered.
 pub(super) struct UnansweredStart {
     worker: WorkerId,
     task: TaskId,
     run: u64,
-    lost_at: Instant,
+    over_at: Instant,
     charge: Option<Charge>,
-    /// When its stop is sent again to the present incarnation, after one that may not have been carried out.
-    stop_again_at: Option<Instant>,
+    /// When its stop is sent to the present incarnation of the worker.
+    stop_due: Option<Instant>,
 }
 
 impl UnansweredStart {
     fn is_expired(&self, now: Instant) -> bool {
-        now >= self.lost_at + COMMAND_LIFETIME
+        now >= self.over_at + COMMAND_LIFETIME
     }
 }
 
@@ -42,75 +42,40 @@
         placement.is_some_and(|p| p.stage == Stage::Starting || p.start_pending || p.unanswered > 0)
     }
 
-    /// Remembers a run that is being lost, if its start command may still be carried out.
-    pub(super) fn remember_start(&mut self, at: TaskRef) {
-        let charge = self.charge_of(at).filter(|_| self.may_still_start(at));
-        if let Some(charge) = charge {
-            self.ledger.charge(charge);
-            self.ledger.add_unconfirmed(charge.account);
-        }
-        self.remember_charged(at, charge);
-    }
-
-    /// Remembers a run with a listed end, if its start command was sent again: the next incarnation may carry out the other one.
-    pub(super) fn remember_ended_start(&mut self, at: TaskRef) {
-        self.remember_charged(at, None);
-    }
-
-    fn remember_charged(&mut self, at: TaskRef, charge: Option<Charge>) {
-        let now = self.now.mono;
+    /// Remembers a run that is over for this owner, if its start command may still be carried out. Until then it is charged with
+    /// `charge`.
+    pub(super) fn remember_start(&mut self, at: TaskRef, charge: Option<Charge>) {
         if !self.may_still_start(at) {
             return;
         }
         let task = self.jobs[at.job].task_id(at);
         let Some(placement) = self.task(at).placement() else { return };
         let Some(worker) = self.workers.get(placement.worker) else { return };
-        let (worker, run) = (worker.id.clone(), placement.run);
-        let stop_again_at = None;
-        let start = UnansweredStart { worker, task, run, lost_at: now, charge, stop_again_at };
+        let (worker, run, over_at) = (worker.id.clone(), placement.run, self.now.mono);
+        if let Some(charge) = charge {
+            self.ledger.charge(charge);
+            self.ledger.add_unconfirmed(charge.account);
+        }
+        let start = UnansweredStart { worker, task, run, over_at, charge, stop_due: None };
         self.unanswered_starts.push(start);
     }
 
     /// Stops the unanswered starts on a new incarnation of a worker: it then refuses these runs, also when their start
     /// commands arrive later.
     pub(super) fn stop_unanswered_starts(&mut self, key: WorkerKey) {
-        let id = self.workers[key].id.clone();
-        let stops: Vec<_> = self
-            .unanswered_starts
-            .iter()
-            .filter(|start| start.worker == id)
-            .map(|start| (start.task, start.run))
-            .collect();
-        for (task, run) in stops {
-            self.stop_orphan(key, task, run);
+        let (id, now) = (self.workers[key].id.clone(), self.now.mono);
+        for start in self.unanswered_starts.iter_mut().filter(|start| start.worker == id) {
+            start.stop_due = Some(now);
         }
+        self.send_due_stops();
     }
 
-    /// Records the answer to the stop of an unanswered start. Without a confirmation the start may still be carried out, so the stop
-    /// is repeated.
-    pub(super) fn late_start_stopped(
-        &mut self,
-        worker: &WorkerId,
-        task: &TaskId,
-        run: u64,
-        answer: CommandAnswer,
-    ) {
-        let repeat_at = self.now.mono + STOP_RETRY_INTERVAL;
-        let stop_again_at = (answer != CommandAnswer::Done).then_some(repeat_at);
-        for start in &mut self.unanswered_starts {
-            if start.worker == *worker && start.task == *task && start.run == run {
-                start.stop_again_at = stop_again_at;
-            }
-        }
-    }
-
-    /// Repeats the stops of unanswered starts that weren't confirmed.
-    pub(super) fn retry_late_stops(&mut self) {
+    /// Sends the stops of unanswered starts that are due.
+    pub(super) fn send_due_stops(&mut self) {
         let now = self.now.mono;
         let mut due = Vec::new();
         for start in &mut self.unanswered_starts {
-            if start.stop_again_at.is_some_and(|at| at <= now) {
-                start.stop_again_at = None;
+            if start.stop_due.take_if(|at| *at <= now).is_some() {
                 due.push((start.worker.clone(), start.task, start.run));
             }
         }
@@ -121,6 +86,25 @@
         }
     }
 
+    /// Records the answer to the stop of an unanswered start. Without a confirmation the start may still be carried out, so the stop
+    /// is repeated.
+    pub(super) fn late_start_stopped(
+        &mut self,
+        worker: &WorkerId,
+        task: &TaskId,
+        run: u64,
+        answer: CommandAnswer,
+    ) {
+        let repeat_at = self.now.mono + STOP_RETRY_INTERVAL;
+        let stop_due = (answer != CommandAnswer::Done).then_some(repeat_at);
+        let is_stopped = |start: &&mut UnansweredStart| {
+            (&start.worker, &start.task, start.run) == (worker, task, run)
+        };
+        for start in self.unanswered_starts.iter_mut().filter(is_stopped) {
+            start.stop_due = stop_due;
+        }
+    }
+
     /// Stops counting lost runs whose start commands can no longer be carried out.
     pub(super) fn refund_late_starts(&mut self) {
         let now = self.now.mono;
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -310,7 +310,7 @@
             self.task(at).placement().filter(|p| p.worker == key && p.run == row.run).cloned();
         if let Some(placement) = &current {
             self.observe_end(key, at, placement, row.kind);
-            self.remember_ended_start(at);
+            self.remember_start(at, None);
             self.release(at);
         }
         if !row.checkpoint.is_empty() {
