--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -320,11 +320,11 @@
         self.capacity = {"cpu": cpu, "mem_mb": mem_mb, "gpus": 0}
         self.labels, self.machine, self.fails = ["a", rack], f"m-{number}", fails
         self.starts, self.up, self.boot, self.beat_task = [], False, 0, None
-        self.quiet, self.port = False, 0
+        self.quiet, self.port, self.policy = False, 0, None
 
     async def power_on(self):
         self.boot += 1
-        self.id = f"i-{self.number}-{self.boot}"
+        self.id = f"i-{self.number:02d}-{self.boot}"
         self.born, self.zero = int(time.time() * 1000), time.monotonic() - random.uniform(100, 500)
         self.token, self.runs, self.ended, self.next_end = 0, {}, [], 1
         self.past, self.sequence, self.ends, self.used = {}, 0, asyncio.Event(), 0
@@ -398,6 +398,9 @@
             return self.answer(409, reason="old")
         if call["deadline_ms"] <= self.clock():
             return self.answer(409, reason="late")
+        if self.policy and "ticketed" in call["spec"].split():
+            if call.get("ticket") != self.policy.ticket(task.rpartition(".")[0], self):
+                return self.answer(409, reason="ticket")
         words = dict(word.partition("=")[::2] for word in call["spec"].split())
         cpu = int(words.get("cpu", 100))
         if self.used + cpu > self.capacity["cpu"]:
@@ -501,6 +504,29 @@
         return 200, {"machines": rows, "next_token": None}
 
 
+class Policy:
+    """The service that knows which minions may run a step of a queue with `advice`. `allowed` holds machines."""
+
+    DECIDE_S, EACH_S, VALID_MS = 0.02, 0.001, 3000
+
+    def __init__(self, record, minions, allowed):
+        self.record, self.minions, self.allowed, self.turn = record, minions, allowed, asyncio.Lock()
+
+    def ticket(self, step, minion):
+        return f"{step}-{minion.id}"
+
+    async def handle(self, method, path, query, headers, body):
+        call = json.loads(body)
+        if len(call["workers"]) > 100:
+            return 400, {}
+        async with self.turn:
+            await asyncio.sleep(self.DECIDE_S + self.EACH_S * len(call["workers"]))
+        good = [[m.id, self.ticket(call["step"], m)] for m in self.minions
+                if m.up and m.id in call["workers"] and m.machine in self.allowed]
+        log_line(self.record, "advice", step=call["step"], named=len(call["workers"]), good=good)
+        return 200, {"good": good, "valid_ms": self.VALID_MS}
+
+
 SETTINGS = """node = "front-z1-{n}"
 role = "entry"
 machine_class = "front"
@@ -517,7 +543,7 @@
 heartbeat_ms = 1500
 contracts = ["base", "drain", "config", "cost", "recover", "sched", "platform", "upkeep", "sharing"]
 orders = "push"
-advice = ""
+advice = "{advice}"
 [zones]
 z1 = "r"
 [listen]
@@ -576,13 +602,14 @@
 class Node:
     """An entry node: the project's daemon as a process of its own."""
 
-    def __init__(self, number, folder, store_port, cloud_port, memory_mb=260, status_s=120):
+    def __init__(self, number, folder, store_port, cloud_port, memory_mb=260, status_s=120, advice=""):
         self.number, self.folder, self.process = number, folder, None
         self.front, self.ready, self.metrics, self.peer = (free_port() for _ in range(4))
         self.file, self.log = folder / f"node-{number}.toml", folder / f"node-{number}.log"
         self.memory_mb, self.ends = memory_mb, []
         self.file.write_text(SETTINGS.format(n=number, front=self.front, ready=self.ready, peer=self.peer,
-                                             store=store_port, cloud=cloud_port, memory_mb=memory_mb, status_s=status_s))
+                                             store=store_port, cloud=cloud_port, memory_mb=memory_mb, status_s=status_s,
+                                             advice=advice))
 
     def start(self):
         # The command of deploy/system.toml; the settings file is named by the variable, as on the platform.
@@ -641,11 +668,14 @@
         return status, parsed
 
 
-def config(routes, services, version=1):
+def config(routes, services, version=1, advised=()):
+    """The operator's config; the queues named in `advised` need advice."""
+    advice = {"decide_ms": 20, "each_ms": 1, "valid_ms": 3000}
     return {"version": version, "limits": {},
             "routes": [{"name": f"r-{name}", "host": "jobs.example", "path_prefix": f"/{name}/", "kind": "unsafe",
                         "timeout_ms": 3000, "target_latency_ms": 600, "priority": 0, "service": service,
-                        "max_attempts": attempts, "stretch": 1.6} for name, service, attempts in routes],
+                        "max_attempts": attempts, "stretch": 1.6,
+                        **({"advice": advice} if name in advised else {})} for name, service, attempts in routes],
             "services": [{"name": name, "rejects_overload": True} for name in services]}
 
 
@@ -654,7 +684,7 @@
 
     def __init__(self, folder, record, nodes=3, memory_mb=260, status_s=120):
         self.folder, self.record, self.count, self.memory_mb = folder, record, nodes, memory_mb
-        self.status_s = status_s
+        self.status_s, self.policy, self.advice = status_s, None, ""
         self.store, self.minions, self.nodes, self.links = Store(), [], [], []
 
     def add_minions(self, service, count, **options):
@@ -667,13 +697,16 @@
         self.store.put("keyed.op", "config", operator_config)
         self.store_server = await HttpServer(self.store.handle).start()
         self.cloud_server = await HttpServer(Cloud(self.minions).handle).start()
+        if self.policy:
+            self.advice = f"127.0.0.1:{(await HttpServer(self.policy.handle).start()).port}"
         for minion in self.minions:
+            minion.policy = self.policy
             await minion.power_on()
         for number in range(1, self.count + 1):
             link = await Link(self.store_server.port).start()
             self.links.append(link)
             self.nodes.append(Node(number, self.folder, link.port, self.cloud_server.port, self.memory_mb,
-                                   self.status_s))
+                                   self.status_s, self.advice))
         for node in self.nodes:
             node.start()
 
