--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,11 +11,11 @@
 from standin import Client, World, config, log_line
 
 MINIONS = 8
-JOBS = 7
+JOBS = 10
 TASKS = 5
-CRASH_S = 0.45
-DOWN_S = 0.15
-CRASHES = 190
+CRASH_S = 0.4
+DOWN_S = 0.12
+CRASHES = 215
 SETTLE_S = 6
 MAY_MISS = 1
 AWAY_S = 0.4
