Count workers as gone after a takeover once evidence shows it

It is no overload: the new owner starts older tasks only once all workers of the service are listed, or the leases of the earlier owner have ended (8.6 s).

Cause, from the new line choice=reconcile: (1) each answer of another worker at an address reset the time since which the worker was known, so that a list of VMs without it never counted, and it stayed unlisted; (2) a worker that this owner took off itself, all of whose runs were known, counted as unlisted again, and VMs move all the time. Ruled out: capacity, placement (no task was a candidate), slow listings.

Change: an end of an incarnation alone doesn't make a worker new, and a worker that this owner took off with all runs known doesn't keep the service open. A worker that a running VM still names does, as before. A line per pool and second tells what is open.

--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -122,8 +122,10 @@
             if self.vms.get(&vm).is_some_and(stays) {
                 self.resume_on(&vm, &incarnation);
             } else if let Some(key) = self.current_worker(&incarnation) {
+                let runs_known = self.workers[key].runs_known();
                 self.end_incarnation(key, None, IncarnationEvidence::ShutDown(sent));
                 let worker = &mut self.workers[key];
+                worker.taken_off = runs_known;
                 worker.registered = false;
                 worker.next_listing = None;
             }
--- a/crates/cj-sched/src/sched/reconcile.rs
+++ b/crates/cj-sched/src/sched/reconcile.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use cj_types::ServiceId;
+use log::info;
 
 use crate::sched::{
     event::{VmRow, VmState},
@@ -30,9 +31,27 @@
         services.iter().all(|service| self.is_reconciled(service))
     }
 
+    /// Logs how many workers keep the initial reconciliation of a service open.
+    pub(super) fn log_unreconciled(&self, service: &ServiceId) {
+        if self.reconciled.contains_key(service) {
+            return;
+        }
+        let workers = || self.workers.values().filter(|worker| worker.service == *service);
+        let unlisted = workers().filter(|worker| !worker.is_reconciled() && !worker.taken_off);
+        let open = workers().filter(|worker| worker.has_unknown_runs());
+        let left = self.lease_horizon.saturating_duration_since(self.now.mono);
+        info!(
+            target: "decision",
+            "pool={service} choice=reconcile unlisted={} open={} lease_left_ms={} epoch={}",
+            unlisted.count(), open.count(), left.as_millis(), self.epoch
+        );
+    }
+
     /// True when all workers of a service are listed, or the leases of earlier owners have ended.
     fn knows_all_runs(&self, service: &ServiceId) -> bool {
-        let unknown = |worker: &Worker| worker.service == *service && !worker.runs_known();
+        let unknown = |worker: &Worker| {
+            worker.service == *service && !worker.runs_known() && !worker.taken_off
+        };
         let unregistered = |row: &VmRow| {
             let runs = row.pool == *service && row.state == VmState::Up;
             let worker = row.worker.as_ref().filter(|_| runs);
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -92,16 +92,22 @@
     pub(super) foreign_lease_end: Option<Instant>,
     /// When it last answered.
     pub(super) last_answer: Option<Instant>,
+    /// This owner moved or maintained its VM when all runs there were known, and a list of VMs showed the worker gone.
+    pub(super) taken_off: bool,
     /// Consecutive requests for a listing without an answer.
     pub(super) missed_listings: u32,
     /// It gets no new tasks until then.
     pub(super) paused_until: Option<Instant>,
     /// Until then it gets new tasks only when no other worker can take them.
     pub(super) quarantined_until: Option<Instant>,
+    /// When its runs are expected to have ended; `None` without runs.
+    pub(super) busy_until: Option<Instant>,
     /// Consecutive failed runs.
     pub(super) failures: u32,
     /// Its VM is being drained for a move or for maintenance, so it gets no new tasks.
     pub(super) vm_draining: bool,
+    /// A wave still has to maintain its VM.
+    pub(super) maintenance_due: bool,
     /// It is reserved for a long-running task until then.
     pub(super) reserved_until: Option<Instant>,
     /// It is kept free until then for a task that may have crashed workers.
@@ -156,11 +162,14 @@
             lease_end: None,
             foreign_lease_end: None,
             last_answer: None,
+            taken_off: false,
             missed_listings: 0,
             paused_until: None,
             quarantined_until: None,
+            busy_until: None,
             failures: 0,
             vm_draining: false,
+            maintenance_due: false,
             reserved_until: None,
             isolated_until: None,
             slowness: 1.0,
@@ -196,8 +205,12 @@
         }
         self.expect_late_calls(now, longest);
         self.started_at = started_at;
-        self.known_since = now;
-        self.unnamed_lists = 0;
+        // An end alone doesn't show a next incarnation, which lists of VMs would have to name.
+        if started_at.is_some() {
+            self.known_since = now;
+            self.unnamed_lists = 0;
+        }
+        self.taken_off = false;
         self.clock = None;
         self.orphan_runs = 0;
         self.orphan_stops.clear();
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -25,6 +25,7 @@
 mod review_cases;
 mod shapes;
 mod store;
+mod takeover_evidence;
 mod vm_lists;
 mod waiting_steps;
 mod withdrawals;
--- /dev/null
+++ b/crates/cj-sched/tests/sim/takeover_evidence.rs
@@ -0,0 +1,95 @@
+//! A new owner whose service isn't reconciled yet: which workers keep it from starting older tasks.
+
+use std::time::Duration;
+
+use cj_sched::{
+    Event, JobIndex, JobKey, Log, Pool, Record,
+    sched::{ListAnswer, Refusal, VmAnswer, VmState},
+};
+
+use crate::{
+    decisions::{Harness, config, starts, submission},
+    world::{service, step},
+};
+
+/// Time until the leases of the earlier owner have ended.
+const LEASES: Duration = Duration::from_secs(8);
+
+/// Time within which evidence has to count: two lists of VMs, and some answers.
+const SOON_MS: u64 = 2_500;
+
+/// A new owner with an older job and these workers, of which none is listed.
+fn new_owner(racks: &[&str]) -> Harness {
+    let mut index = JobIndex::default();
+    let job = Box::new(submission(vec![step(1, 1_000, 500)], None));
+    index.apply(Log::Jobs, 1, Record::Submission(JobKey(1), job), true);
+    Harness::unlisted(&index, racks, None, LEASES)
+}
+
+/// Guards against older tasks that wait for the longest lease because another worker answers at the address of one that is gone: no
+/// list of VMs names it any more, and each answer made it seem new.
+#[test]
+fn a_worker_whose_address_another_answers_is_gone_once_no_list_names_it() {
+    let mut harness = new_owner(&["r1", "r2"]);
+    harness.list_worker(0, Vec::new());
+    let mut rows = harness.vm_rows.clone();
+    rows[1].worker = None;
+    rows[1].state = VmState::Moving;
+    let mut started = 0;
+    for _ in 0..SOON_MS / 300 {
+        let id = harness.workers[1].clone();
+        let refused = ListAnswer::Refused(Refusal::OtherIncarnation);
+        harness.handle(Event::Listed(id, harness.now().mono, refused));
+        harness.handle(Event::VmsListed(harness.now().mono, rows.clone()));
+        started += starts(&harness.poll_after(300)).len();
+    }
+    assert_eq!(started, 1);
+}
+
+/// Guards against a task that runs twice: another worker answers at an address, but a running VM still names the one that was there.
+#[test]
+fn a_worker_whose_address_another_answers_may_run_tasks_while_a_list_names_it() {
+    let mut harness = new_owner(&["r1", "r2"]);
+    harness.list_worker(0, Vec::new());
+    for _ in 0..SOON_MS / 300 {
+        let id = harness.workers[1].clone();
+        let refused = ListAnswer::Refused(Refusal::OtherIncarnation);
+        harness.handle(Event::Listed(id, harness.now().mono, refused));
+        let rows = harness.vm_rows.clone();
+        harness.handle(Event::VmsListed(harness.now().mono, rows));
+        assert!(starts(&harness.poll_after(300)).is_empty());
+    }
+}
+
+/// Guards against older tasks that wait for the longest lease because the owner itself takes off one empty worker after the other:
+/// all runs there were known.
+#[test]
+fn a_worker_that_this_owner_took_off_keeps_no_older_task_waiting() {
+    let mut harness = new_owner(&["r1", "r2", "r3", "r4"]);
+    let mut with_spare = (*config(None)).clone();
+    with_spare.pools.insert(service("spare"), Pool { rejects_overload: true, spare: true });
+    harness.handle(Event::Config(with_spare.into()));
+    for worker in 0..3 {
+        harness.list_worker(worker, Vec::new());
+    }
+    // The last worker answers only once the others are taken off.
+    let mut moved = Vec::new();
+    for _ in 0..30 {
+        for action in harness.poll_after(100) {
+            if let cj_sched::Action::MoveVm(vm, ..) = action {
+                harness.handle(Event::Moved(vm.clone(), VmAnswer::Done));
+                moved.push(vm);
+            }
+        }
+    }
+    assert!(!moved.is_empty(), "idle VMs move to the spare pool");
+    let mut rows = harness.vm_rows.clone();
+    for row in rows.iter_mut().filter(|row| moved.contains(&row.vm)) {
+        row.pool = service("spare");
+        row.state = VmState::Moving;
+        row.worker = None;
+    }
+    harness.handle(Event::VmsListed(harness.now().mono, rows));
+    harness.list_worker(3, Vec::new());
+    assert_eq!(starts(&harness.poll_after(50)).len(), 1);
+}
