Place finite tasks where they keep no VM busy for longer

Best fit by free processors alone fills the fullest VM, whatever ends there when.

Change: among workers of the same speed a task goes to one that is busy for as long anyway, by the expected ends of its runs; VMs with long-running tasks come first, which stay. VMs that a wave still has to maintain come after the others, since they would have to drain once more. Switch: lifetime.

--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -15,6 +15,7 @@
 mod late_start;
 mod leases;
 mod ledger;
+mod lifetime;
 mod listing;
 mod load;
 mod loss_log;
--- a/crates/cj-sched/src/sched/policy.rs
+++ b/crates/cj-sched/src/sched/policy.rs
@@ -13,6 +13,10 @@
     pub pack: bool,
     /// VMs are requested when the demand of a service begins to rise; see `forecast`. Its switch is named `foresee`.
     pub forecast: bool,
+    /// VMs pass to the pool that needs them next before the list of VMs shows them parked; see `pool`.
+    pub handover: bool,
+    /// Tasks go to workers that are busy for as long anyway; see `lifetime`.
+    pub lifetime: bool,
     /// A busy pool gives up a VM for long-running tasks that find none; see `reclaim`.
     pub reclaim: bool,
     /// Pools that together require more than the fleet has give up VMs to those with less of what they require; see
@@ -40,6 +44,8 @@
     ("compact", |policies| &mut policies.compact),
     ("pack", |policies| &mut policies.pack),
     ("foresee", |policies| &mut policies.forecast),
+    ("handover", |policies| &mut policies.handover),
+    ("lifetime", |policies| &mut policies.lifetime),
     ("reclaim", |policies| &mut policies.reclaim),
     ("balance", |policies| &mut policies.balance),
     ("share", |policies| &mut policies.share),
@@ -56,6 +62,8 @@
             compact: true,
             pack: true,
             forecast: true,
+            handover: true,
+            lifetime: true,
             reclaim: true,
             balance: true,
             share: true,
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -342,6 +342,7 @@
             }
         }
         let demand = self.jobs[at.job].step_spec(at.step).allocation();
+        self.extend_busy_time(placement.worker, at);
         let worker = &mut self.workers[placement.worker];
         worker.used = worker.used.plus(demand);
         worker.runs.push(at);
--- a/crates/cj-sched/src/sched/worker_choice.rs
+++ b/crates/cj-sched/src/sched/worker_choice.rs
@@ -1,6 +1,9 @@
 //! Choice of the worker for a task: which workers may run it, and what speaks for one of them.
 
-use std::collections::{HashMap, HashSet};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 use cj_types::ServiceId;
 use compact_str::CompactString;
@@ -29,6 +32,8 @@
     by_rack: HashMap<CompactString, u32>,
     /// Workers whose VMs are due for maintenance; empty unless the step is long-running.
     due: HashSet<WorkerKey>,
+    /// Expected run time of a finite task, if workers are chosen by it.
+    expected: Option<Duration>,
     /// The task starts alone, so that workers kept free for such tasks are eligible too.
     isolated: bool,
 }
@@ -41,6 +46,10 @@
     off_rack: bool,
     slowness_band: u32,
     long_running_cost: u32,
+    /// Its VM is due for maintenance, and would have to drain from a finite task once more.
+    due: bool,
+    /// How much longer the worker is busy with the task, in bands of time.
+    busy_time: u32,
     /// Free processors in millicores. Tasks fill up workers, so that large tasks find room on others and idle VMs
     /// can return to the spare pool.
     free_cores: u32,
@@ -113,6 +122,8 @@
         }
         let allowed = self.needs_advice(at).then(|| self.ticketed_workers(at));
         let avoid = self.task(at).avoid;
+        let by_lifetime = self.policies.lifetime && !spec.long_running;
+        let expected = by_lifetime.then(|| self.expected_run_time(job, at.step, step));
         StepView {
             spec,
             service: self.service_of(&job.submission),
@@ -121,6 +132,7 @@
             avoid,
             by_rack,
             due: if spec.long_running { self.maintenance_due_workers() } else { HashSet::new() },
+            expected,
             isolated: false,
         }
     }
@@ -169,6 +181,8 @@
                 0
             },
             long_running_cost,
+            due: view.expected.is_some() && worker.maintenance_due,
+            busy_time: view.expected.map_or(0, |time| worker.busy_time_added(time, now)),
             free_cores: worker.free().cores.0,
         }
     }
