Begin the maintenance of draining VMs before the end of their wave

Cause: a wave has a duration, which nothing read.

Change: 1.2 s before the end, VMs that only finite tasks hold go into maintenance; from 5 s before it half of a pool may drain. A node keeps when it read a wave, so that a new owner knows the time that is left.

--- a/crates/cj-entry/src/lib.rs
+++ b/crates/cj-entry/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod owner_directory;
 pub mod peer;
 mod platform;
+mod received_wave;
 mod writer;
 
 pub use clock::BootClock;
@@ -39,3 +40,4 @@
     FIRST_CELL_JOBS, Guard, NewestPage, OperatorChange, Page, Platform, RawRecord, RegistryChange,
     StoreError, Topic,
 };
+pub use received_wave::ReceivedWave;
--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -10,7 +10,7 @@
 use cj_sched::{
     Accounts, Event, FleetConfig, JobKey,
     record::{OwnerHeartbeat, ServiceLoad},
-    sched::{Limits, Now, Policies, WaveSpec},
+    sched::{Limits, Now, Policies},
 };
 use cj_types::{Clock, NodeId, ServiceId};
 use compact_str::CompactString;
@@ -28,6 +28,7 @@
     metrics::Metrics,
     owner_directory::{CellRecord, OwnerDirectory},
     platform::{OperatorChange, Platform, RawRecord, Topic},
+    received_wave::ReceivedWave,
 };
 
 /// Time between two reads of the operator's topic.
@@ -72,7 +73,7 @@
     /// The operators' configuration, once one was read.
     pub config: RefCell<Option<Rc<FleetConfig>>>,
     /// Maintenance waves requested by the operators, by number.
-    pub waves: RefCell<BTreeMap<u64, WaveSpec>>,
+    pub waves: RefCell<BTreeMap<u64, ReceivedWave>>,
     /// How far the operator's topic has been read.
     pub operator_topic: FollowState,
     /// How the fleet is divided into cells, once that is known.
@@ -281,7 +282,8 @@
         match self.platform.operator_change(&record.key, &record.value) {
             Ok(OperatorChange::Config(config)) => self.apply_config(config, record.offset),
             Ok(OperatorChange::Wave(wave)) => {
-                self.waves.borrow_mut().insert(wave.number, wave.clone());
+                let received = ReceivedWave::new(wave.clone(), self.clock.now());
+                self.waves.borrow_mut().entry(wave.number).or_insert(received);
                 for member in self.members.borrow().iter() {
                     let progress = member.job_index.borrow().wave(wave.number);
                     member.send(Event::Wave(wave.clone(), progress));
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -214,8 +214,8 @@
         scheduler.set_cell(member.id.0, layout.cells);
         scheduler.set_policies(node.settings.policies);
         for wave in node.waves.borrow().values() {
-            let progress = job_index.wave(wave.number);
-            scheduler.handle(Event::Wave(wave.clone(), progress), now);
+            let progress = job_index.wave(wave.spec.number);
+            scheduler.handle(Event::Wave(wave.remaining(now.mono), progress), now);
         }
         drop(job_index);
         node.metrics.owned_cells.inc();
@@ -295,7 +295,7 @@
             return;
         }
         let node = &self.member.node;
-        for wave in node.waves.borrow().values() {
+        for wave in node.waves.borrow().values().map(|wave| &wave.spec) {
             let done = self.member.cells_completed(wave.number, self.layout.cells);
             let share = wave_share(wave.cap, self.member.id, &done);
             self.scheduler.set_wave_cap(wave.number, share);
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -26,6 +26,13 @@
 /// A VM on which only finite tasks are left goes into maintenance after draining for this long, even if they still run.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(9);
 
+/// Time before the end of a wave at which VMs that still drain go into maintenance, even if finite tasks run there: the request
+/// has to be recorded, sent and answered.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(1_200);
+
+/// Time before the end of a wave from which on half of a pool may be draining or in maintenance at once.
+const LAST_DRAINS: Duration = Duration::from_secs(5);
+
 /// Finite tasks that save checkpoints are stopped after their VM has drained for this long.
 const CHECKPOINT_STOP_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -60,6 +67,8 @@
 pub(super) struct Wave {
     spec: WaveSpec,
     progress: WaveProgress,
+    /// When the maintenance of all its VMs has to have begun.
+    due: Instant,
     /// Most VMs that may be in maintenance at once.
     cap: usize,
     stages: BTreeMap<VmId, VmStage>,
@@ -71,6 +80,11 @@
         self.progress.begun.contains(vm)
     }
 
+    /// True within this time before its end. Once it is late, running tasks go first again.
+    fn is_due_within(&self, time: Duration, now: Instant) -> bool {
+        now < self.due && now + time >= self.due
+    }
+
     /// True while the VM is draining or in maintenance for the wave.
     pub(super) fn is_busy(&self, vm: &VmId) -> bool {
         self.stages.contains_key(vm)
@@ -106,7 +120,8 @@
         );
         let cap = spec.cap as usize;
         let stages = BTreeMap::new();
-        self.waves.push(Wave { spec, progress, cap, stages, reported: false });
+        let due = self.now.mono + spec.duration;
+        self.waves.push(Wave { spec, progress, due, cap, stages, reported: false });
     }
 
     /// Sets how many VMs of a wave may be in maintenance at once, where several schedulers share the cap of the wave.
@@ -163,6 +178,15 @@
                 self.waves.push(wave);
             }
         }
+        self.mark_maintenance_due();
+    }
+
+    /// Marks the workers whose VMs a wave still has to maintain.
+    fn mark_maintenance_due(&mut self) {
+        let due = self.maintenance_due_workers();
+        for (key, worker) in &mut self.workers {
+            worker.maintenance_due = due.contains(&key);
+        }
     }
 
     /// Removes the stages of VMs that are back from their maintenance; these count as done.
@@ -203,12 +227,12 @@
             let requested = wave.progress.requested.contains(&row.vm);
             (!requested, !self.has_long_running(row), self.run_count(row))
         });
+        let divisor = if wave.is_due_within(LAST_DRAINS, now) { 2 } else { POOL_DIVISOR };
         let mut chosen = Vec::new();
         for row in waiting {
             let size = self.vms.values().filter(|other| other.pool == row.pool).count();
             let pool_busy = busy.entry(row.pool.clone()).or_default();
-            if wave.stages.len() + chosen.len() < most && *pool_busy < (size / POOL_DIVISOR).max(1)
-            {
+            if wave.stages.len() + chosen.len() < most && *pool_busy < (size / divisor).max(1) {
                 *pool_busy += 1;
                 chosen.push(row.vm.clone());
             }
@@ -259,7 +283,8 @@
             let room = settled && wave.unavailable(&self.vms, &vm) < wave.cap;
             match stage {
                 VmStage::Draining(since) => {
-                    if self.drain_vm(&vm, since) && room {
+                    let urgent = wave.is_due_within(DEADLINE_MARGIN, now);
+                    if self.drain_vm(&vm, since, urgent) && room {
                         let batch = self.record_request(wave, &vm);
                         wave.stages.insert(vm, VmStage::Recording(batch));
                     }
@@ -274,7 +299,7 @@
                 VmStage::Requested(sent, incarnation, guard)
                     if self.is_sole_owner()
                         && now.saturating_duration_since(sent) > COMMAND_RETRY_INTERVAL
-                        && self.drain_vm(&vm, sent) =>
+                        && self.drain_vm(&vm, sent, false) =>
                 {
                     self.request_maintenance(wave, vm, incarnation, guard);
                 }
@@ -305,8 +330,9 @@
         self.write.add(record, self.now.mono)
     }
 
-    /// Drains the worker of a VM. Returns true if nothing runs there, or if only finite tasks do and the drain has timed out.
-    fn drain_vm(&mut self, vm: &VmId, since: Instant) -> bool {
+    /// Drains the worker of a VM. Returns true if nothing runs there, or if only finite tasks do and the drain has timed out or is
+    /// `urgent`.
+    fn drain_vm(&mut self, vm: &VmId, since: Instant, urgent: bool) -> bool {
         let Some(row) = self.vms.get(vm) else { return true };
         if row.state != VmState::Up {
             return false;
@@ -331,7 +357,8 @@
         }
         let long_running = |at: &TaskRef| self.jobs[at.job].step_spec(at.step).long_running;
         let worker = &self.workers[key];
-        waited > DRAIN_TIMEOUT && worker.has_durable_ends() && !worker.runs.iter().any(long_running)
+        let ends_drain = urgent || waited > DRAIN_TIMEOUT;
+        ends_drain && worker.has_durable_ends() && !worker.runs.iter().any(long_running)
     }
 
     /// True if a worker without runs has answered after `since`, so that no other incarnation runs on its VM.
