Forecast the demand of pools by arrivals and stay, and serve work in time first

Cause: the forecast took the work of the last arrivals for processors, extrapolated it by up to 2.5 times, kept the highest value for 1.9 s, and ignored how long work stays. Waiting tasks of jobs that are late anyway asked for as many VMs as those that can still be in time.

Change: demand is the rate of arrivals times the mean work of a job, at the time when the jobs arrive that run once a VM is there; the trend counts as far as chance doesn't explain it, and the increase as far as earlier ones came true. Pools are filled for work in time first, in all pools, and for the rest after that. VMs that this owner parked are taken after their move time (switch: handover).

Ruled out by trials: a forecast one standard deviation higher (no gain), moves of just parked VMs with the old forecast (worse, since the wrong forecast got more).

--- a/crates/cj-sched/src/sched/demand.rs
+++ b/crates/cj-sched/src/sched/demand.rs
@@ -60,8 +60,16 @@
 
     /// VMs for the running and waiting tasks, or for the forecast ones if these require more and the fleet has them.
     pub(super) fn target(&self) -> usize {
-        let forecast = self.vms_for(self.long_running + self.forecast);
-        self.required_now().max(forecast.min(self.fleet_size))
+        self.required_now().max(self.required_by_forecast())
+    }
+
+    /// As [`Self::target`], without the waiting tasks of jobs that will be late.
+    pub(super) fn target_in_time(&self) -> usize {
+        self.required_in_time().max(self.required_by_forecast())
+    }
+
+    fn required_by_forecast(&self) -> usize {
+        self.vms_for(self.long_running + self.forecast).min(self.fleet_size)
     }
 
     fn vms_for(&self, cores: f32) -> usize {
--- a/crates/cj-sched/src/sched/estimate.rs
+++ b/crates/cj-sched/src/sched/estimate.rs
@@ -157,6 +157,14 @@
         estimate
     }
 
+    /// Expected time from the submission of a job to its end, without any waiting.
+    pub(super) fn expected_stay(&self, job: &Job) -> Duration {
+        let Some(occurrence) = job.occurrences.first() else { return Duration::ZERO };
+        job.submission
+            .spec
+            .critical_path_by(|n, _| self.expected_run_time(job, n as u32, &occurrence.steps[n]))
+    }
+
     fn make_estimate(&self, job: &Job, occurrence: u32) -> TimeEstimate {
         let steps = &job.occurrences[occurrence as usize].steps;
         let spec = &job.submission.spec;
--- a/crates/cj-sched/src/sched/forecast.rs
+++ b/crates/cj-sched/src/sched/forecast.rs
@@ -1,73 +1,120 @@
-//! Forecasts the demand of a service whose queues begin to rise.
+//! Forecasts the demand of a service at the time when a VM requested now takes its first task.
 //!
-//! Demand rises to its peak within a few seconds, and a VM needs a second and a half to move to another pool. VMs that are
-//! requested for tasks that already wait come that much too late, so a rise is extrapolated linearly to the time at which a
-//! VM requested now has arrived.
+//! The processors that the jobs of a service use are the rate at which jobs arrive, times the work of a job, for the jobs that
+//! arrive about half their stay earlier. So the forecast for long jobs rests on arrivals that are known already, and the one for
+//! short jobs extrapolates the rate of arrivals. The number of arrivals varies less than their work, so the work of a job is
+//! averaged over many. Of the difference between two windows only the part counts that chance doesn't explain.
+//!
+//! Each forecast is compared with the demand that came. The part of it beyond the demand that was known counts as far as
+//! earlier ones came true, so a forecast that errs has no effect after a while.
 
 use std::{
     collections::VecDeque,
     time::{Duration, Instant},
 };
 
-/// Window whose arrivals are compared with those of the window before it.
-const WINDOW: Duration = Duration::from_millis(800);
+/// Shortest and longest window whose arrivals are compared with those of the window before it.
+const WINDOWS: (Duration, Duration) = (Duration::from_millis(800), Duration::from_millis(1_600));
 
-/// Fewest arrivals in a window that count as a rise; fewer occur by chance.
+/// Fewest arrivals in a window for a forecast; fewer occur by chance.
 const MIN_ARRIVALS: usize = 4;
 
-/// A rise is a window with more than this multiple of the arrivals of the one before.
-const RISE_FACTOR: usize = 2;
-
-/// Forecast demand is at most this multiple of the present demand.
-const MAX_GROWTH: f32 = 2.5;
-
 /// Time beyond the move of a VM that the forecast covers: its worker has to register and to be listed.
 const REGISTRATION_TIME: Duration = Duration::from_millis(500);
 
-/// A forecast holds until the VMs requested for it have arrived and got tasks.
-const HOLD_TIME: Duration = Duration::from_millis(1_900);
+/// Arrivals over which the work and the stay of a job are averaged.
+const MEAN_JOBS: f32 = 64.0;
+
+/// Shortest time between two forecasts that are compared with what came.
+const SCORE_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Arrivals of jobs at one service, and the demand forecast from them.
+/// Weight of a new comparison: about the last twenty count, which cover four seconds.
+const SCORE_GAIN: f32 = 0.05;
+
+/// A forecast, and the demand that was known when it was made, in millicores.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    due: Instant,
+    known: f32,
+    demand: f32,
+}
+
+/// Arrivals of jobs at one service, and how earlier forecasts proved right.
 #[derive(Clone, Debug, Default)]
 pub(super) struct DemandForecast {
-    /// Time of each arrival, and its work in millicores times milliseconds.
-    arrivals: VecDeque<(Instant, u64)>,
-    /// Forecast demand in millicores, and when it was forecast.
-    forecast: Option<(f32, Instant)>,
+    arrivals: VecDeque<Instant>,
+    /// Number of jobs that the means rest on, at most [`MEAN_JOBS`].
+    jobs: f32,
+    /// Mean work of a job in millicores times milliseconds.
+    mean_work: f32,
+    /// Mean time from the arrival of a job to its end without any waiting, in seconds.
+    mean_stay: f32,
+    pending: VecDeque<Pending>,
+    /// Increases of demand that were forecast and that came, as decaying sums in millicores.
+    forecast_rise: f32,
+    actual_rise: f32,
 }
 
 impl DemandForecast {
-    /// Records the arrival of a job with its work, in millicores times milliseconds. A VM takes `move_time` to
-    /// move.
-    pub(super) fn record_arrival(&mut self, work: u64, move_time: Duration, now: Instant) {
-        self.arrivals.push_back((now, work));
-        let recent = |at: Instant| now.saturating_duration_since(at) <= WINDOW * 2;
-        while self.arrivals.front().is_some_and(|(at, _)| !recent(*at)) {
-            self.arrivals.pop_front();
+    /// Records the arrival of a job with its work, in millicores times milliseconds, and its time without any waiting.
+    pub(super) fn record_arrival(&mut self, work: u64, stay: Duration, now: Instant) {
+        self.jobs = (self.jobs + 1.0).min(MEAN_JOBS);
+        self.mean_work += (work as f32 - self.mean_work) / self.jobs;
+        self.mean_stay += (stay.as_secs_f32() - self.mean_stay) / self.jobs;
+        self.arrivals.push_back(now);
+    }
+
+    /// Demand of finite tasks in millicores when a VM that is requested now has arrived; 0 without a forecast. `known` is the
+    /// demand of the tasks that run or wait now. A VM takes `move_time` to move.
+    pub(super) fn demand(&mut self, known: f32, move_time: Duration, now: Instant) -> f32 {
+        self.score(known, now);
+        let ahead = move_time + REGISTRATION_TIME;
+        let Some(demand) = self.extrapolate(ahead, now) else { return 0.0 };
+        if self.pending.back().is_none_or(|last| now + ahead >= last.due + SCORE_INTERVAL) {
+            self.pending.push_back(Pending { due: now + ahead, known, demand });
         }
-        let Some(demand) = self.extrapolate(move_time + REGISTRATION_TIME, now) else { return };
-        let held = self.demand(now);
-        self.forecast = Some((demand.max(held), now));
+        known + (demand - known) * self.trust()
     }
 
-    /// Demand in millicores after `ahead`, if arrivals are rising now.
-    fn extrapolate(&self, ahead: Duration, now: Instant) -> Option<f32> {
-        let recent = |at: &Instant| now.saturating_duration_since(*at) < WINDOW;
-        let last = self.arrivals.iter().filter(|(at, _)| recent(at)).count();
-        let before = self.arrivals.len() - last;
-        if last < MIN_ARRIVALS || last < RISE_FACTOR * before + 1 {
-            return None;
+    /// Share of the forecast increases that came.
+    fn trust(&self) -> f32 {
+        if self.forecast_rise <= 0.0 {
+            return 1.0;
         }
-        let work = self.arrivals.iter().filter(|(at, _)| recent(at)).map(|(_, work)| *work as f32);
-        let present = work.sum::<f32>() / WINDOW.as_millis() as f32;
-        let windows = (ahead + WINDOW / 2).as_secs_f32() / WINDOW.as_secs_f32();
-        let growth = 1.0 + (last - before) as f32 / last as f32 * windows;
-        Some(present * growth.min(MAX_GROWTH))
+        (self.actual_rise / self.forecast_rise).clamp(0.0, 1.0)
     }
 
-    /// Forecast demand in millicores; 0 if there was no rise recently.
-    pub(super) fn demand(&self, now: Instant) -> f32 {
-        let held = self.forecast.filter(|(_, at)| now.saturating_duration_since(*at) < HOLD_TIME);
-        held.map_or(0.0, |(demand, _)| demand)
+    /// Compares the forecasts for this time with the demand that is known now.
+    fn score(&mut self, known: f32, now: Instant) {
+        while let Some(pending) = self.pending.pop_front_if(|pending| pending.due <= now) {
+            let rise = (pending.demand - pending.known).max(0.0);
+            let came = (known - pending.known).clamp(0.0, rise);
+            self.forecast_rise += SCORE_GAIN * (rise - self.forecast_rise);
+            self.actual_rise += SCORE_GAIN * (came - self.actual_rise);
+        }
+    }
+
+    /// Demand in millicores after `ahead`, by the rate of arrivals and its trend.
+    fn extrapolate(&mut self, ahead: Duration, now: Instant) -> Option<f32> {
+        let (shortest, longest) = WINDOWS;
+        let half_stay = Duration::from_secs_f32(self.mean_stay / 2.0);
+        let window = half_stay.clamp(shortest, longest);
+        let age = |at: &Instant| now.saturating_duration_since(*at);
+        while self.arrivals.pop_front_if(|at| age(at) > window * 2).is_some() {}
+        let last = self.arrivals.iter().filter(|at| age(at) < window).count();
+        if last < MIN_ARRIVALS {
+            return None;
+        }
+        let before = (self.arrivals.len() - last) as f32;
+        let last = last as f32;
+        let difference = last - before;
+        // The variance of a difference of random counts is their sum. A difference of one standard deviation counts half.
+        let explained = 1.0 - (last + before) / (difference * difference + last + before);
+        let seconds = window.as_secs_f32();
+        // The jobs that run then arrive this much later than those of the last window did on average.
+        let later = ahead.as_secs_f32() - half_stay.as_secs_f32() + seconds / 2.0;
+        let arrivals = last + difference * explained * (later / seconds).max(0.0);
+        let rate = arrivals.max(0.0) / seconds;
+        Some(rate * self.mean_work / 1_000.0)
     }
 }
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -61,6 +61,9 @@
 /// A VM counts as arrived this long after its move time at the latest.
 const ARRIVAL_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// A VM that moved to the spare pool counts as parked this long after its move time: answers are under way for a while.
+const PARK_MARGIN: Duration = Duration::from_millis(100);
+
 /// A VM move that was requested.
 #[derive(Clone, Debug)]
 struct Move {
@@ -95,8 +98,9 @@
         let work = self.open_work(job);
         if work > 0 {
             let service = self.service_of(&job.submission).clone();
+            let stay = self.expected_stay(job);
             let forecast = self.pools.forecasts.entry(service).or_default();
-            forecast.record_arrival(work, self.limits.move_time, self.now.mono);
+            forecast.record_arrival(work, stay, self.now.mono);
         }
     }
 
@@ -111,34 +115,50 @@
         self.update_moves();
         self.update_pool_drains();
         self.track_idle();
+        self.update_busy_times();
         let Some(spare_pool) = self.config.spare_pool().cloned() else { return };
         let mut demands = self.demands(&spare_pool);
         self.record_requirements(&mut demands);
         let mut spares = self.spares(&spare_pool);
         self.report_pools(&demands, spares.len());
-        // The target of a pool with unplaced tasks always exceeds its size, so targets are computed only once.
-        let mut targets: BTreeMap<ServiceId, usize> =
-            demands.iter().map(|(service, demand)| (service.clone(), demand.target())).collect();
-        while let Some(service) = least_covered(&demands, &targets) {
-            match self.take_idle_vm(&mut demands, &service).or_else(|| spares.pop()) {
+        // The target of a pool with unplaced tasks always exceeds its size, so targets are computed only once. Work that can still
+        // be in time comes first, in all pools.
+        let targets = [PoolDemand::target_in_time, PoolDemand::target].map(|target| {
+            let targets = demands.iter().map(|(service, demand)| (service.clone(), target(demand)));
+            targets.collect::<BTreeMap<_, _>>()
+        });
+        for targets in targets {
+            self.fill_pools(&mut demands, &mut spares, targets);
+        }
+        let surplus: Vec<VmId> = demands.values().flat_map(returnable).collect();
+        for vm in surplus {
+            self.move_vm(vm, &spare_pool);
+        }
+    }
+
+    /// Requests VMs for the pools below their targets.
+    fn fill_pools(
+        &mut self,
+        demands: &mut BTreeMap<ServiceId, PoolDemand>,
+        spares: &mut Vec<VmId>,
+        mut targets: BTreeMap<ServiceId, usize>,
+    ) {
+        while let Some(service) = least_covered(demands, &targets) {
+            match self.take_idle_vm(demands, &service).or_else(|| spares.pop()) {
                 Some(vm) => {
                     self.move_vm(vm, &service);
                     demands.entry(service).and_modify(|demand| demand.pool_size += 1);
                 }
                 None => {
-                    if !self.compact_for(&demands, &service) {
-                        self.reclaim(&demands, &service);
+                    if !self.compact_for(demands, &service) {
+                        self.reclaim(demands, &service);
                     }
-                    self.balance(&demands, &service);
+                    self.balance(demands, &service);
                     // Other pools may still take VMs from this one.
                     targets.remove(&service);
                 }
             }
         }
-        let surplus: Vec<VmId> = demands.values().flat_map(returnable).collect();
-        for vm in surplus {
-            self.move_vm(vm, &spare_pool);
-        }
     }
 
     fn report_pools(&mut self, demands: &BTreeMap<ServiceId, PoolDemand>, spares: usize) {
@@ -148,6 +168,7 @@
         }
         self.pools.reported_at = Some(now);
         for (service, demand) in demands {
+            self.log_unreconciled(service);
             let pool_workers = || self.workers.values().filter(|worker| worker.service == *service);
             let used: u32 = pool_workers().map(|worker| worker.used.cores.0).sum();
             let long_running =
@@ -239,7 +260,7 @@
     }
 
     /// Demand and size of all pools but the spare pool.
-    fn demands(&self, spare_pool: &ServiceId) -> BTreeMap<ServiceId, PoolDemand> {
+    fn demands(&mut self, spare_pool: &ServiceId) -> BTreeMap<ServiceId, PoolDemand> {
         let mut demands: BTreeMap<ServiceId, PoolDemand> = BTreeMap::new();
         for (service, _) in self.config.pools.iter().filter(|(service, _)| *service != spare_pool) {
             demands.entry(service.clone()).or_default();
@@ -259,9 +280,14 @@
         for slot in self.jobs.keys() {
             self.add_demand(slot, &mut demands, &mut room);
         }
-        for (service, demand) in &mut demands {
-            let forecast = self.pools.forecasts.get(service).filter(|_| self.policies.forecast);
-            demand.forecast = forecast.map_or(0.0, |forecast| forecast.demand(self.now.mono));
+        let (now, move_time) = (self.now.mono, self.limits.move_time);
+        for (service, forecast) in
+            self.pools.forecasts.iter_mut().filter(|_| self.policies.forecast)
+        {
+            if let Some(demand) = demands.get_mut(service) {
+                let known = demand.cores - demand.long_running;
+                demand.forecast = forecast.demand(known, move_time, now);
+            }
         }
         let fleet_size = self.vms.values().filter(|row| row.state != VmState::Down).count();
         // Tasks that don't use an idle VM of their pool wait for something that more VMs don't provide.
@@ -359,16 +385,24 @@
     /// maintenance costs nothing while they are powered off.
     fn spares(&self, spare_pool: &ServiceId) -> Vec<VmId> {
         let free = |row: &&VmRow| {
-            row.pool == *spare_pool
-                && row.state == VmState::Up
-                && !self.pools.moves.contains_key(&row.vm)
-                && !self.is_in_wave(&row.vm)
+            let parked = match self.pools.moves.get(&row.vm) {
+                None => row.state == VmState::Up,
+                Some(moving) => self.has_just_parked(moving),
+            };
+            row.pool == *spare_pool && parked && !self.is_in_wave(&row.vm)
         };
         let mut vms: Vec<VmId> = self.vms.values().filter(free).map(|row| row.vm.clone()).collect();
         vms.sort_by_cached_key(|vm| (!self.is_maintenance_due(vm), vm.clone()));
         vms
     }
 
+    /// True if a VM that this owner moved to the spare pool has been off for its move time. The list of VMs may show it as moving for
+    /// seconds; the platform refuses to move it again if it still is.
+    fn has_just_parked(&self, moving: &Move) -> bool {
+        let done_at = moving.done_at.filter(|_| self.policies.handover);
+        done_at.is_some_and(|done| self.now.mono > done + self.limits.move_time + PARK_MARGIN)
+    }
+
     /// Takes an idle VM from the pool, other than `to`, with the largest surplus.
     fn take_idle_vm(
         &self,
