Add a model of learned run times with quantiles

Cause: the estimator gives means only and is lost with the owner, so that neither a quantile of a run time nor the time that a long run still needs can be asked for.

Change: cj_sched::run_times, pure: a regression per queue and per shape of step, and two histograms of the ratios of actual to expected run times; right-censored observations; a bounded state that is checked when it is restored.

Conclusion: tests/run_times.rs passes (7 tests: calibration, restart, censored runs, elapsed time, absurd estimates, hostile states, size). Nothing uses the model yet.

--- a/crates/cj-sched/src/lib.rs
+++ b/crates/cj-sched/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod job;
 pub mod job_index;
 pub mod record;
+pub mod run_times;
 pub mod sched;
 
 pub use account::{Access, Account, AccountCap, Accounts, KeyDigest, Weight};
--- /dev/null
+++ b/crates/cj-sched/src/run_times/model.rs
@@ -0,0 +1,486 @@
+//! Learns run times from runs that ended, and predicts those of others.
+
+use std::{collections::HashMap, time::Duration};
+
+use cj_types::Resources;
+use compact_str::CompactString;
+
+use super::{
+    ratios::{RatioHistogram, RatioTable},
+    regression::{Regression, bare_estimate, from_ln, ln_seconds},
+    state::{MAX_QUEUE_NAME, MAX_QUEUES, MAX_SHAPES, QueueState, RunTimes, ShapeKey, ShapeState},
+};
+
+/// Assumed spread of the ratios for steps of which no task has ended, as the standard deviation of their logarithms.
+const FRESH_DEVIATION: f32 = 0.5;
+
+/// The same for steps of which some tasks have ended.
+const BEGUN_DEVIATION: f32 = 0.3;
+
+/// Weight of the expected run time beside those of ended tasks of the same step: these say far more.
+const STEP_PRIOR_WEIGHT: f32 = 0.2;
+
+/// The quantiles whose calibration is counted.
+pub const CALIBRATED_QUANTILES: [f32; 2] = [0.5, 0.9];
+
+/// Ended tasks of a step.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Siblings {
+    /// Number of whole runs.
+    pub runs: u32,
+    /// Sum of the natural logarithms of their run times in seconds, on a worker of average speed.
+    pub log_sum: f32,
+}
+
+impl Siblings {
+    /// Adds a whole run on a worker whose run times are longer by `slowness`, a natural logarithm.
+    pub fn add(&mut self, took: Duration, slowness: f32) {
+        self.runs += 1;
+        self.log_sum += ln_seconds(took) - slowness;
+    }
+}
+
+/// What is known of the tasks of a step.
+#[derive(Clone, Copy, Debug)]
+pub struct StepKind<'a> {
+    /// Name of the queue.
+    pub queue: &'a str,
+    /// Resources of a task.
+    pub demand: Resources,
+    /// The caller's estimate.
+    pub estimate: Duration,
+    /// Ended tasks of the step.
+    pub siblings: Siblings,
+}
+
+/// Predicted distribution of the run time of a task.
+#[derive(Clone, Copy, Debug)]
+pub struct Prediction<'a> {
+    /// Expected run time, in natural logarithms of seconds; `None` if nothing is known.
+    centre: Option<f32>,
+    /// Some task of the step has ended.
+    begun: bool,
+    table: &'a RatioTable,
+}
+
+impl Prediction<'_> {
+    /// The prediction for a worker whose run times are longer by `slowness`, a natural logarithm.
+    pub fn on_worker(self, slowness: f32) -> Self {
+        Prediction { centre: self.centre.map(|centre| centre + slowness), ..self }
+    }
+
+    /// The prediction for the part of a run that is left after a checkpoint.
+    pub fn part(self, share: f32) -> Self {
+        let centre = self.centre.map(|centre| centre + share.max(0.01).ln());
+        Prediction { centre, ..self }
+    }
+
+    /// Time that this share of the runs doesn't exceed; 0 if nothing is known.
+    pub fn quantile(&self, quantile: f32) -> Duration {
+        let ratio = self.table.quantile(quantile);
+        self.centre.map_or(Duration::ZERO, |centre| from_ln(centre).mul_f32(ratio))
+    }
+
+    /// Mean time until the end of a run that has lasted for `elapsed`.
+    pub fn remaining(&self, elapsed: Duration) -> Duration {
+        let Some(centre) = self.centre else { return Duration::ZERO };
+        let centre = from_ln(centre);
+        let ratio = elapsed.as_secs_f32() / centre.as_secs_f32();
+        centre.mul_f32(self.table.mean_left(ratio).max(0.0))
+    }
+
+    /// What is kept of the prediction until the run ends.
+    pub fn basis(&self, slowness: f32) -> Option<RunBasis> {
+        let centre = self.centre?;
+        let limits = CALIBRATED_QUANTILES.map(|quantile| self.quantile(quantile));
+        Some(RunBasis { centre, begun: self.begun, slowness, limits })
+    }
+}
+
+/// What was predicted for a run at its start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunBasis {
+    centre: f32,
+    begun: bool,
+    /// Slowness of the worker, as a natural logarithm.
+    pub slowness: f32,
+    limits: [Duration; 2],
+}
+
+/// How many finished runs ended within and beyond each of the [`CALIBRATED_QUANTILES`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PredictionCounts {
+    /// Runs that ended within the quantile.
+    pub within: [u64; 2],
+    /// Runs that took longer.
+    pub beyond: [u64; 2],
+}
+
+impl PredictionCounts {
+    fn count(&mut self, basis: &RunBasis, took: Duration) {
+        for (index, limit) in basis.limits.iter().enumerate() {
+            let counts = if took <= *limit { &mut self.within } else { &mut self.beyond };
+            counts[index] += 1;
+        }
+    }
+
+    /// Share of the runs that ended within each quantile; `None` without runs.
+    pub fn shares(&self) -> Option<[f64; 2]> {
+        let total = self.within[0] + self.beyond[0];
+        (total > 0).then(|| self.within.map(|within| within as f64 / total as f64))
+    }
+
+    /// What was counted since `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        let less = |now: [u64; 2], then: [u64; 2]| [now[0] - then[0], now[1] - then[1]];
+        PredictionCounts {
+            within: less(self.within, earlier.within),
+            beyond: less(self.beyond, earlier.beyond),
+        }
+    }
+
+    /// The sum of two counts.
+    pub fn plus(self, other: Self) -> Self {
+        let sum = |one: [u64; 2], two: [u64; 2]| [one[0] + two[0], one[1] + two[1]];
+        PredictionCounts {
+            within: sum(self.within, other.within),
+            beyond: sum(self.beyond, other.beyond),
+        }
+    }
+}
+
+/// A histogram with its table.
+#[derive(Clone, Debug)]
+struct Ratios {
+    histogram: RatioHistogram,
+    table: RatioTable,
+}
+
+impl Ratios {
+    fn new(histogram: RatioHistogram, prior: &RatioTable) -> Self {
+        let table = histogram.table(prior);
+        Ratios { histogram, table }
+    }
+
+    fn observe(&mut self, log: f32, complete: bool, prior: &RatioTable) {
+        if complete {
+            self.histogram.observe(log);
+        } else {
+            self.histogram.observe_beyond(log, &self.table);
+        }
+        self.table = self.histogram.table(prior);
+    }
+}
+
+/// Distributions by whether some task of the step has ended.
+#[derive(Clone, Copy)]
+struct Priors<'a> {
+    fresh: &'a RatioTable,
+    begun: &'a RatioTable,
+}
+
+/// What was learned of some steps.
+#[derive(Clone, Debug)]
+struct Learned {
+    regression: Regression,
+    fresh: Ratios,
+    begun: Ratios,
+    /// Number of the last observation.
+    observed: u64,
+}
+
+impl Learned {
+    fn restore(state: &ShapeState, priors: Priors<'_>, observed: u64) -> Self {
+        Learned {
+            regression: Regression::restore(&state.regression),
+            fresh: Ratios::new(RatioHistogram::restore(&state.fresh), priors.fresh),
+            begun: Ratios::new(RatioHistogram::restore(&state.begun), priors.begun),
+            observed,
+        }
+    }
+
+    fn state(&self) -> ShapeState {
+        ShapeState {
+            regression: self.regression.state(),
+            fresh: self.fresh.histogram.state(),
+            begun: self.begun.histogram.state(),
+        }
+    }
+
+    fn priors(&self) -> Priors<'_> {
+        Priors { fresh: &self.fresh.table, begun: &self.begun.table }
+    }
+
+    fn ratios(&self, begun: bool) -> &Ratios {
+        if begun { &self.begun } else { &self.fresh }
+    }
+
+    fn observe(&mut self, run: &Observation, priors: Priors<'_>) {
+        self.regression.observe(run.estimate, run.length, run.weight);
+        let (ratios, prior) = if run.begun {
+            (&mut self.begun, priors.begun)
+        } else {
+            (&mut self.fresh, priors.fresh)
+        };
+        ratios.observe(run.ratio, run.complete, prior);
+        self.observed = run.number;
+    }
+}
+
+/// An ended run, in natural logarithms.
+struct Observation {
+    number: u64,
+    estimate: Duration,
+    /// Run time on a worker of average speed.
+    length: f32,
+    /// Weight of `length`.
+    weight: f32,
+    /// Ratio to the expected run time.
+    ratio: f32,
+    begun: bool,
+    /// The task is done; otherwise it would have taken longer.
+    complete: bool,
+}
+
+/// What was learned of a queue.
+#[derive(Clone, Debug)]
+struct QueueModel {
+    all: Learned,
+    shapes: Vec<(ShapeKey, Learned)>,
+    counts: PredictionCounts,
+}
+
+impl QueueModel {
+    fn restore(state: &QueueState, priors: Priors<'_>, observed: u64) -> Self {
+        let all = Learned::restore(&state.all, priors, observed);
+        let mut shapes: Vec<(ShapeKey, Learned)> = Vec::new();
+        for (key, shape) in state.shapes.iter().take(MAX_SHAPES) {
+            if shapes.iter().all(|(known, _)| known != key) {
+                shapes.push((*key, Learned::restore(shape, all.priors(), observed)));
+            }
+        }
+        QueueModel { all, shapes, counts: PredictionCounts::default() }
+    }
+
+    fn shape(&self, demand: Resources) -> Option<&Learned> {
+        let key = ShapeKey::from(demand);
+        self.shapes.iter().find(|(known, _)| *known == key).map(|(_, learned)| learned)
+    }
+
+    fn observe(&mut self, demand: Resources, run: &Observation, priors: Priors<'_>) {
+        self.all.observe(run, priors);
+        let (priors, shapes) = (self.all.priors(), &mut self.shapes);
+        let index = shape_index(shapes, ShapeKey::from(demand), priors);
+        shapes[index].1.observe(run, priors);
+    }
+}
+
+/// Index of a shape, which is added if it isn't known: in place of the one that was observed longest ago if there are too many.
+fn shape_index(shapes: &mut Vec<(ShapeKey, Learned)>, key: ShapeKey, priors: Priors<'_>) -> usize {
+    if let Some(index) = shapes.iter().position(|(known, _)| *known == key) {
+        return index;
+    }
+    if shapes.len() >= MAX_SHAPES {
+        let oldest = (0..shapes.len()).min_by_key(|index| shapes[*index].1.observed);
+        shapes.swap_remove(oldest.unwrap_or(0));
+    }
+    shapes.push((key, Learned::restore(&ShapeState::default(), priors, 0)));
+    shapes.len() - 1
+}
+
+/// Run times learned by one owner.
+#[derive(Clone, Debug)]
+pub struct RunTimeModel {
+    queues: HashMap<CompactString, QueueModel>,
+    fresh_prior: RatioTable,
+    begun_prior: RatioTable,
+    /// Number of the last observation.
+    observations: u64,
+    /// Counts of queues that were dropped.
+    dropped: PredictionCounts,
+}
+
+impl Default for RunTimeModel {
+    fn default() -> Self {
+        RunTimeModel {
+            queues: HashMap::new(),
+            fresh_prior: RatioTable::log_normal(FRESH_DEVIATION),
+            begun_prior: RatioTable::log_normal(BEGUN_DEVIATION),
+            observations: 0,
+            dropped: PredictionCounts::default(),
+        }
+    }
+}
+
+impl RunTimeModel {
+    /// Restores a recorded model. Values that aren't valid count as unknown or are limited.
+    pub fn restore(state: &RunTimes) -> Self {
+        let mut model = RunTimeModel::default();
+        let valid = |queue: &&QueueState| queue.name.len() <= MAX_QUEUE_NAME;
+        for queue in state.queues.iter().filter(valid).take(MAX_QUEUES) {
+            if !model.queues.contains_key(&queue.name) {
+                let restored = QueueModel::restore(queue, model.priors(), 0);
+                model.queues.insert(queue.name.clone(), restored);
+            }
+        }
+        model
+    }
+
+    /// The state to be recorded.
+    pub fn state(&self) -> RunTimes {
+        let mut queues: Vec<_> = self.queues.iter().collect();
+        queues.retain(|(name, _)| name.len() <= MAX_QUEUE_NAME);
+        queues.sort_by_key(|(name, queue)| (std::cmp::Reverse(queue.all.observed), *name));
+        let to_state = |(name, queue): (&CompactString, &QueueModel)| {
+            let mut shapes: Vec<_> = queue.shapes.iter().collect();
+            shapes.sort_by_key(|(_, learned)| std::cmp::Reverse(learned.observed));
+            let shapes = shapes.into_iter().map(|(key, learned)| (*key, learned.state()));
+            QueueState { name: name.clone(), all: queue.all.state(), shapes: shapes.collect() }
+        };
+        RunTimes { queues: queues.into_iter().map(to_state).collect() }
+    }
+
+    /// Number of runs learned from since the model was made.
+    pub fn observations(&self) -> u64 {
+        self.observations
+    }
+
+    fn priors(&self) -> Priors<'_> {
+        Priors { fresh: &self.fresh_prior, begun: &self.begun_prior }
+    }
+
+    /// Expected run time before any task of the step has ended, in natural logarithms of seconds; `None` if nothing is known.
+    fn expected_log(&self, step: &StepKind<'_>) -> Option<f32> {
+        let prior = bare_estimate(step.estimate);
+        let Some(queue) = self.queues.get(step.queue) else { return prior };
+        let expected = queue.all.regression.predict(step.estimate, prior);
+        match queue.shape(step.demand) {
+            Some(shape) => shape.regression.predict(step.estimate, expected),
+            None => expected,
+        }
+    }
+
+    /// Expected run time by the estimate and the shape of the step; ended tasks of the step aren't considered.
+    pub fn expected(&self, step: &StepKind<'_>) -> Duration {
+        self.expected_log(step).map_or(Duration::ZERO, from_ln)
+    }
+
+    fn table(&self, step: &StepKind<'_>, begun: bool) -> &RatioTable {
+        let Some(queue) = self.queues.get(step.queue) else {
+            return if begun { &self.begun_prior } else { &self.fresh_prior };
+        };
+        &queue.shape(step.demand).unwrap_or(&queue.all).ratios(begun).table
+    }
+
+    /// Predicted distribution of the run time of a task of the step.
+    pub fn predict(&self, step: &StepKind<'_>) -> Prediction<'_> {
+        let Siblings { runs, log_sum } = step.siblings;
+        let begun = runs > 0;
+        let expected = self.expected_log(step);
+        let centre = if begun {
+            let prior = expected.map_or(0.0, |_| STEP_PRIOR_WEIGHT);
+            let sum = log_sum + expected.unwrap_or(0.0) * prior;
+            Some(sum / (runs as f32 + prior))
+        } else {
+            expected
+        };
+        Prediction { centre, begun, table: self.table(step, begun) }
+    }
+
+    /// The prediction from the estimate alone, with the spread that is assumed without observations.
+    pub fn predict_unlearned(&self, estimate: Duration) -> Prediction<'_> {
+        let centre = bare_estimate(estimate);
+        Prediction { centre, begun: false, table: &self.fresh_prior }
+    }
+
+    /// Ratio of the longest of `count` tasks of a step to the mean: the median of the longest. The tasks share the factor
+    /// by which the estimate of their step is wrong, so it is that of steps of which some tasks have ended.
+    pub fn longest_ratio(&self, step: &StepKind<'_>, count: u32) -> f32 {
+        longest_ratio(self.table(step, true), count)
+    }
+
+    /// The same without observations.
+    pub fn unlearned_longest_ratio(&self, count: u32) -> f32 {
+        longest_ratio(&self.begun_prior, count)
+    }
+
+    /// Learns from a finished run, and counts whether it ended within the predicted quantiles.
+    pub fn observe(&mut self, step: &StepKind<'_>, basis: &RunBasis, took: Duration) {
+        let actual = ln_seconds(took);
+        self.learn(step, basis, |_| (actual - basis.slowness, 1.0), actual, true);
+        if let Some(queue) = self.queues.get_mut(step.queue) {
+            queue.counts.count(basis, took);
+        }
+    }
+
+    /// Learns from a run that was given up after `elapsed`: its task would have taken at least that long. It counts for the
+    /// mean as far as most runs would have ended by then, with the time that it is expected to take in all.
+    pub fn observe_unfinished(&mut self, step: &StepKind<'_>, basis: &RunBasis, elapsed: Duration) {
+        let log = ln_seconds(elapsed);
+        let length = |table: &RatioTable| {
+            let ratio = (log - basis.centre).exp();
+            let whole = ratio + table.mean_left(ratio);
+            let length = basis.centre - basis.slowness + whole.max(f32::MIN_POSITIVE).ln();
+            (length, table.share_within(log - basis.centre).clamp(0.0, 1.0))
+        };
+        self.learn(step, basis, length, log, false);
+    }
+
+    fn learn<F>(
+        &mut self,
+        step: &StepKind<'_>,
+        basis: &RunBasis,
+        length: F,
+        log: f32,
+        complete: bool,
+    ) where
+        F: Fn(&RatioTable) -> (f32, f32),
+    {
+        let (length, weight) = length(self.table(step, basis.begun));
+        self.observations += 1;
+        let run = Observation {
+            number: self.observations,
+            estimate: step.estimate,
+            length,
+            weight,
+            ratio: log - basis.centre,
+            begun: basis.begun,
+            complete,
+        };
+        if !self.queues.contains_key(step.queue) {
+            self.add_queue(step.queue);
+        }
+        let priors = Priors { fresh: &self.fresh_prior, begun: &self.begun_prior };
+        if let Some(queue) = self.queues.get_mut(step.queue) {
+            queue.observe(step.demand, &run, priors);
+        }
+    }
+
+    /// Adds a queue, in place of the one that was observed longest ago if there are too many.
+    fn add_queue(&mut self, name: &str) {
+        if self.queues.len() >= MAX_QUEUES {
+            let oldest = self.queues.iter().min_by_key(|(name, queue)| (queue.all.observed, *name));
+            if let Some(name) = oldest.map(|(name, _)| name.clone())
+                && let Some(queue) = self.queues.remove(&name)
+            {
+                self.dropped = self.dropped.plus(queue.counts);
+            }
+        }
+        let queue = QueueModel::restore(&QueueState::default(), self.priors(), 0);
+        self.queues.insert(name.into(), queue);
+    }
+
+    /// Counts of finished runs by queue.
+    pub fn counts(&self) -> impl Iterator<Item = (&CompactString, &PredictionCounts)> {
+        self.queues.iter().map(|(name, queue)| (name, &queue.counts))
+    }
+
+    /// Counts of finished runs of all queues.
+    pub fn total_counts(&self) -> PredictionCounts {
+        self.counts().fold(self.dropped, |sum, (_, counts)| sum.plus(*counts))
+    }
+}
+
+fn longest_ratio(table: &RatioTable, count: u32) -> f32 {
+    table.quantile(0.5_f32.powf(1.0 / count.max(1) as f32)).max(1.0)
+}
