Predict run times with the learned model, and record it

Cause: the estimator of the scheduler gave means only, knew a fixed spread, took a run that had outlasted its mean for one that ends at once, and was lost at every change of the owner.

Change: expected_run_time, remaining_run_time and the longest task of a step come from cj_sched::run_times; run_time_quantile is new; hang detection uses the median in place of the estimate. Runs are judged by what was predicted when they were placed, and runs that failed, were stopped or were lost count as right-censored; runs stopped because they hung aren't counted. The speed of a worker is learned apart from the length of tasks. The record `run-times` is added to a batch that is written anyway, at most every 2 s; a new owner starts from it. A log line per queue every 5 s tells how well predictions held.

--- a/crates/cj-sched/src/job_index.rs
+++ b/crates/cj-sched/src/job_index.rs
@@ -14,6 +14,7 @@
     account::Access,
     job::JobKey,
     record::{Outcome, OwnerHeartbeat, Progress, Record, RecordKey, Submission, WaveProgress},
+    run_times::RunTimes,
 };
 
 /// Number of overflow logs.
@@ -188,6 +189,8 @@
     open: BTreeSet<JobKey>,
     waves: HashMap<u64, WaveProgress>,
     owner: Option<Owner>,
+    /// Learned run times, with the offset of their record.
+    run_times: Option<(u64, Rc<RunTimes>)>,
     ownership_starts: [OwnershipStart; OVERFLOW_LOGS as usize],
 }
 
@@ -220,6 +223,14 @@
                 Log::Jobs => self.update_owner(offset, heartbeat),
                 Log::Overflow(number) => self.set_ownership_start(number, offset, heartbeat.epoch),
             },
+            Record::RunTimes(mut run_times) => {
+                let known = self.run_times.as_ref();
+                if log == Log::Jobs && known.is_none_or(|(known, _)| *known <= offset) {
+                    run_times.truncate();
+                    self.run_times = Some((offset, Rc::new(run_times)));
+                }
+                Change::Unchanged
+            }
             Record::Drop(RecordKey::Submission(job)) => {
                 self.remove_job(log, job);
                 Change::Unchanged
@@ -367,6 +378,11 @@
         self.waves.get(&number).cloned().unwrap_or_default()
     }
 
+    /// The latest record of learned run times.
+    pub fn run_times(&self) -> Option<&RunTimes> {
+        self.run_times.as_ref().map(|(_, run_times)| &**run_times)
+    }
+
     /// Number of accepted jobs of a queue that are still queued: none of their tasks has started.
     pub fn queued_jobs(&self, queue: &str) -> usize {
         let waits = |entry: &&JobEntry| {
--- a/crates/cj-sched/src/record.rs
+++ b/crates/cj-sched/src/record.rs
@@ -7,7 +7,10 @@
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
-use crate::job::{JobKey, JobSpec};
+use crate::{
+    job::{JobKey, JobSpec},
+    run_times::RunTimes,
+};
 
 /// Key under which a record is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -22,6 +25,8 @@
     Wave(u64),
     /// The heartbeat of the owner.
     Owner,
+    /// Learned run times.
+    RunTimes,
 }
 
 impl fmt::Display for RecordKey {
@@ -32,6 +37,7 @@
             RecordKey::Cancel(job) => write!(f, "c{job}"),
             RecordKey::Wave(number) => write!(f, "w{number}"),
             RecordKey::Owner => f.write_str("owner"),
+            RecordKey::RunTimes => f.write_str("run-times"),
         }
     }
 }
@@ -41,8 +47,10 @@
 
     fn from_str(text: &str) -> Result<Self> {
         let invalid = || Error::decode("record key", text);
-        if text == "owner" {
-            return Ok(RecordKey::Owner);
+        match text {
+            "owner" => return Ok(RecordKey::Owner),
+            "run-times" => return Ok(RecordKey::RunTimes),
+            _ => {}
         }
         let (kind, rest) = text.split_at_checked(1).ok_or_else(invalid)?;
         match kind {
@@ -200,6 +208,8 @@
     Wave(u64, WaveProgress),
     /// Heartbeat of the owner.
     Owner(OwnerHeartbeat),
+    /// Learned run times.
+    RunTimes(RunTimes),
     /// The record of the key is dropped.
     Drop(RecordKey),
 }
@@ -213,6 +223,7 @@
             Record::Cancel(job, _) => RecordKey::Cancel(*job),
             Record::Wave(number, _) => RecordKey::Wave(*number),
             Record::Owner(_) => RecordKey::Owner,
+            Record::RunTimes(_) => RecordKey::RunTimes,
             Record::Drop(key) => *key,
         }
     }
--- a/crates/cj-sched/src/run_times/regression.rs
+++ b/crates/cj-sched/src/run_times/regression.rs
@@ -22,6 +22,9 @@
 /// Range of run times, in natural logarithms of seconds: 18 ms to 45 hours.
 const LOG_RANGE: (f32, f32) = (-4.0, 12.0);
 
+/// The longest run time in whole seconds.
+const LONGEST_SECONDS: u64 = 162_754;
+
 /// An estimate counts as at most this many standard deviations from the mean, and [`MIN_DEVIATION`] more, so that single absurd
 /// estimates spoil neither their own predictions nor those of others.
 const MAX_DEVIATIONS: f32 = 3.0;
@@ -48,6 +51,11 @@
     Duration::from_secs_f32(log.clamp(LOG_RANGE.0, LOG_RANGE.1).exp())
 }
 
+/// Longest run time that is predicted.
+pub(super) fn longest_time() -> Duration {
+    Duration::from_secs(LONGEST_SECONDS)
+}
+
 /// Linear regression of the run times on the estimates, in natural logarithms of seconds.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Regression(RegressionState);
--- a/crates/cj-sched/src/run_times/state.rs
+++ b/crates/cj-sched/src/run_times/state.rs
@@ -25,6 +25,21 @@
     pub queues: Vec<QueueState>,
 }
 
+impl RunTimes {
+    /// Removes what is beyond the limits, so that nodes don't hold an oversized record.
+    pub fn truncate(&mut self) {
+        self.queues.retain(|queue| queue.name.len() <= MAX_QUEUE_NAME);
+        self.queues.truncate(MAX_QUEUES);
+        self.queues.shrink_to_fit();
+        for queue in &mut self.queues {
+            queue.shapes.truncate(MAX_SHAPES);
+            queue.shapes.shrink_to_fit();
+            queue.all.truncate();
+            queue.shapes.iter_mut().for_each(|(_, shape)| shape.truncate());
+        }
+    }
+}
+
 /// Learned run times of a queue.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct QueueState {
@@ -67,6 +82,16 @@
     pub begun: RatioState,
 }
 
+impl ShapeState {
+    fn truncate(&mut self) {
+        for ratios in [&mut self.fresh, &mut self.begun] {
+            if ratios.bins.len() > BINS {
+                *ratios = RatioState::default();
+            }
+        }
+    }
+}
+
 /// Regression of run times on estimates, both in natural logarithms of seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RegressionState {
--- a/crates/cj-sched/src/sched/commands.rs
+++ b/crates/cj-sched/src/sched/commands.rs
@@ -20,7 +20,7 @@
     },
 };
 
-/// A finite task counts as hung after this multiple of its estimate at the earliest.
+/// A finite task counts as hung after this multiple of the median run time of its step at the earliest.
 const HANG_FACTOR: u32 = 3;
 
 impl Scheduler {
@@ -54,6 +54,8 @@
             pace: 100,
             settled: false,
             crashed: false,
+            hung: false,
+            basis: self.predict_run(at, worker),
         };
         self.assign(at, placement);
         self.send_start(at);
@@ -404,7 +406,11 @@
         for (key, at) in hanging {
             let id = self.jobs[at.job].task_id(at);
             info!(target: "decision", "task={id} worker={} choice=restart reason=hang", self.workers[key].id);
-            self.task_mut(at).avoid = Some(key);
+            let task = self.task_mut(at);
+            task.avoid = Some(key);
+            if let Some(placement) = task.placement_mut() {
+                placement.hung = true;
+            }
             self.quarantine(key);
             self.stop_run(at);
         }
@@ -418,8 +424,10 @@
         if spec.long_running || spec.gang || placement.stage != Stage::Running {
             return false;
         }
-        let limit = HANG_TIMEOUT.max(spec.estimate * HANG_FACTOR);
-        answered_at.saturating_duration_since(placement.progress_at) > limit
+        let stalled = answered_at.saturating_duration_since(placement.progress_at);
+        let job = &self.jobs[at.job];
+        let median = || self.run_time_quantile(job, at.step, job.step(at), 0.5);
+        stalled > HANG_TIMEOUT && stalled > median() * HANG_FACTOR
     }
 
     /// Gives up ownership and sends no more commands.
--- a/crates/cj-sched/src/sched/estimate.rs
+++ b/crates/cj-sched/src/sched/estimate.rs
@@ -1,79 +1,21 @@
-//! Learns how long the tasks of a queue take, from their estimates and their run times.
+//! Estimates how long tasks, steps and jobs take, from the learned run times of their queues.
 //!
-//! Estimates are far off, each step of a job by a factor of its own, and the run times of a queue lie closer together than
-//! its estimates. So an estimate counts only as far as estimates predicted the run times of earlier steps. Once a task of a
-//! step has ended, its run time says more about the others than any estimate.
+//! Once a task of a step has ended, its run time says more about the others than any estimate.
 
-use std::time::Duration;
+use std::{cell::OnceCell, time::Duration};
 
 use cj_types::UnixMillis;
 
-use crate::sched::{
-    scheduler::Scheduler,
-    step::Step,
-    work::{Job, Placement, Stage, TaskRef},
+use crate::{
+    run_times::Prediction,
+    sched::{
+        learn::step_kind,
+        scheduler::Scheduler,
+        step::Step,
+        work::{Job, Placement, Stage, TaskRef},
+    },
 };
 
-/// Weight of the bare estimates, as a number of observations: after this many, the learned values count as much.
-const PRIOR_WEIGHT: f32 = 8.0;
-
-/// Weight of a new observation once many were made: about the last hundred count.
-const MIN_GAIN: f32 = 0.01;
-
-/// Shorter times count as this many seconds.
-const MIN_SECONDS: f32 = 0.02;
-
-/// Linear regression of the run times of a queue on their estimates, in natural logarithms of seconds.
-#[derive(Clone, Debug, Default)]
-pub(super) struct RunTimeEstimator {
-    count: f32,
-    /// Means of the estimates and of the run times.
-    mean_estimate: f32,
-    mean_actual: f32,
-    /// Variance of the estimates, and their covariance with the run times.
-    variance: f32,
-    covariance: f32,
-}
-
-fn ln_seconds(time: Duration) -> f32 {
-    time.as_secs_f32().max(MIN_SECONDS).ln()
-}
-
-impl RunTimeEstimator {
-    /// Learns from a task that was estimated to take `estimate` and took `actual`.
-    pub(super) fn observe(&mut self, estimate: Duration, actual: Duration) {
-        self.count += 1.0;
-        let gain = MIN_GAIN.max(1.0 / self.count);
-        let (x, y) = (ln_seconds(estimate), ln_seconds(actual));
-        let (dx, dy) = (x - self.mean_estimate, y - self.mean_actual);
-        self.mean_estimate += gain * dx;
-        self.mean_actual += gain * dy;
-        self.variance += gain * (dx * (x - self.mean_estimate) - self.variance);
-        self.covariance += gain * (dx * (y - self.mean_actual) - self.covariance);
-    }
-
-    /// Expected run time of a task with this estimate.
-    pub(super) fn predict(&self, estimate: Duration) -> Duration {
-        if self.count < 1.0 {
-            return estimate;
-        }
-        let trust = self.count / (self.count + PRIOR_WEIGHT);
-        let slope = (self.covariance / self.variance.max(0.01)).clamp(0.0, 1.0);
-        let slope = 1.0 + trust * (slope - 1.0);
-        let shift = trust * (self.mean_actual - self.mean_estimate);
-        let log = self.mean_estimate + shift + slope * (ln_seconds(estimate) - self.mean_estimate);
-        Duration::from_secs_f32(log.clamp(-4.0, 12.0).exp())
-    }
-}
-
-/// Expected run time of the longest of `count` tasks that take `mean` on average.
-pub(super) fn longest_of(mean: Duration, count: u32) -> Duration {
-    mean.mul_f32(1.0 + SPREAD * (count.max(1) as f32).ln().sqrt())
-}
-
-/// Spread of the run times in a step: the longest of `n` tasks takes `1 + SPREAD * sqrt(ln n)` times the mean.
-const SPREAD: f32 = 0.35;
-
 /// The estimate of an occurrence with at most this many steps is made anew each time.
 const MAX_FRESH_STEPS: usize = 32;
 
@@ -92,52 +34,89 @@
 impl Scheduler {
     /// Expected run time of a task of a step.
     pub(super) fn expected_run_time(&self, job: &Job, step: u32, state: &Step) -> Duration {
-        let estimate = job.step_spec(step).estimate;
+        let kind = step_kind(job, step, state);
         if !self.policies.learn {
-            return estimate;
+            return kind.estimate;
         }
-        let estimator = self.estimators.get(&job.submission.queue);
-        let predicted = estimator.map_or(estimate, |estimator| estimator.predict(estimate));
-        (state.total_time + predicted) / (state.completed_runs + 1)
+        (state.total_time + self.learning.model.expected(&kind)) / (state.ended.runs + 1)
+    }
+
+    /// Time that this share of the runs of tasks of a step doesn't exceed.
+    pub(super) fn run_time_quantile(
+        &self,
+        job: &Job,
+        step: u32,
+        state: &Step,
+        quantile: f32,
+    ) -> Duration {
+        self.predict(job, step, state).quantile(quantile)
+    }
+
+    /// Expected run time of the longest of `count` tasks of a step that take `mean` on average.
+    fn longest_of(
+        &self,
+        job: &Job,
+        step: u32,
+        state: &Step,
+        mean: Duration,
+        count: u32,
+    ) -> Duration {
+        let model = &self.learning.model;
+        let ratio = match self.policies.learn {
+            true => model.longest_ratio(&step_kind(job, step, state), count),
+            false => model.unlearned_longest_ratio(count),
+        };
+        mean.mul_f32(ratio)
     }
 
-    /// Expected time until a run ends, from its progress so far, or else from the expected run time of its step.
+    /// Expected time until a run ends: from its progress so far, or else from the run times of its step and the time that it has
+    /// taken.
     pub(super) fn remaining_run_time(&self, at: TaskRef, placed: &Placement) -> Duration {
         let job = &self.jobs[at.job];
         let state = job.step(at);
-        self.remaining_of_run(placed, || self.expected_run_time(job, at.step, state))
+        let prediction = || self.predict(job, at.step, state);
+        self.remaining_of_run(placed, || self.expected_run_time(job, at.step, state), prediction)
     }
 
-    fn remaining_of_run<F>(&self, placed: &Placement, expected: F) -> Duration
+    fn remaining_of_run<'a, F, G>(&self, placed: &Placement, expected: F, prediction: G) -> Duration
     where
         F: Fn() -> Duration,
+        G: Fn() -> Prediction<'a>,
     {
-        let now = self.now.mono;
+        let elapsed = self.now.mono.saturating_duration_since(placed.progress_at);
         let open_percent = f32::from(100 - placed.percent.min(100));
         let (from, since) = placed.first_progress.unwrap_or((placed.percent, placed.progress_at));
         let gained = placed.percent.saturating_sub(from);
-        let whole = if gained > 0 {
+        if gained > 0 {
             let took = placed.progress_at.saturating_duration_since(since);
-            took.mul_f32(open_percent / f32::from(gained))
-        } else {
-            expected().mul_f32(open_percent / 100.0)
-        };
-        whole.saturating_sub(now.saturating_duration_since(placed.progress_at))
+            return took.mul_f32(open_percent / f32::from(gained)).saturating_sub(elapsed);
+        }
+        let open = expected().mul_f32(open_percent / 100.0);
+        if !self.policies.learn {
+            return open.saturating_sub(elapsed);
+        }
+        let slowness = self.relative_slowness(placed.worker).exp();
+        prediction().remaining(open.mul_f32(slowness), elapsed)
     }
 
     /// Expected time of the remaining work of a step.
     fn remaining_of_step(&self, job: &Job, number: u32, step: &Step) -> Duration {
         let expected = self.expected_run_time(job, number, step);
+        let prediction = OnceCell::new();
         let mut running = Duration::ZERO;
         for placed in step.placed_tasks().filter_map(|task| task.placement()) {
+            let predict = || *prediction.get_or_init(|| self.predict(job, number, step));
             let remaining = match placed.stage {
-                Stage::Running => self.remaining_of_run(placed, || expected),
+                Stage::Running => self.remaining_of_run(placed, || expected, predict),
                 _ => expected,
             };
             running = running.max(remaining);
         }
         let idle = step.idle.len() as u32;
-        if idle == 0 { running } else { running.max(longest_of(expected, idle)) }
+        match idle {
+            0 => running,
+            _ => running.max(self.longest_of(job, number, step, expected, idle)),
+        }
     }
 
     /// Estimates the remaining time and the deadline of an occurrence of a job. The estimate of a large occurrence is kept
@@ -164,7 +143,8 @@
         let remaining =
             spec.critical_path_by(|n, _| self.remaining_of_step(job, n as u32, &steps[n]));
         let whole = spec.critical_path_by(|n, step| {
-            longest_of(self.expected_run_time(job, n as u32, &steps[n]), step.count)
+            let mean = self.expected_run_time(job, n as u32, &steps[n]);
+            self.longest_of(job, n as u32, &steps[n], mean, step.count)
         });
         let queue = self.config.queue(&job.submission.queue);
         let objective = queue.map_or(job.submission.objective, |queue| {
--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -213,6 +213,7 @@
     /// Records that a run ended without a listed end; its task becomes idle.
     pub(super) fn mark_lost(&mut self, at: TaskRef, evidence: RunEvidence) {
         self.log_loss(at, evidence);
+        self.learn_lost(at);
         self.remember_start(at, self.charge_of(at));
         self.task_mut(at).lost_at = Some(self.now.mono);
         self.release(at);
--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -295,6 +295,8 @@
             // It was started before the earlier owner was replaced.
             settled: self.task(at).crashed_runs.is_empty(),
             crashed: false,
+            hung: false,
+            basis: None,
         };
         self.task_mut(at).checkpoint = row.checkpoint;
         self.assign(at, placement);
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -13,6 +13,7 @@
 mod evidence;
 mod forecast;
 mod late_start;
+mod learn;
 mod leases;
 mod ledger;
 mod listing;
--- a/crates/cj-sched/src/sched/persist.rs
+++ b/crates/cj-sched/src/sched/persist.rs
@@ -123,6 +123,7 @@
         if records.is_empty() {
             return;
         }
+        records.extend(self.run_times_record());
         self.write.number += 1;
         let covered = |(key, worker): (WorkerKey, &super::worker::Worker)| {
             (worker.ends_processed > worker.ends_durable).then_some((
--- a/crates/cj-sched/src/sched/run_end.rs
+++ b/crates/cj-sched/src/sched/run_end.rs
@@ -1,7 +1,5 @@
 //! Ends of runs that workers report, and what they tell about the workers.
 
-use std::time::Duration;
-
 use log::info;
 
 use crate::sched::{
@@ -51,15 +49,14 @@
         if spec.long_running {
             return;
         }
+        if kind != EndKind::Done {
+            self.learn_stopped(at, placement);
+        }
         match kind {
             EndKind::Done => {
                 self.workers[key].failures = 0;
                 if !placement.resumed {
-                    self.observe_run_time(
-                        key,
-                        at,
-                        self.now.mono.saturating_duration_since(placement.started_at),
-                    );
+                    self.observe_run_time(key, at, placement);
                 }
             }
             EndKind::Failed => {
@@ -73,16 +70,13 @@
     }
 
     /// Updates the run time statistics of the worker, the queue and the step from a whole run of a task.
-    fn observe_run_time(&mut self, key: WorkerKey, at: TaskRef, took: Duration) {
+    fn observe_run_time(&mut self, key: WorkerKey, at: TaskRef, placement: &Placement) {
+        let took = self.now.mono.saturating_duration_since(placement.started_at);
         let job = &self.jobs[at.job];
-        let (queue, estimate) = (job.submission.queue.clone(), job.step_spec(at.step).estimate);
-        let step = job.step(at);
-        let expected = self.expected_run_time(job, at.step, step);
+        let expected = self.expected_run_time(job, at.step, job.step(at));
         self.workers[key].observe(took, expected);
-        self.estimators.entry(queue).or_default().observe(estimate, took);
-        let step = self.jobs[at.job].step_mut(at);
-        step.completed_runs += 1;
-        step.total_time += took;
+        self.learn_finished(key, at, placement, took);
+        self.jobs[at.job].step_mut(at).total_time += took;
     }
 
     pub(super) fn quarantine(&mut self, key: WorkerKey) {
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -8,7 +8,6 @@
 };
 
 use cj_types::{Resources, ServiceId, UnixMillis, VmId};
-use compact_str::CompactString;
 use log::info;
 use slotmap::SlotMap;
 
@@ -21,10 +20,10 @@
         advice::AdviceCalls,
         call_history::DepartedWorkers,
         crash::UnexplainedCrashes,
-        estimate::RunTimeEstimator,
         event::{Action, Event, VmRow, WorkerId},
         evidence::VmShutdown,
         late_start::UnansweredStart,
+        learn::Learning,
         ledger::Ledger,
         ownership::OwnershipLease,
         policy::Policies,
@@ -85,8 +84,8 @@
     pub(super) policies: Policies,
     /// Lost runs whose start command may still reach a later incarnation of the worker.
     pub(super) unanswered_starts: Vec<UnansweredStart>,
-    /// Estimators of run times by queue.
-    pub(super) estimators: HashMap<CompactString, RunTimeEstimator>,
+    /// What was learned of run times.
+    pub(super) learning: Learning,
     /// What each account has running.
     pub(super) ledger: Ledger,
     /// Most that runs of earlier owners can use on workers that weren't listed yet, at the last placement pass.
@@ -146,7 +145,7 @@
             logged_lease: "sole_owner",
             policies: Policies::default(),
             unanswered_starts: Vec::new(),
-            estimators: HashMap::new(),
+            learning: Learning::restore(index.run_times()),
             ledger: Ledger::default(),
             unlisted: Resources::default(),
             submissions_read: false,
@@ -241,6 +240,7 @@
             self.ended_jobs = HashMap::new();
         }
         self.refund_late_starts();
+        self.log_run_times();
     }
 
     fn add_job(
--- a/crates/cj-sched/src/sched/step.rs
+++ b/crates/cj-sched/src/sched/step.rs
@@ -8,6 +8,7 @@
 use crate::{
     job::StepSpec,
     record::{Failures, StepProgress},
+    run_times::Siblings,
     sched::{
         tickets::Tickets,
         work::{Phase, Task},
@@ -24,7 +25,7 @@
     /// Indexes of the placed tasks.
     pub(super) placed: BTreeSet<u32>,
     /// Completed runs that took the whole time of a task, without resuming from a checkpoint.
-    pub(super) completed_runs: u32,
+    pub(super) ended: Siblings,
     /// Total duration of these runs.
     pub(super) total_time: Duration,
     pub(super) tickets: Tickets,
@@ -37,7 +38,7 @@
             tasks: (0..spec.count).map(|_| Task::new(now)).collect(),
             idle: (0..spec.count).collect(),
             placed: BTreeSet::new(),
-            completed_runs: 0,
+            ended: Siblings::default(),
             total_time: Duration::ZERO,
             tickets: Tickets::default(),
         };
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -14,6 +14,7 @@
 use crate::{
     job::{JobKey, JobSpec, StepSpec, TaskId},
     record::{CrashedRuns, Outcome, Progress, Submission},
+    run_times::RunBasis,
     sched::{
         estimate::TimeEstimate,
         ledger::AccountSlot,
@@ -99,6 +100,10 @@
     pub(super) settled: bool,
     /// The worker crashed under it.
     pub(super) crashed: bool,
+    /// It was stopped because it made no progress.
+    pub(super) hung: bool,
+    /// What was predicted for it when it was placed; `None` for long-running tasks, and where that isn't known.
+    pub(super) basis: Option<RunBasis>,
 }
 
 /// Phase of a task.
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -14,6 +14,7 @@
     sched::{
         call_history::{CallHistory, ListingRequest},
         event::{Target, WorkerId, WorkerRegistration},
+        learn::Slowness,
         ledger::Charge,
         settings::{MIN_CLOCK_RATE, RUN_LEASE},
         work::TaskRef,
@@ -108,6 +109,8 @@
     pub(super) isolated_until: Option<Instant>,
     /// Moving average of its run times in multiples of the expected ones; above 1 it is slower than other workers.
     pub(super) slowness: f32,
+    /// How much longer its runs take than others of the same steps.
+    pub(super) run_slowness: Slowness,
     /// Queues of which the policy service last allowed a step on it.
     pub(super) allowed_queues: Vec<CompactString>,
     /// Percentage of their speed to which best-effort tasks on it are limited.
@@ -164,6 +167,7 @@
             reserved_until: None,
             isolated_until: None,
             slowness: 1.0,
+            run_slowness: Slowness::default(),
             allowed_queues: Vec::new(),
             pace: 100,
             pace_changed: None,
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -11,6 +11,7 @@
 mod incarnations;
 mod large_jobs;
 mod late_calls;
+mod learned_times;
 mod lease_evidence;
 mod listings;
 mod log_lines;
