Count predicted run times in the metrics

Cause: whether the predicted quantiles of run times hold couldn't be seen from outside.

Change: copperjunction_run_time_predictions_total{quantile,result}, counted with the load report of the owner.

--- a/crates/cj-entry/src/metrics.rs
+++ b/crates/cj-entry/src/metrics.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use cj_sched::run_times::{CALIBRATED_QUANTILES, PredictionCounts};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{
@@ -25,6 +26,18 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the counter of predicted run times.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PredictionLabels {
+    /// The predicted quantile: 0.5 or 0.9.
+    pub quantile: &'static str,
+    /// Whether the run ended within it or beyond it.
+    pub result: &'static str,
+}
+
+/// Label values of the quantiles whose calibration is counted.
+const QUANTILE_LABELS: [&str; CALIBRATED_QUANTILES.len()] = ["0.5", "0.9"];
+
 /// All metrics of a node.
 pub struct Metrics {
     registry: Registry,
@@ -34,6 +47,8 @@
     pub latency: Histogram,
     /// Number of start commands.
     pub starts: Counter<u64, AtomicU64>,
+    /// Finished runs by whether they ended within the predicted quantiles of their run times.
+    run_time_predictions: Family<PredictionLabels, Counter>,
     /// How often this node became the owner of a cell.
     pub takeovers: Counter<u64, AtomicU64>,
     /// Number of cells that this node owns.
@@ -57,6 +72,7 @@
             answers: Family::default(),
             latency: Histogram::new(exponential_buckets(0.001, 2.0, 13)),
             starts: Counter::default(),
+            run_time_predictions: Family::default(),
             takeovers: Counter::default(),
             owned_cells: Gauge::default(),
             config_version: Gauge::default(),
@@ -69,6 +85,11 @@
         registry.register("answers", "Answers to callers", metrics.answers.clone());
         registry.register("latency_seconds", "Time to the answer", metrics.latency.clone());
         registry.register("starts_ordered", "Starts ordered", metrics.starts.clone());
+        registry.register(
+            "run_time_predictions",
+            "Finished runs within and beyond the predicted quantiles of their run times",
+            metrics.run_time_predictions.clone(),
+        );
         registry.register(
             "takeovers",
             "Times this node became the owner",
@@ -103,6 +124,16 @@
         self.refused_bodies.set(refused as i64);
     }
 
+    /// Adds finished runs that ended within and beyond the predicted quantiles.
+    pub fn count_predictions(&self, counts: &PredictionCounts) {
+        for (index, quantile) in QUANTILE_LABELS.into_iter().enumerate() {
+            for (result, runs) in [("within", counts.within), ("beyond", counts.beyond)] {
+                let labels = PredictionLabels { quantile, result };
+                self.run_time_predictions.get_or_create(&labels).inc_by(runs[index]);
+            }
+        }
+    }
+
     /// Sets the number of log lines dropped so far.
     pub fn set_dropped_lines(&self, lines: u64) {
         self.dropped_lines.set(lines as i64);
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -13,6 +13,7 @@
 
 use cj_sched::{
     Action, Event, Log, OVERFLOW_LOGS, Record, Scheduler,
+    run_times::PredictionCounts,
     sched::{OWNERSHIP_LEASE, OwnershipLease},
 };
 use cj_types::Clock;
@@ -186,6 +187,8 @@
     deposed: Rc<Cell<bool>>,
     last_cleanup: Instant,
     last_load_report: Instant,
+    /// Predictions that are in the metrics.
+    counted_predictions: PredictionCounts,
 }
 
 impl<P, C> Owner<P, C>
@@ -235,6 +238,7 @@
             deposed,
             last_cleanup,
             last_load_report,
+            counted_predictions: PredictionCounts::default(),
         }
     }
 
@@ -274,6 +278,7 @@
         if now.mono.saturating_duration_since(self.last_load_report) > LOAD_REPORT_INTERVAL {
             self.last_load_report = now.mono;
             self.writer.set_load(self.scheduler.load());
+            self.count_predictions();
         }
         if now.mono.saturating_duration_since(self.last_cleanup) > CLEANUP_INTERVAL {
             self.last_cleanup = now.mono;
@@ -281,6 +286,13 @@
         }
     }
 
+    /// Adds the predictions whose runs have ended since the last call to the metrics.
+    fn count_predictions(&mut self) {
+        let counts = self.scheduler.run_time_counts();
+        self.member.node.metrics.count_predictions(&counts.since(&self.counted_predictions));
+        self.counted_predictions = counts;
+    }
+
     /// Tells the scheduler once all submissions are read that earlier owners may have acted on.
     fn update_submissions_read(&mut self) {
         let job_index = self.member.job_index.borrow();
