Bound the traffic of records of run times

Cause: a record of 64 queues takes up to 64 KiB, and every node of the cell reads it: at one in 2 s that is more than the 12 KB/s that a node has for everything.

Change: empty bins at the ends of a histogram are left out, and the time between two records grows with their size, to 2,000 bytes a second at most.

--- a/crates/cj-sched/src/run_times/ratios.rs
+++ b/crates/cj-sched/src/run_times/ratios.rs
@@ -138,15 +138,20 @@
 }
 
 impl RatioHistogram {
-    /// Restores a recorded histogram; an empty one if it has another number of bins or an invalid weight.
+    /// Restores a recorded histogram; an empty one if it has too many bins or an invalid weight.
     pub(super) fn restore(state: &RatioState) -> Self {
         let sum: f32 = state.bins.iter().map(|share| f32::from(*share)).sum();
-        let valid = state.bins.len() == BINS && state.weight.is_finite() && state.weight > 0.0;
+        let skipped = usize::from(state.skipped);
+        let valid =
+            skipped + state.bins.len() <= BINS && (0.0..f32::INFINITY).contains(&state.weight);
         if !valid || sum <= 0.0 {
             return RatioHistogram::default();
         }
         let total = state.weight.min(MAX_RESTORED_WEIGHT);
-        let weights = std::array::from_fn(|bin| f32::from(state.bins[bin]) / sum * total);
+        let share = |bin: usize| bin.checked_sub(skipped).and_then(|index| state.bins.get(index));
+        let weights = std::array::from_fn(|bin| {
+            share(bin).map_or(0.0, |share| f32::from(*share) / sum * total)
+        });
         RatioHistogram { weights, total }
     }
 
@@ -156,7 +161,11 @@
         }
         let most = self.weights.iter().copied().fold(f32::MIN_POSITIVE, f32::max);
         let share = |weight: &f32| (weight / most * 255.0).round() as u8;
-        RatioState { weight: self.total, bins: self.weights.iter().map(share).collect() }
+        let bins: Vec<u8> = self.weights.iter().map(share).collect();
+        let is_used = |share: &u8| *share > 0;
+        let first = bins.iter().position(is_used).unwrap_or(0);
+        let last = bins.iter().rposition(is_used).unwrap_or(0);
+        RatioState { weight: self.total, skipped: first as u8, bins: bins[first..=last].to_vec() }
     }
 
     /// Makes room for one more observation.
--- a/crates/cj-sched/src/run_times/state.rs
+++ b/crates/cj-sched/src/run_times/state.rs
@@ -112,6 +112,8 @@
 pub struct RatioState {
     /// Number of observations.
     pub weight: f32,
-    /// Share of each bin, relative to the fullest bin, which has 255.
+    /// Number of empty bins before the first of `bins`.
+    pub skipped: u8,
+    /// Share of each bin relative to the fullest one, which has 255. Empty bins at both ends are left out.
     pub bins: Vec<u8>,
 }
--- a/crates/cj-sched/src/sched/learn.rs
+++ b/crates/cj-sched/src/sched/learn.rs
@@ -12,6 +12,7 @@
 use log::info;
 
 use crate::{
+    codec,
     record::Record,
     run_times::{
         Prediction, PredictionCounts, RunBasis, RunTimeModel, RunTimes, Siblings, StepKind,
@@ -27,6 +28,9 @@
 /// Shortest time between two records of run times.
 const RECORD_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Bytes of these records per second at most: all nodes of the cell read them, and have 12 KB/s for everything.
+const RECORD_RATE: u32 = 2_000;
+
 /// Shortest time between two log lines of a queue.
 const LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -66,7 +70,8 @@
     average: f32,
     /// Number of observations in the last record.
     recorded: u64,
-    recorded_at: Option<Instant>,
+    /// Earliest time of the next record.
+    record_from: Option<Instant>,
     logged_at: Option<Instant>,
     /// Counts in the last log lines, by queue.
     logged: HashMap<CompactString, PredictionCounts>,
@@ -178,12 +183,15 @@
         let now = self.now.mono;
         let learning = &mut self.learning;
         let observations = learning.model.observations();
-        let rested = learning.recorded_at.is_none_or(|at| at + RECORD_INTERVAL <= now);
+        let rested = learning.record_from.is_none_or(|from| from <= now);
         if !self.policies.learn || !rested || observations == learning.recorded {
             return None;
         }
-        (learning.recorded, learning.recorded_at) = (observations, Some(now));
-        Some(Record::RunTimes(learning.model.state()))
+        let record = Record::RunTimes(learning.model.state());
+        let rest = Duration::from_secs(codec::encode(&record).len() as u64) / RECORD_RATE;
+        learning.record_from = Some(now + rest.max(RECORD_INTERVAL));
+        learning.recorded = observations;
+        Some(record)
     }
 
     /// Counts of finished runs that ended within and beyond the predicted quantiles, under this owner.
--- a/crates/cj-sched/tests/records.rs
+++ b/crates/cj-sched/tests/records.rs
@@ -18,7 +18,7 @@
 /// Learned run times of this many queues with the same number of shapes.
 fn run_times(name: &str, count: usize) -> RunTimes {
     let shape = ShapeState {
-        fresh: RatioState { weight: 2.0, bins: vec![255; BINS] },
+        fresh: RatioState { weight: 2.0, skipped: 0, bins: vec![255; BINS] },
         ..ShapeState::default()
     };
     let shapes = vec![(ShapeKey::default(), shape.clone()); count];
--- a/crates/cj-sched/tests/run_times.rs
+++ b/crates/cj-sched/tests/run_times.rs
@@ -153,7 +153,7 @@
     assert!((learned - 3.0).abs() < 0.1, "{learned} without estimates");
 }
 
-fn hostile_shape(value: f32, bins: Vec<u8>) -> ShapeState {
+fn hostile_shape(value: f32, skipped: u8, bins: Vec<u8>) -> ShapeState {
     let regression = RegressionState {
         count: value,
         mean_estimate: value,
@@ -161,21 +161,27 @@
         variance: value,
         covariance: value,
     };
-    let ratios = RatioState { weight: value, bins };
+    let ratios = RatioState { weight: value, skipped, bins };
     ShapeState { regression, fresh: ratios.clone(), begun: ratios }
 }
 
 /// Guards against a corrupt or hostile record that leads to absurd predictions, or to ones that new observations don't outweigh.
 #[test]
 fn hostile_states_are_outweighed() {
-    let mut last_bin = vec![0; BINS];
-    last_bin[BINS - 1] = 255;
-    let bins = [vec![255; BINS], last_bin, vec![0; BINS], vec![], vec![7; 100_000]];
+    let last = BINS as u8 - 1;
+    let bins = [
+        (0, vec![255; BINS]),
+        (last, vec![255]),
+        (u8::MAX, vec![255]),
+        (1, vec![0; BINS]),
+        (0, vec![]),
+        (0, vec![7; 100_000]),
+    ];
     let values =
         [f32::NAN, f32::INFINITY, f32::NEG_INFINITY, f32::MAX, f32::MIN, -1.0, 1e-30, 11.0];
     for value in values {
-        for bins in &bins {
-            let all = hostile_shape(value, bins.clone());
+        for (skipped, bins) in &bins {
+            let all = hostile_shape(value, *skipped, bins.clone());
             let shapes = vec![(cores(1_000).into(), all.clone()); 3 * MAX_SHAPES];
             let queue = QueueState { name: "red".into(), all, shapes };
             let state = RunTimes { queues: vec![queue; 3 * MAX_QUEUES] };
--- a/crates/cj-sched/tests/sim/learned_times.rs
+++ b/crates/cj-sched/tests/sim/learned_times.rs
@@ -2,11 +2,18 @@
 
 use std::time::Duration;
 
-use cj_sched::{JobKey, StepSpec, TaskId, run_times::RunTimeModel, run_times::StepKind};
+use cj_sched::{
+    Action, Event, JobKey, Record, StepSpec, TaskId,
+    run_times::{RunTimeModel, StepKind},
+    sched::{CommandAnswer, EndKind, EndRow, ListAnswer, Listing},
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::world::{World, step};
+use crate::{
+    decisions::{Harness, run_row, starts},
+    world::{World, step},
+};
 
 /// Jobs of two steps whose estimates are five to ten times too long, and of whose tasks 3% take seven times as long.
 struct Arrivals {
@@ -113,3 +120,79 @@
     let range = Duration::from_millis(500)..Duration::from_millis(1_300);
     assert!(range.contains(&expected), "{expected:?} of an estimate of 5 s");
 }
+
+/// A worker that has finished 30 tasks in 300 ms each whose callers estimated an hour, with the actions of its owner and the time at
+/// which each was requested, in ms.
+fn owner_of_short_runs() -> (Harness, Vec<(u64, Action)>) {
+    let mut harness = Harness::new(&["r0"], None);
+    let mut all = Vec::new();
+    for job in 1..=30 {
+        harness.submit(job, vec![step(1, 1_000, 3_600_000)], None);
+        let actions = harness.poll_after(10);
+        let (target, command) = starts(&actions)[0];
+        let answer = CommandAnswer::DoneAt(1_000 + harness.elapsed_ms);
+        harness.handle(Event::Started(target.worker.clone(), command.task, command.run, answer));
+        let ended = EndRow {
+            number: job,
+            task: command.task,
+            run: command.run,
+            kind: EndKind::Done,
+            checkpoint: "".into(),
+        };
+        let time = harness.elapsed_ms;
+        all.extend(actions.into_iter().map(|action| (time, action)));
+        harness.elapsed_ms += 300;
+        let listing = Listing {
+            started_at: Some(1),
+            clock: 1_000 + harness.elapsed_ms,
+            ended: vec![ended],
+            ends_complete: true,
+            ..Listing::default()
+        };
+        let (worker, sent) = (harness.workers[0].clone(), harness.now().mono);
+        harness.handle(Event::Listed(worker, sent, ListAnswer::Listed(listing)));
+        let (actions, time) = (harness.poll_after(40), harness.elapsed_ms);
+        for action in &actions {
+            if let Action::Write(number, _) = action {
+                harness.handle(Event::Written(*number));
+            }
+        }
+        all.extend(actions.into_iter().map(|action| (time, action)));
+    }
+    (harness, all)
+}
+
+/// Guards against records of run times that cost the store writes of their own, or come more often than stated.
+#[test]
+fn run_times_are_added_to_batches_that_are_written_anyway() {
+    let (_, actions) = owner_of_short_runs();
+    let is_run_times = |record: &Record| matches!(record, Record::RunTimes(_));
+    let mut times = Vec::new();
+    for (time, action) in actions {
+        let Action::Write(_, records) = action else { continue };
+        if records.iter().any(is_run_times) {
+            assert!(records.len() > 1, "{records:?}");
+            times.push(time);
+        }
+    }
+    assert!(times.len() >= 4, "{times:?}");
+    assert!(times.windows(2).all(|pair| pair[1] - pair[0] >= 2_000), "{times:?}");
+}
+
+/// Guards against a task that hangs for as long as its caller estimated, although others like it take a moment.
+#[test]
+fn a_hanging_task_is_stopped_by_what_others_take() {
+    let (mut harness, _) = owner_of_short_runs();
+    harness.submit(100, vec![step(1, 1_000, 3_600_000)], None);
+    let actions = harness.poll_after(10);
+    let (target, command) = starts(&actions)[0];
+    let answer = CommandAnswer::DoneAt(1_000 + harness.elapsed_ms);
+    harness.handle(Event::Started(target.worker.clone(), command.task, command.run, answer));
+    let is_stop = |action: &Action| matches!(action, Action::Stop(..));
+    let stopped = (0..20).any(|_| {
+        harness.poll_after(400);
+        harness.list_worker(0, vec![run_row(command)]);
+        harness.poll_after(100).iter().any(is_stop)
+    });
+    assert!(stopped, "not stopped within 10 s");
+}
