Move predictions of run times into a module of their own

Change: prediction.rs holds what is asked, what is predicted and the counts; no change of behaviour.

--- a/crates/cj-sched/src/run_times/mod.rs
+++ b/crates/cj-sched/src/run_times/mod.rs
@@ -5,12 +5,15 @@
 //! per queue, and per shape of step within the queue.
 
 mod model;
+mod prediction;
 mod ratios;
 mod regression;
 mod state;
 
-pub use model::{CALIBRATED_QUANTILES, PredictionCounts, RunBasis, RunTimeModel, StepKind};
-pub use model::{Prediction, Siblings};
+pub use model::RunTimeModel;
+pub use prediction::{
+    CALIBRATED_QUANTILES, Prediction, PredictionCounts, RunBasis, Siblings, StepKind,
+};
 pub use state::{
     BINS, MAX_QUEUE_NAME, MAX_QUEUES, MAX_SHAPES, QueueState, RatioState, RegressionState,
     RunTimes, ShapeKey, ShapeState,
