Look up what was learned once per step and estimate

Cause: the mean, the quantiles and the longest task of a step were looked up one by one for each waiting step in each pass.

Change: StepTimes is found once for a step; both critical paths of a job are taken in one go.

--- a/crates/cj-sched/src/job.rs
+++ b/crates/cj-sched/src/job.rs
@@ -192,12 +192,24 @@
     where
         F: Fn(usize, &StepSpec) -> Duration,
     {
-        let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
+        let [path] = self.critical_paths_by(|number, step| [span(number, step)]);
+        path
+    }
+
+    /// As [`Self::critical_path_by`] for several spans of each step, each with a critical path of its own.
+    pub fn critical_paths_by<F, const N: usize>(&self, spans: F) -> [Duration; N]
+    where
+        F: Fn(usize, &StepSpec) -> [Duration; N],
+    {
+        let longer = |a: [Duration; N], b: &[Duration; N]| std::array::from_fn(|n| a[n].max(b[n]));
+        let none = [Duration::ZERO; N];
+        let mut ends: Vec<[Duration; N]> = Vec::with_capacity(self.steps.len());
         for (number, step) in self.steps.iter().enumerate() {
-            let ready = step.after.iter().filter_map(|&n| ends.get(n as usize)).max();
-            ends.push(ready.copied().unwrap_or_default() + span(number, step));
+            let ready = step.after.iter().filter_map(|&n| ends.get(n as usize)).fold(none, longer);
+            let spans = spans(number, step);
+            ends.push(std::array::from_fn(|n| ready[n] + spans[n]));
         }
-        ends.into_iter().max().unwrap_or_default()
+        ends.iter().fold(none, longer)
     }
 
     /// True when a step is long-running, so that the job runs until it is cancelled.
--- a/crates/cj-sched/src/run_times/mod.rs
+++ b/crates/cj-sched/src/run_times/mod.rs
@@ -12,7 +12,7 @@
 
 pub use model::RunTimeModel;
 pub use prediction::{
-    CALIBRATED_QUANTILES, Prediction, PredictionCounts, RunBasis, Siblings, StepKind,
+    CALIBRATED_QUANTILES, Prediction, PredictionCounts, RunBasis, Siblings, StepKind, StepTimes,
 };
 pub use state::{
     BINS, MAX_QUEUE_NAME, MAX_QUEUES, MAX_SHAPES, QueueState, RatioState, RegressionState,
--- a/crates/cj-sched/src/run_times/model.rs
+++ b/crates/cj-sched/src/run_times/model.rs
@@ -6,7 +6,7 @@
 use compact_str::CompactString;
 
 use super::{
-    prediction::{Prediction, PredictionCounts, RunBasis, Siblings, StepKind},
+    prediction::{PredictionCounts, RunBasis, StepKind, StepTimes},
     ratios::{RatioHistogram, RatioTable},
     regression::{Regression, bare_estimate, from_ln, ln_seconds, longest_time},
     state::{MAX_QUEUE_NAME, MAX_QUEUES, MAX_SHAPES, QueueState, RunTimes, ShapeKey, ShapeState},
@@ -18,9 +18,6 @@
 /// The same for steps of which some tasks have ended.
 const BEGUN_DEVIATION: f32 = 0.25;
 
-/// Weight of the expected run time beside those of ended tasks of the same step: these say far more.
-const STEP_PRIOR_WEIGHT: f32 = 0.2;
-
 /// A histogram with its table.
 #[derive(Clone, Debug)]
 struct Ratios {
@@ -83,10 +80,6 @@
         Priors { fresh: &self.fresh.table, begun: &self.begun.table }
     }
 
-    fn ratios(&self, begun: bool) -> &Ratios {
-        if begun { &self.begun } else { &self.fresh }
-    }
-
     fn observe(&mut self, run: &Observation, priors: Priors<'_>) {
         self.regression.observe(run.estimate, run.length, run.weight);
         let (ratios, prior) = if run.begun {
@@ -223,62 +216,34 @@
         Priors { fresh: &self.fresh_prior, begun: &self.begun_prior }
     }
 
-    /// Expected run time before any task of the step has ended, in natural logarithms of seconds; `None` if nothing is known.
-    fn expected_log(&self, step: &StepKind<'_>) -> Option<f32> {
+    /// What was learned that concerns a step.
+    pub fn step_times(&self, step: &StepKind<'_>) -> StepTimes<'_> {
+        let queue = self.queues.get(step.queue);
+        let Some(queue) = queue else { return self.unlearned_times(step) };
         let prior = bare_estimate(step.estimate);
-        let Some(queue) = self.queues.get(step.queue) else { return prior };
         let expected = queue.all.regression.predict(step.estimate, prior);
-        match queue.shape(step.demand) {
-            Some(shape) => shape.regression.predict(step.estimate, expected),
-            None => expected,
+        let (learned, expected) = match queue.shape(step.demand) {
+            Some(shape) => (shape, shape.regression.predict(step.estimate, expected)),
+            None => (&queue.all, expected),
+        };
+        StepTimes {
+            siblings: step.siblings,
+            expected,
+            mean: expected.map_or(Duration::ZERO, from_ln),
+            fresh: &learned.fresh.table,
+            begun: &learned.begun.table,
         }
     }
 
-    /// Expected run time by the estimate and the shape of the step; ended tasks of the step aren't considered.
-    pub fn expected(&self, step: &StepKind<'_>) -> Duration {
-        if !self.queues.contains_key(step.queue) {
-            return step.estimate.min(longest_time());
+    /// The same from the estimate alone, with the spread that is assumed without observations.
+    pub fn unlearned_times(&self, step: &StepKind<'_>) -> StepTimes<'_> {
+        StepTimes {
+            siblings: step.siblings,
+            expected: bare_estimate(step.estimate),
+            mean: step.estimate.min(longest_time()),
+            fresh: &self.fresh_prior,
+            begun: &self.begun_prior,
         }
-        self.expected_log(step).map_or(Duration::ZERO, from_ln)
-    }
-
-    fn table(&self, step: &StepKind<'_>, begun: bool) -> &RatioTable {
-        let Some(queue) = self.queues.get(step.queue) else {
-            return if begun { &self.begun_prior } else { &self.fresh_prior };
-        };
-        &queue.shape(step.demand).unwrap_or(&queue.all).ratios(begun).table
-    }
-
-    /// Predicted distribution of the run time of a task of the step.
-    pub fn predict(&self, step: &StepKind<'_>) -> Prediction<'_> {
-        let Siblings { runs, log_sum } = step.siblings;
-        let begun = runs > 0;
-        let expected = self.expected_log(step);
-        let centre = if begun {
-            let prior = expected.map_or(0.0, |_| STEP_PRIOR_WEIGHT);
-            let sum = log_sum + expected.unwrap_or(0.0) * prior;
-            Some(sum / (runs as f32 + prior))
-        } else {
-            expected
-        };
-        Prediction { centre, begun, table: self.table(step, begun) }
-    }
-
-    /// The prediction from the estimate alone, with the spread that is assumed without observations.
-    pub fn predict_unlearned(&self, estimate: Duration) -> Prediction<'_> {
-        let centre = bare_estimate(estimate);
-        Prediction { centre, begun: false, table: &self.fresh_prior }
-    }
-
-    /// Ratio of the longest of `count` tasks of a step to the mean: the median of the longest. The tasks share the factor
-    /// by which the estimate of their step is wrong, so it is that of steps of which some tasks have ended.
-    pub fn longest_ratio(&self, step: &StepKind<'_>, count: u32) -> f32 {
-        longest_ratio(self.table(step, true), count)
-    }
-
-    /// The same without observations.
-    pub fn unlearned_longest_ratio(&self, count: u32) -> f32 {
-        longest_ratio(&self.begun_prior, count)
     }
 
     /// Learns from a finished run, and counts whether it ended within the predicted quantiles.
@@ -321,7 +286,8 @@
     /// mean as far as most runs would have ended by then, with the time that it is expected to take in all.
     pub fn observe_unfinished(&mut self, step: &StepKind<'_>, basis: &RunBasis, elapsed: Duration) {
         let log = ln_seconds(elapsed) - basis.centre;
-        let table = self.table(step, basis.begun);
+        let times = self.step_times(step);
+        let table = if basis.begun { times.begun } else { times.fresh };
         let ratio = log.exp();
         let whole = ratio + table.mean_left(ratio);
         let run = Observation {
@@ -372,7 +338,3 @@
         self.counts().fold(self.dropped, |sum, (_, counts)| sum.plus(*counts))
     }
 }
-
-fn longest_ratio(table: &RatioTable, count: u32) -> f32 {
-    table.quantile(0.5_f32.powf(1.0 / count.max(1) as f32)).max(1.0)
-}
--- a/crates/cj-sched/src/run_times/prediction.rs
+++ b/crates/cj-sched/src/run_times/prediction.rs
@@ -9,6 +9,9 @@
     regression::{from_ln, ln_seconds, longest_time},
 };
 
+/// Weight of the expected run time beside those of ended tasks of the same step: these say far more.
+const STEP_PRIOR_WEIGHT: f32 = 0.2;
+
 /// The quantiles whose calibration is counted.
 pub const CALIBRATED_QUANTILES: [f32; 2] = [0.5, 0.9];
 
@@ -47,6 +50,43 @@
     pub siblings: Siblings,
 }
 
+/// What was learned that concerns a step, found once for all predictions about it.
+#[derive(Clone, Copy, Debug)]
+pub struct StepTimes<'a> {
+    pub(super) siblings: Siblings,
+    /// Expected run time by the estimate and the shape of the step, in natural logarithms of seconds; `None` if nothing is known.
+    pub(super) expected: Option<f32>,
+    pub(super) mean: Duration,
+    /// Ratios to the expected run time for steps of which no task has ended.
+    pub(super) fresh: &'a RatioTable,
+    /// The same for steps of which some tasks have ended.
+    pub(super) begun: &'a RatioTable,
+}
+
+impl<'a> StepTimes<'a> {
+    /// Expected run time by the estimate and the shape of the step; ended tasks of the step aren't considered.
+    pub fn expected(&self) -> Duration {
+        self.mean
+    }
+
+    /// Predicted distribution of the run time of a task of the step.
+    pub fn predict(&self) -> Prediction<'a> {
+        let Siblings { runs, log_sum } = self.siblings;
+        if runs == 0 {
+            return Prediction { centre: self.expected, begun: false, table: self.fresh };
+        }
+        let weight = self.expected.map_or(0.0, |_| STEP_PRIOR_WEIGHT);
+        let sum = log_sum + self.expected.unwrap_or(0.0) * weight;
+        Prediction { centre: Some(sum / (runs as f32 + weight)), begun: true, table: self.begun }
+    }
+
+    /// Ratio of the longest of `count` tasks of the step to the mean: the median of the longest. The tasks share the factor
+    /// by which the estimate of their step is wrong, so it is that of steps of which some tasks have ended.
+    pub fn longest_ratio(&self, count: u32) -> f32 {
+        self.begun.quantile(0.5_f32.powf(1.0 / count.max(1) as f32)).max(1.0)
+    }
+}
+
 /// Predicted distribution of the run time of a task.
 #[derive(Clone, Copy, Debug)]
 pub struct Prediction<'a> {
--- a/crates/cj-sched/src/sched/estimate.rs
+++ b/crates/cj-sched/src/sched/estimate.rs
@@ -2,14 +2,13 @@
 //!
 //! Once a task of a step has ended, its run time says more about the others than any estimate.
 
-use std::{cell::OnceCell, time::Duration};
+use std::time::Duration;
 
 use cj_types::UnixMillis;
 
 use crate::{
-    run_times::Prediction,
+    run_times::{Prediction, StepTimes},
     sched::{
-        learn::step_kind,
         scheduler::Scheduler,
         step::Step,
         work::{Job, Placement, Stage, TaskRef},
@@ -34,11 +33,14 @@
 impl Scheduler {
     /// Expected run time of a task of a step.
     pub(super) fn expected_run_time(&self, job: &Job, step: u32, state: &Step) -> Duration {
-        let kind = step_kind(job, step, state);
+        self.mean_run_time(&self.step_times(job, step, state), state)
+    }
+
+    fn mean_run_time(&self, times: &StepTimes<'_>, state: &Step) -> Duration {
         if !self.policies.learn {
-            return kind.estimate;
+            return times.expected();
         }
-        (state.total_time + self.learning.model.expected(&kind)) / (state.ended.runs + 1)
+        (state.total_time + times.expected()) / (state.ended.runs + 1)
     }
 
     /// Time that this share of the runs of tasks of a step doesn't exceed.
@@ -49,24 +51,7 @@
         state: &Step,
         quantile: f32,
     ) -> Duration {
-        self.predict(job, step, state).quantile(quantile)
-    }
-
-    /// Expected run time of the longest of `count` tasks of a step that take `mean` on average.
-    fn longest_of(
-        &self,
-        job: &Job,
-        step: u32,
-        state: &Step,
-        mean: Duration,
-        count: u32,
-    ) -> Duration {
-        let model = &self.learning.model;
-        let ratio = match self.policies.learn {
-            true => model.longest_ratio(&step_kind(job, step, state), count),
-            false => model.unlearned_longest_ratio(count),
-        };
-        mean.mul_f32(ratio)
+        self.step_times(job, step, state).predict().quantile(quantile)
     }
 
     /// Expected time until a run ends: from its progress so far, or else from the run times of its step and the time that it has
@@ -74,15 +59,16 @@
     pub(super) fn remaining_run_time(&self, at: TaskRef, placed: &Placement) -> Duration {
         let job = &self.jobs[at.job];
         let state = job.step(at);
-        let prediction = || self.predict(job, at.step, state);
-        self.remaining_of_run(placed, || self.expected_run_time(job, at.step, state), prediction)
+        let times = self.step_times(job, at.step, state);
+        self.remaining_of_run(placed, self.mean_run_time(&times, state), times.predict())
     }
 
-    fn remaining_of_run<'a, F, G>(&self, placed: &Placement, expected: F, prediction: G) -> Duration
-    where
-        F: Fn() -> Duration,
-        G: Fn() -> Prediction<'a>,
-    {
+    fn remaining_of_run(
+        &self,
+        placed: &Placement,
+        mean: Duration,
+        prediction: Prediction<'_>,
+    ) -> Duration {
         let elapsed = self.now.mono.saturating_duration_since(placed.progress_at);
         let open_percent = f32::from(100 - placed.percent.min(100));
         let (from, since) = placed.first_progress.unwrap_or((placed.percent, placed.progress_at));
@@ -91,32 +77,35 @@
             let took = placed.progress_at.saturating_duration_since(since);
             return took.mul_f32(open_percent / f32::from(gained)).saturating_sub(elapsed);
         }
-        let open = expected().mul_f32(open_percent / 100.0);
+        let open = mean.mul_f32(open_percent / 100.0);
         if !self.policies.learn {
             return open.saturating_sub(elapsed);
         }
         let slowness = self.relative_slowness(placed.worker).exp();
-        prediction().remaining(open.mul_f32(slowness), elapsed)
+        prediction.remaining(open.mul_f32(slowness), elapsed)
     }
 
-    /// Expected time of the remaining work of a step.
-    fn remaining_of_step(&self, job: &Job, number: u32, step: &Step) -> Duration {
-        let expected = self.expected_run_time(job, number, step);
-        let prediction = OnceCell::new();
+    /// Expected time of the remaining work of a step, and of all of it.
+    fn times_of_step(&self, job: &Job, number: u32, step: &Step) -> [Duration; 2] {
+        let times = self.step_times(job, number, step);
+        let mean = self.mean_run_time(&times, step);
+        let prediction = times.predict();
         let mut running = Duration::ZERO;
         for placed in step.placed_tasks().filter_map(|task| task.placement()) {
-            let predict = || *prediction.get_or_init(|| self.predict(job, number, step));
             let remaining = match placed.stage {
-                Stage::Running => self.remaining_of_run(placed, || expected, predict),
-                _ => expected,
+                Stage::Running => self.remaining_of_run(placed, mean, prediction),
+                _ => mean,
             };
             running = running.max(remaining);
         }
-        let idle = step.idle.len() as u32;
-        match idle {
-            0 => running,
-            _ => running.max(self.longest_of(job, number, step, expected, idle)),
-        }
+        let (idle, count) = (step.idle.len() as u32, job.step_spec(number).count);
+        let whole = mean.mul_f32(times.longest_ratio(count));
+        let waiting = match idle {
+            0 => Duration::ZERO,
+            _ if idle == count => whole,
+            _ => mean.mul_f32(times.longest_ratio(idle)),
+        };
+        [running.max(waiting), whole]
     }
 
     /// Estimates the remaining time and the deadline of an occurrence of a job. The estimate of a large occurrence is kept
@@ -140,12 +129,8 @@
         let steps = &job.occurrences[occurrence as usize].steps;
         let spec = &job.submission.spec;
         self.count_examined(spec.steps.len());
-        let remaining =
-            spec.critical_path_by(|n, _| self.remaining_of_step(job, n as u32, &steps[n]));
-        let whole = spec.critical_path_by(|n, step| {
-            let mean = self.expected_run_time(job, n as u32, &steps[n]);
-            self.longest_of(job, n as u32, &steps[n], mean, step.count)
-        });
+        let [remaining, whole] =
+            spec.critical_paths_by(|n, _| self.times_of_step(job, n as u32, &steps[n]));
         let queue = self.config.queue(&job.submission.queue);
         let objective = queue.map_or(job.submission.objective, |queue| {
             whole.mul_f32(queue.stretch.max(1.0)) + queue.target
--- a/crates/cj-sched/src/sched/learn.rs
+++ b/crates/cj-sched/src/sched/learn.rs
@@ -15,7 +15,7 @@
     codec,
     record::Record,
     run_times::{
-        Prediction, PredictionCounts, RunBasis, RunTimeModel, RunTimes, Siblings, StepKind,
+        PredictionCounts, RunBasis, RunTimeModel, RunTimes, Siblings, StepKind, StepTimes,
     },
     sched::{
         scheduler::Scheduler,
@@ -96,12 +96,12 @@
 }
 
 impl Scheduler {
-    /// Predicted distribution of the run time of a task of a step.
-    pub(super) fn predict(&self, job: &Job, step: u32, state: &Step) -> Prediction<'_> {
+    /// What was learned that concerns a step.
+    pub(super) fn step_times(&self, job: &Job, step: u32, state: &Step) -> StepTimes<'_> {
         let kind = step_kind(job, step, state);
         match self.policies.learn {
-            true => self.learning.model.predict(&kind),
-            false => self.learning.model.predict_unlearned(kind.estimate),
+            true => self.learning.model.step_times(&kind),
+            false => self.learning.model.unlearned_times(&kind),
         }
     }
 
@@ -118,7 +118,8 @@
             return None;
         }
         let slowness = self.relative_slowness(worker);
-        self.predict(job, at.step, job.step(at)).on_worker(slowness).basis(slowness)
+        let times = self.step_times(job, at.step, job.step(at));
+        times.predict().on_worker(slowness).basis(slowness)
     }
 
     /// Learns from a whole run of a finite task.
--- a/crates/cj-sched/src/sched/policy.rs
+++ b/crates/cj-sched/src/sched/policy.rs
@@ -26,7 +26,7 @@
     pub quarantine: bool,
     /// Tasks go to faster workers first.
     pub speed: bool,
-    /// Run times are learned; see `estimate`.
+    /// Run times are learned; see `learn`.
     pub learn: bool,
     /// Jobs that can still be in time go before those that can't; see `rank`.
     pub rank: bool,
--- a/crates/cj-sched/tests/run_times.rs
+++ b/crates/cj-sched/tests/run_times.rs
@@ -43,7 +43,10 @@
                 .map(|_| {
                     let long = if self.rng.random_bool(0.03) { 7.0 } else { 1.0 };
                     let took = length * long * self.rng.random_range(0.8..1.2);
-                    (Duration::from_secs_f64(took), self.model.predict(&step).basis(0.0).unwrap())
+                    (
+                        Duration::from_secs_f64(took),
+                        self.model.step_times(&step).predict().basis(0.0).unwrap(),
+                    )
                 })
                 .collect();
             for (took, basis) in runs {
@@ -91,9 +94,9 @@
     for seed in 0..8 {
         let mut load = Load::new(seed);
         load.calibration(200);
-        let expected = load.model.expected(&kind("red", 1_000)).as_secs_f64();
+        let expected = load.model.step_times(&kind("red", 1_000)).expected().as_secs_f64();
         load.model = RunTimeModel::restore(&load.model.state());
-        let restored = load.model.expected(&kind("red", 1_000)).as_secs_f64();
+        let restored = load.model.step_times(&kind("red", 1_000)).expected().as_secs_f64();
         assert!((restored / expected - 1.0).abs() < 0.05, "{restored} instead of {expected}");
         assert_calibrated(load.calibration(200), "after a restart");
     }
@@ -105,7 +108,7 @@
     let median = |stopped: f64| {
         let mut load = Load { stopped, ..Load::new(5) };
         load.calibration(400);
-        load.model.predict(&kind("red", 1_000)).quantile(0.5).as_secs_f64()
+        load.model.step_times(&kind("red", 1_000)).predict().quantile(0.5).as_secs_f64()
     };
     let (whole, censored) = (median(0.0), median(0.5));
     assert!((censored / whole - 1.0).abs() < 0.15, "{censored} instead of {whole}");
@@ -119,7 +122,7 @@
     load.calibration(400);
     let mut step = kind("red", 1_000);
     step.siblings.add(Duration::from_secs(1), 0.0);
-    let prediction = load.model.predict(&step);
+    let prediction = load.model.step_times(&step).predict();
     let mean = Duration::from_millis(1_180);
     let remaining = |ms: u64| prediction.remaining(mean, Duration::from_millis(ms)).as_secs_f64();
     assert!((remaining(0) - 1.18).abs() < 0.01, "{}", remaining(0));
@@ -133,23 +136,26 @@
     let year = 365 * 24 * 3_600 * 1_000;
     let mut load = Load::new(4);
     load.calibration(100);
-    let usual = load.model.expected(&kind("red", 1_000)).as_secs_f64();
+    let usual = load.model.step_times(&kind("red", 1_000)).expected().as_secs_f64();
     for estimate in [0, year] {
         let step = kind("red", estimate);
-        let expected = load.model.expected(&step).as_secs_f64();
+        let expected = load.model.step_times(&step).expected().as_secs_f64();
         assert!((0.2..20.0).contains(&expected), "{expected} for {estimate} ms");
         for _ in 0..20 {
-            let basis = load.model.predict(&step).basis(0.0).unwrap();
+            let basis = load.model.step_times(&step).predict().basis(0.0).unwrap();
             load.model.observe(&step, &basis, Duration::from_secs(1));
         }
     }
-    let after = load.model.expected(&kind("red", 1_000)).as_secs_f64();
+    let after = load.model.step_times(&kind("red", 1_000)).expected().as_secs_f64();
     assert!((0.5..2.0).contains(&(after / usual)), "{after} instead of {usual}");
     let mut unknown = RunTimeModel::default();
-    assert_eq!(unknown.predict(&kind("red", 0)).quantile(0.9), Duration::ZERO);
-    assert!(unknown.expected(&kind("red", u64::MAX)) < Duration::from_secs(365 * 24 * 3_600));
+    assert_eq!(unknown.step_times(&kind("red", 0)).predict().quantile(0.9), Duration::ZERO);
+    assert!(
+        unknown.step_times(&kind("red", u64::MAX)).expected()
+            < Duration::from_secs(365 * 24 * 3_600)
+    );
     (0..10).for_each(|_| unknown.observe_unpredicted(&kind("red", 0), Duration::from_secs(3)));
-    let learned = unknown.predict(&kind("red", 0)).quantile(0.5).as_secs_f64();
+    let learned = unknown.step_times(&kind("red", 0)).predict().quantile(0.5).as_secs_f64();
     assert!((learned - 3.0).abs() < 0.1, "{learned} without estimates");
 }
 
@@ -188,15 +194,18 @@
             let mut load = Load::new(6);
             load.model = RunTimeModel::restore(&state);
             for quantile in [f32::NAN, -1.0, 0.0, 0.5, 1.0, 2.0] {
-                let predicted = load.model.predict(&kind("red", 1_000)).quantile(quantile);
+                let predicted =
+                    load.model.step_times(&kind("red", 1_000)).predict().quantile(quantile);
                 assert!(predicted < Duration::from_secs(365 * 24 * 3_600));
             }
             let step = kind("red", 1_000);
             let longest = Duration::from_secs(u64::MAX);
-            let _ = load.model.predict(&step).remaining(longest, longest);
-            assert!(load.model.predict(&step).remaining(Duration::ZERO, longest).is_zero());
+            let _ = load.model.step_times(&step).predict().remaining(longest, longest);
+            assert!(
+                load.model.step_times(&step).predict().remaining(Duration::ZERO, longest).is_zero()
+            );
             load.calibration(100);
-            let expected = load.model.expected(&step).as_secs_f64();
+            let expected = load.model.step_times(&step).expected().as_secs_f64();
             assert!((0.2..5.0).contains(&expected), "{expected} s after {value} {}", bins.len());
             assert_calibrated(load.calibration(300), "after a hostile state");
         }
@@ -212,7 +221,7 @@
         for shape in 0..20 {
             for ms in 1..40 {
                 let step = StepKind { demand: cores(1 << shape), ..kind(&name, ms * 100) };
-                let basis = model.predict(&step).basis(0.0).unwrap();
+                let basis = model.step_times(&step).predict().basis(0.0).unwrap();
                 model.observe(&step, &basis, Duration::from_millis(ms * ms));
             }
         }
--- a/crates/cj-sched/tests/sim/learned_times.rs
+++ b/crates/cj-sched/tests/sim/learned_times.rs
@@ -116,7 +116,7 @@
         estimate: spec.estimate,
         siblings: Default::default(),
     };
-    let expected = RunTimeModel::restore(state).expected(&kind);
+    let expected = RunTimeModel::restore(state).step_times(&kind).expected();
     let range = Duration::from_millis(500)..Duration::from_millis(1_300);
     assert!(range.contains(&expected), "{expected:?} of an estimate of 5 s");
 }
