Add bench run-times

Cause: the cost and the calibration of learned run times weren't measured by a command.

Change: copperjunction bench run-times: time per prediction, bytes of state, calibration while learning and after a restart.

--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod place;
 pub mod rollout;
 pub mod route;
+pub mod run_times;
 pub mod settings;
 pub mod storm;
 pub mod usage_svg;
@@ -51,6 +52,7 @@
     ("recover", entry::recover::run),
     ("rollout", rollout::run),
     ("route", route::run),
+    ("run-times", run_times::run),
     ("settings", settings::run),
     ("storm", storm::run),
     ("succession", entry::succession::run),
