Keep the ratio of the longest task of a step by powers of two

Cause: each waiting step asked for a quantile in each pass, with a power, a search and an exponential.

Change: the table of ratios keeps the medians of the longest of 1, 2, 4, ... tasks, found at the first use after an observation, and interpolates between them.

--- a/crates/cj-sched/src/run_times/prediction.rs
+++ b/crates/cj-sched/src/run_times/prediction.rs
@@ -83,7 +83,7 @@
     /// Ratio of the longest of `count` tasks of the step to the mean: the median of the longest. The tasks share the factor
     /// by which the estimate of their step is wrong, so it is that of steps of which some tasks have ended.
     pub fn longest_ratio(&self, count: u32) -> f32 {
-        self.begun.quantile(0.5_f32.powf(1.0 / count.max(1) as f32)).max(1.0)
+        self.begun.longest(count)
     }
 }
 
--- a/crates/cj-sched/src/run_times/ratios.rs
+++ b/crates/cj-sched/src/run_times/ratios.rs
@@ -3,7 +3,7 @@
 //! The bins are equal in the inverse hyperbolic sine of the logarithm of the ratio: fine around 1, where the tasks of a step
 //! lie that has other ended tasks, and proportional to the logarithm further out.
 
-use std::sync::LazyLock;
+use std::{cell::OnceCell, sync::LazyLock};
 
 use super::state::{BINS, RatioState};
 
@@ -28,6 +28,9 @@
 /// Share of runs at least as long below which a run counts as longer than nearly all others.
 const OVERDUE_BELOW: f32 = 0.002;
 
+/// Numbers of tasks, as powers of two from 1, for which the ratio of the longest is kept; a job has at most 100,000 tasks.
+const LONGEST_COUNTS: usize = 18;
+
 /// Ratios at the edges of the bins.
 static EDGES: LazyLock<[f32; BINS + 1]> =
     LazyLock::new(|| std::array::from_fn(|edge| log_at(edge as f32).exp()));
@@ -58,6 +61,8 @@
     beyond: [f32; BINS + 1],
     /// By edge, the sum of the ratios beyond it, times their shares.
     sum_beyond: [f32; BINS + 1],
+    /// By power of two, the median of the longest of so many; every step that waits asks for it in each pass.
+    longest: OnceCell<[f32; LONGEST_COUNTS]>,
 }
 
 impl RatioTable {
@@ -70,7 +75,7 @@
             beyond[bin] = beyond[bin + 1] + share;
             sum_beyond[bin] = sum_beyond[bin + 1] + share * (EDGES[bin] + EDGES[bin + 1]) / 2.0;
         }
-        RatioTable { beyond, sum_beyond }
+        RatioTable { beyond, sum_beyond, longest: OnceCell::new() }
     }
 
     /// Log-normal distribution around 1 with this standard deviation of the logarithm.
@@ -97,6 +102,18 @@
         log_at(bin as f32 + part).exp()
     }
 
+    /// Median of the greatest of `count` ratios, at least 1; interpolated between powers of two.
+    pub(super) fn longest(&self, count: u32) -> f32 {
+        let of_power = |power: usize| self.quantile(0.5_f32.powf(0.5_f32.powi(power as i32)));
+        let longest = self.longest.get_or_init(|| std::array::from_fn(of_power));
+        let count = count.max(1);
+        let power = (count.ilog2() as usize).min(LONGEST_COUNTS - 1);
+        let next = (power + 1).min(LONGEST_COUNTS - 1);
+        let base = (1_u32 << power) as f32;
+        let part = (count as f32 / base - 1.0).min(1.0);
+        (longest[power] + part * (longest[next] - longest[power])).max(1.0)
+    }
+
     /// Share of the runs whose ratio has at most this logarithm.
     pub(super) fn share_within(&self, log: f32) -> f32 {
         let (bin, part) = position(log);
