--- a/crates/cj-sched/src/run_times/model.rs
+++ b/crates/cj-sched/src/run_times/model.rs
@@ -15,7 +15,7 @@
 /// Assumed spread of the ratios for steps of which no task has ended, as the standard deviation of their logarithms.
 const FRESH_DEVIATION: f32 = 0.5;
 
-/// The same for steps of which some tasks have ended.
+/// The same for steps of which some tasks have ended. The longest of 20 to 100 tasks then takes 1.6 to 1.9 times the mean.
 const BEGUN_DEVIATION: f32 = 0.25;
 
 /// A histogram with its table.
