Refuse jobs by their expected end in an overload

Cause: admission refused only when the whole backlog exceeded eight objectives, so that nearly all jobs of a surge were accepted and ended late.

Change: with its heartbeats the owner publishes a load per pool in a record of its own key: capacity, room, VMs on their way, waiting work by latest start and by account, learned run times. A node accepts a job that is expected to wait no longer than its owner counts it as in time, given the work that goes first; without a usable load, the present rule holds. The switch is `admit`.

Conclusion: the tests of cj-entry and the new ones of cj-sched pass. The effect on a surge isn't measured yet.

--- a/crates/cj-entry/src/api.rs
+++ b/crates/cj-entry/src/api.rs
@@ -15,16 +15,19 @@
 
 use crate::{
     access::Caller,
-    admission::{AdmissionDecision, admit, backlog_time},
+    admission::AdmissionDecision,
     follow::FollowState,
     member::CellMember,
-    metrics::AnswerLabels,
+    metrics::{AnswerLabels, RefusalLabels},
     node::EntryNode,
     outbox::AppendOutcome,
     peer::{PeerRequest, PeerResponse},
     platform::Platform,
 };
 
+/// Reason of a refusal because the pool can't run the job in time.
+const OVERLOAD: &str = "overload";
+
 /// When a caller may retry after the node couldn't reach the store.
 const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -153,6 +156,11 @@
             LogContext(member.as_deref()), retry.as_millis()
         );
         self.count_answer("submit", outcome);
+        if let SubmitOutcome::Refused(reason, _) = answer
+            && reason != OVERLOAD
+        {
+            self.count_refusal(reason);
+        }
         answer
     }
 
@@ -219,6 +227,11 @@
         count
     }
 
+    /// Counts a refused submission. For an overload, the reason is the basis of the decision.
+    fn count_refusal(&self, reason: &'static str) {
+        self.metrics.refusals.get_or_create(&RefusalLabels { reason }).inc();
+    }
+
     pub(crate) fn count_answer(&self, request: &'static str, outcome: &'static str) {
         self.metrics.answers.get_or_create(&AnswerLabels { request, outcome }).inc();
     }
@@ -259,6 +272,11 @@
     P: Platform,
     C: Clock + 'static,
 {
+    /// The part of a log line about this cell.
+    pub(crate) fn log_context(&self) -> impl fmt::Display {
+        LogContext(Some(self))
+    }
+
     async fn decide_submission(
         &self,
         queue: &Queue,
@@ -280,10 +298,15 @@
             return SubmitOutcome::Refused("store_unreachable", STORE_RETRY_AFTER);
         }
         let objective = spec.critical_path().mul_f32(queue.stretch.max(1.0)) + queue.target;
-        let decision = admit(self.owner_heartbeat().as_ref(), &queue.service, &spec, objective);
+        let account = caller.account.as_ref();
+        let (decision, basis) = self.check_submission(queue, account, job, &spec, objective);
         if let AdmissionDecision::Refuse(after) = decision {
-            self.log_overload(job, queue, objective);
-            return self.refuse_unless_known(job, &caller.access, after).await;
+            self.log_overload(job, queue, objective, &basis);
+            let outcome = self.refuse_unless_known(job, &caller.access, after).await;
+            if matches!(outcome, SubmitOutcome::Refused(OVERLOAD, _)) {
+                self.node.count_refusal(basis.name());
+            }
+            return outcome;
         }
         let submission = Submission {
             queue: queue.name.clone(),
@@ -318,13 +341,13 @@
             return match self.known_job(job, access) {
                 Some(KnownJob::Visible) => SubmitOutcome::Accepted,
                 Some(KnownJob::OfOtherAccount) => SubmitOutcome::ID_UNAVAILABLE,
-                None if caught_up => SubmitOutcome::Refused("overload", after),
+                None if caught_up => SubmitOutcome::Refused(OVERLOAD, after),
                 None => SubmitOutcome::Unknown,
             };
         }
         match self.job_status(job, access).await {
             JobStatus::State(_) => SubmitOutcome::Accepted,
-            JobStatus::Gone => SubmitOutcome::Refused("overload", after),
+            JobStatus::Gone => SubmitOutcome::Refused(OVERLOAD, after),
             JobStatus::Unavailable(_) => SubmitOutcome::Unknown,
         }
     }
@@ -348,7 +371,7 @@
     }
 
     /// The last known heartbeat of the owner.
-    fn owner_heartbeat(&self) -> Option<OwnerHeartbeat> {
+    pub(crate) fn owner_heartbeat(&self) -> Option<OwnerHeartbeat> {
         if self.is_followed() {
             return self.job_index.borrow().owner().map(|owner| owner.heartbeat.clone());
         }
@@ -367,25 +390,6 @@
         );
     }
 
-    /// Logs the load that led to a refusal, and its age.
-    fn log_overload(&self, job: JobKey, queue: &Queue, objective: Duration) {
-        let Some(heartbeat) = self.owner_heartbeat() else { return };
-        let load = heartbeat.load.iter().find(|(service, _)| *service == queue.service);
-        let wait = load.map(|(_, load)| backlog_time(load)).unwrap_or_default();
-        let now = self.node.clock.now();
-        let age = if self.is_followed() {
-            self.last_heartbeat.get().map(|at| now.saturating_duration_since(at))
-        } else {
-            self.node.owners.borrow().heartbeat_age(self.id, now)
-        };
-        info!(
-            target: "decision",
-            "job={job} reason=overload service={} wait_ms={} objective_ms={} epoch={} {} load_age_ms={}",
-            queue.service, wait.as_millis(), objective.as_millis(), heartbeat.epoch, LogContext(Some(self)),
-            age.unwrap_or_default().as_millis()
-        );
-    }
-
     /// The state of a job: from the job index if the cell is followed, else from the owner.
     async fn job_status(&self, job: JobKey, access: &Access) -> JobStatus {
         if self.is_followed() {
--- a/crates/cj-entry/src/heartbeat.rs
+++ b/crates/cj-entry/src/heartbeat.rs
@@ -41,15 +41,17 @@
     }
 }
 
-/// Publishes one heartbeat.
+/// Publishes one heartbeat, and the load of the cell if there is a new one.
 pub(crate) async fn publish_heartbeat<P, C>(member: &CellMember<P, C>, epoch: u64, released: bool)
 where
     P: Platform,
     C: Clock + 'static,
 {
     let node = &member.node;
-    let record = CellRecord::Heartbeat(member.id, cell_heartbeat(member, epoch, released)).entry();
-    let appended = node.platform.append(Topic::Cells, std::slice::from_ref(&record), Guard::None);
+    let heartbeat = CellRecord::Heartbeat(member.id, cell_heartbeat(member, epoch, released));
+    let load = member.take_load_report().map(|report| CellRecord::Load(member.id, report).entry());
+    let records: Vec<_> = std::iter::once(heartbeat.entry()).chain(load).collect();
+    let appended = node.platform.append(Topic::Cells, &records, Guard::None);
     match tokio::time::timeout(HEARTBEAT_TIMEOUT, appended).await {
         Ok(Ok(_)) => {}
         Ok(Err(error)) => {
--- a/crates/cj-entry/src/member.rs
+++ b/crates/cj-entry/src/member.rs
@@ -8,7 +8,8 @@
 };
 
 use cj_sched::{
-    Event, JobIndex, Log, OVERFLOW_LOGS, codec, job_index::Change, sched::OWNER_TIMEOUT,
+    Event, JobIndex, LoadReport, Log, OVERFLOW_LOGS, Record, codec, job_index::Change,
+    sched::OWNER_TIMEOUT,
 };
 use cj_types::Clock;
 use futures::future::join_all;
@@ -18,6 +19,7 @@
 use crate::{
     follow::{FollowState, Update, follow},
     layout::CellId,
+    load_view::LoadView,
     node::EntryNode,
     outbox::Outbox,
     platform::{Platform, Topic},
@@ -61,6 +63,10 @@
     pub needs_vm_list: Cell<bool>,
     /// Waves of which the cell has no VM left to maintain, while this node owns it.
     pub(crate) completed_waves: RefCell<BTreeSet<u64>>,
+    /// What is known about the load of the cell.
+    pub(crate) load_view: RefCell<LoadView>,
+    /// Load to be published with the next heartbeat and when it was taken, while this node owns the cell.
+    pub(crate) load_report: RefCell<Option<(LoadReport, Instant)>>,
     /// Notified when this node has claimed the cell.
     pub(crate) claimed: Notify,
 }
@@ -88,6 +94,8 @@
             events: RefCell::default(),
             needs_vm_list: Cell::default(),
             completed_waves: RefCell::default(),
+            load_view: RefCell::default(),
+            load_report: RefCell::default(),
             claimed: Notify::new(),
         })
     }
@@ -207,6 +215,9 @@
                 return;
             }
         };
+        if let Record::Load(report) = decoded {
+            return self.record_load(*report);
+        }
         let change = self.job_index.borrow_mut().apply(log, record.offset, decoded, in_order);
         match change {
             Change::Submitted(job) => {
--- a/crates/cj-entry/src/metrics.rs
+++ b/crates/cj-entry/src/metrics.rs
@@ -25,11 +25,20 @@
     pub outcome: &'static str,
 }
 
+/// Label of the counter of refused submissions.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// Why the submission was refused.
+    pub reason: &'static str,
+}
+
 /// All metrics of a node.
 pub struct Metrics {
     registry: Registry,
     /// Number of answers to callers.
     pub answers: Family<AnswerLabels, Counter>,
+    /// Number of refused submissions.
+    pub refusals: Family<RefusalLabels, Counter>,
     /// Seconds from the receipt of a request's head to the answer.
     pub latency: Histogram,
     /// Number of start commands.
@@ -55,6 +64,7 @@
         let mut registry = Registry::with_prefix("copperjunction");
         let metrics = Metrics {
             answers: Family::default(),
+            refusals: Family::default(),
             latency: Histogram::new(exponential_buckets(0.001, 2.0, 13)),
             starts: Counter::default(),
             takeovers: Counter::default(),
@@ -67,6 +77,7 @@
             registry: Registry::default(),
         };
         registry.register("answers", "Answers to callers", metrics.answers.clone());
+        registry.register("refusals", "Refused submissions", metrics.refusals.clone());
         registry.register("latency_seconds", "Time to the answer", metrics.latency.clone());
         registry.register("starts_ordered", "Starts ordered", metrics.starts.clone());
         registry.register(
--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -244,6 +244,11 @@
         let now = self.clock.now();
         match CellRecord::decode(&record.key, &record.value) {
             Ok(CellRecord::Layout(layout)) => self.set_layout(layout),
+            Ok(CellRecord::Load(cell, report)) => {
+                if let Some(member) = self.members.borrow().get(cell.index()) {
+                    member.record_load(report);
+                }
+            }
             Ok(CellRecord::Heartbeat(cell, heartbeat)) => {
                 self.owners.borrow_mut().record_heartbeat(cell, heartbeat, now)
             }
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -12,7 +12,7 @@
 };
 
 use cj_sched::{
-    Action, Event, Log, OVERFLOW_LOGS, Record, Scheduler,
+    Action, Event, Log, OVERFLOW_LOGS, Record, Scheduler, codec,
     sched::{OWNERSHIP_LEASE, OwnershipLease},
 };
 use cj_types::Clock;
@@ -46,6 +46,10 @@
 /// Time between two load summaries, which are published to all nodes with the heartbeats.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Most bytes in a second of the loads that the owners of all cells publish for the admission of jobs: each node reads them
+/// all.
+const LOAD_BYTES_PER_SECOND: f64 = 6_000.0;
+
 /// Time between two clean-ups of finished jobs.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -156,6 +160,7 @@
     }
     *member.events.borrow_mut() = None;
     member.completed_waves.take();
+    member.load_report.take();
     owner.lease.set(None);
     tasks.abort_all();
     info!(target: "decision", "cell={} choice=disown epoch={} deposed={}", member.id, ownership.epoch, owner.is_deposed());
@@ -186,6 +191,8 @@
     deposed: Rc<Cell<bool>>,
     last_cleanup: Instant,
     last_load_report: Instant,
+    /// Earliest time of the next load for the admission of jobs.
+    load_report_due: Instant,
 }
 
 impl<P, C> Owner<P, C>
@@ -235,6 +242,7 @@
             deposed,
             last_cleanup,
             last_load_report,
+            load_report_due: now.mono,
         }
     }
 
@@ -274,6 +282,7 @@
         if now.mono.saturating_duration_since(self.last_load_report) > LOAD_REPORT_INTERVAL {
             self.last_load_report = now.mono;
             self.writer.set_load(self.scheduler.load());
+            self.report_load(now.mono);
         }
         if now.mono.saturating_duration_since(self.last_cleanup) > CLEANUP_INTERVAL {
             self.last_cleanup = now.mono;
@@ -281,6 +290,18 @@
         }
     }
 
+    /// Makes a new load for the admission of jobs, unless the last one was so large that the next one has to wait.
+    fn report_load(&mut self, now: Instant) {
+        let policies = self.member.node.settings.policies;
+        if !policies.admit || self.load_report_due > now {
+            return;
+        }
+        let report = self.scheduler.load_report();
+        let bytes = codec::to_bytes(&report).len() as f64 * f64::from(self.layout.cells);
+        self.load_report_due = now + Duration::from_secs_f64(bytes / LOAD_BYTES_PER_SECOND);
+        *self.member.load_report.borrow_mut() = Some((report, now));
+    }
+
     /// Tells the scheduler once all submissions are read that earlier owners may have acted on.
     fn update_submissions_read(&mut self) {
         let job_index = self.member.job_index.borrow();
--- a/crates/cj-entry/src/owner_directory.rs
+++ b/crates/cj-entry/src/owner_directory.rs
@@ -9,7 +9,7 @@
     time::{Duration, Instant},
 };
 
-use cj_sched::{codec, record::OwnerHeartbeat};
+use cj_sched::{LoadReport, codec, record::OwnerHeartbeat};
 use cj_types::{Error, NodeId, Result};
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
@@ -44,6 +44,8 @@
     Heartbeat(CellId, CellHeartbeat),
     /// A node is about to take over a cell that it doesn't follow yet.
     Candidacy(CellId, NodeId),
+    /// Load of a cell for the admission of jobs. Earlier releases skip the record.
+    Load(CellId, LoadReport),
 }
 
 impl CellRecord {
@@ -57,6 +59,7 @@
             CellRecord::Candidacy(cell, node) => {
                 (format_compact!("t{cell}"), codec::to_bytes(node))
             }
+            CellRecord::Load(cell, report) => (format_compact!("l{cell}"), codec::to_bytes(report)),
         }
     }
 
@@ -75,6 +78,7 @@
         match kind {
             "b" => Ok(CellRecord::Heartbeat(cell, codec::from_bytes(value)?)),
             "t" => Ok(CellRecord::Candidacy(cell, codec::from_bytes(value)?)),
+            "l" => Ok(CellRecord::Load(cell, codec::from_bytes(value)?)),
             _ => Err(invalid()),
         }
     }
--- /dev/null
+++ b/crates/cj-entry/src/submission_check.rs
@@ -0,0 +1,154 @@
+//! Whether a cell has room for a submitted job, on what the node has read of the cell's load.
+
+use std::time::Duration;
+
+use cj_sched::{
+    JobKey, JobSpec, Queue, Weight,
+    load_report::{LoadReport, account_digest},
+};
+use cj_types::{AccountId, Clock};
+use log::info;
+
+use crate::{
+    admission::{AdmissionDecision, admit, admit_by_end, backlog_time},
+    expected_end::{ExpectedEnd, JobAccount, JobDemand, JobRequest, PoolView},
+    load_view::AcceptedJob,
+    member::CellMember,
+    platform::Platform,
+};
+
+/// What a decision was made on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Basis {
+    /// The whole backlog of the service.
+    Backlog,
+    /// The expected end of the job, by a load of this age.
+    ExpectedEnd(ExpectedEnd, Duration),
+}
+
+impl Basis {
+    /// Name in log lines and metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Basis::Backlog => "backlog",
+            Basis::ExpectedEnd(..) => "expected_end",
+        }
+    }
+}
+
+impl<P, C> CellMember<P, C>
+where
+    P: Platform,
+    C: Clock + 'static,
+{
+    /// Decides whether to accept a job. Without a recent load of an established owner, the whole backlog counts.
+    pub(crate) fn check_submission(
+        &self,
+        queue: &Queue,
+        account: Option<&AccountId>,
+        key: JobKey,
+        spec: &JobSpec,
+        objective: Duration,
+    ) -> (AdmissionDecision, Basis) {
+        let heartbeat = self.owner_heartbeat();
+        let by_backlog = || {
+            let decision = admit(heartbeat.as_ref(), &queue.service, spec, objective);
+            (decision, Basis::Backlog)
+        };
+        let policies = self.node.settings.policies;
+        if !policies.admit || spec.is_long_running() || spec.schedule.is_some() {
+            return by_backlog();
+        }
+        let now = self.node.clock.now();
+        let account = account.filter(|_| policies.share).map(|id| self.job_account(id));
+        let epoch = heartbeat.as_ref().map_or(0, |heartbeat| heartbeat.epoch);
+        let mut view = self.load_view.borrow_mut();
+        let mut run_times = Default::default();
+        let mut decision = None;
+        if let Some((load, age)) = view.pool(&queue.service, epoch, now) {
+            run_times = load.run_times;
+            let pool = PoolView {
+                load,
+                age,
+                accepted: view.accepted_since(&queue.service, age, now),
+                move_time: self.node.settings.limits.move_time,
+            };
+            let request = JobRequest {
+                spec,
+                priority: queue.priority,
+                stretch: queue.stretch,
+                target: queue.target,
+                account,
+            };
+            let decided = admit_by_end(&pool, key, &request);
+            decision = decided.map(|(choice, end)| (choice, Basis::ExpectedEnd(end, age)));
+        }
+        let (choice, basis) = decision.unwrap_or_else(by_backlog);
+        if choice == AdmissionDecision::Accept {
+            let demand = JobDemand::new(spec, &run_times);
+            let job = AcceptedJob { account, work: demand.work, cores: demand.first_cores };
+            view.add_accepted(queue.service.clone(), job, now);
+        }
+        (choice, basis)
+    }
+
+    fn job_account(&self, id: &AccountId) -> JobAccount {
+        let config = self.node.config.borrow();
+        let known = config.as_ref().and_then(|config| config.account(id));
+        let weight = known.map_or(Weight::DEFAULT, |account| account.weight);
+        JobAccount { digest: account_digest(id), weight: f64::from(weight.value()) }
+    }
+
+    /// Records a load that the owner published.
+    pub(crate) fn record_load(&self, report: LoadReport) {
+        self.load_view.borrow_mut().record(report, self.node.clock.now());
+    }
+
+    /// The load to publish, if there is a new one, with its age.
+    pub(crate) fn take_load_report(&self) -> Option<LoadReport> {
+        let (mut report, taken_at) = self.load_report.take()?;
+        let age = self.node.clock.now().saturating_duration_since(taken_at);
+        report.age_ms = age.as_millis() as u32;
+        Some(report)
+    }
+
+    /// Logs the load that led to a refusal, and its age.
+    pub(crate) fn log_overload(
+        &self,
+        job: JobKey,
+        queue: &Queue,
+        objective: Duration,
+        basis: &Basis,
+    ) {
+        let Some(heartbeat) = self.owner_heartbeat() else { return };
+        let (service, epoch, name) = (&queue.service, heartbeat.epoch, basis.name());
+        let context = self.log_context();
+        match basis {
+            Basis::ExpectedEnd(expected, age) => info!(
+                target: "decision",
+                "job={job} reason=overload basis={name} service={service} wait_ms={} objective_ms={} epoch={epoch} {context} load_age_ms={} max_wait_ms={} end_ms={} likelihood={:.2} ahead_m_s={:.0}",
+                expected.wait.as_millis(), expected.objective.as_millis(), age.as_millis(),
+                expected.longest_wait.as_millis(), expected.end.as_millis(), expected.likelihood, expected.ahead
+            ),
+            Basis::Backlog => {
+                let load = heartbeat.load.iter().find(|(name, _)| name == service);
+                let wait = load.map(|(_, load)| backlog_time(load)).unwrap_or_default();
+                let age = self.heartbeat_age().unwrap_or_default();
+                info!(
+                    target: "decision",
+                    "job={job} reason=overload basis={name} service={service} wait_ms={} objective_ms={} epoch={epoch} {context} load_age_ms={}",
+                    wait.as_millis(), objective.as_millis(), age.as_millis()
+                );
+            }
+        }
+    }
+
+    /// Time since the owner's last heartbeat was read.
+    fn heartbeat_age(&self) -> Option<Duration> {
+        let now = self.node.clock.now();
+        if self.is_followed() {
+            return self.last_heartbeat.get().map(|at| now.saturating_duration_since(at));
+        }
+        self.node.owners.borrow().heartbeat_age(self.id, now)
+    }
+}
--- a/crates/cj-entry/src/writer.rs
+++ b/crates/cj-entry/src/writer.rs
@@ -120,6 +120,11 @@
             let numbers: Vec<u64> = requests.iter().filter_map(|request| request.number).collect();
             records.extend(requests.into_iter().flat_map(|request| request.records));
             let released = self.releasing.get();
+            // In a fleet of several cells, the load is published with the heartbeats in the topic of cells.
+            if !self.member.node.has_multiple_cells() {
+                let report = self.member.take_load_report();
+                records.extend(report.map(|report| Record::Load(Box::new(report))));
+            }
             records.push(self.heartbeat(released));
             if !self.append(&records).await {
                 return report(WriterEvent::Deposed);
--- a/crates/cj-sched/src/codec.rs
+++ b/crates/cj-sched/src/codec.rs
@@ -22,6 +22,7 @@
         Record::Cancel(_, at) => to_bytes(at),
         Record::Wave(_, progress) => to_bytes(progress),
         Record::Owner(body) => to_bytes(body),
+        Record::Load(body) => to_bytes(body),
         Record::Drop(_) => Vec::new(),
     }
 }
@@ -55,6 +56,7 @@
         RecordKey::Cancel(job) => Ok(Record::Cancel(job, from_bytes(value)?)),
         RecordKey::Wave(number) => Ok(Record::Wave(number, from_bytes(value)?)),
         RecordKey::Owner => Ok(Record::Owner(from_bytes(value)?)),
+        RecordKey::Load => Ok(Record::Load(Box::new(from_bytes(value)?))),
     }
 }
 
--- a/crates/cj-sched/src/job_index.rs
+++ b/crates/cj-sched/src/job_index.rs
@@ -224,7 +224,8 @@
                 self.remove_job(log, job);
                 Change::Unchanged
             }
-            Record::Drop(_) => Change::Unchanged,
+            // The load is used for admission, not for the state of jobs.
+            Record::Load(_) | Record::Drop(_) => Change::Unchanged,
         }
     }
 
--- a/crates/cj-sched/src/lib.rs
+++ b/crates/cj-sched/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod job;
 pub mod job_index;
+pub mod load_report;
 pub mod record;
 pub mod sched;
 
@@ -16,5 +17,6 @@
 pub use config::{Advice, FleetConfig, Pool, Queue};
 pub use job::{Demand, JobKey, JobSpec, Schedule, StepSpec, TaskId};
 pub use job_index::{JobEntry, JobIndex, JobState, Log, OVERFLOW_LOGS, Owner};
+pub use load_report::{LoadReport, PoolLoad};
 pub use record::{Progress, Record, RecordKey, StepProgress, Submission};
 pub use sched::{Action, Event, Scheduler};
--- a/crates/cj-sched/src/record.rs
+++ b/crates/cj-sched/src/record.rs
@@ -7,7 +7,10 @@
 use compact_str::{CompactString, format_compact};
 use serde::{Deserialize, Serialize};
 
-use crate::job::{JobKey, JobSpec};
+use crate::{
+    job::{JobKey, JobSpec},
+    load_report::LoadReport,
+};
 
 /// Key under which a record is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -22,6 +25,8 @@
     Wave(u64),
     /// The heartbeat of the owner.
     Owner,
+    /// The load that the owner publishes for admission. Earlier releases skip the record.
+    Load,
 }
 
 impl fmt::Display for RecordKey {
@@ -32,6 +37,7 @@
             RecordKey::Cancel(job) => write!(f, "c{job}"),
             RecordKey::Wave(number) => write!(f, "w{number}"),
             RecordKey::Owner => f.write_str("owner"),
+            RecordKey::Load => f.write_str("load"),
         }
     }
 }
@@ -44,6 +50,9 @@
         if text == "owner" {
             return Ok(RecordKey::Owner);
         }
+        if text == "load" {
+            return Ok(RecordKey::Load);
+        }
         let (kind, rest) = text.split_at_checked(1).ok_or_else(invalid)?;
         match kind {
             "j" => Ok(RecordKey::Submission(rest.parse()?)),
@@ -200,6 +209,8 @@
     Wave(u64, WaveProgress),
     /// Heartbeat of the owner.
     Owner(OwnerHeartbeat),
+    /// Load for the admission of jobs.
+    Load(Box<LoadReport>),
     /// The record of the key is dropped.
     Drop(RecordKey),
 }
@@ -213,6 +224,7 @@
             Record::Cancel(job, _) => RecordKey::Cancel(*job),
             Record::Wave(number, _) => RecordKey::Wave(*number),
             Record::Owner(_) => RecordKey::Owner,
+            Record::Load(_) => RecordKey::Load,
             Record::Drop(key) => *key,
         }
     }
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -229,7 +229,7 @@
         found
     }
 
-    fn rank_of(&self, job: &Job, occurrence: u32) -> Rank {
+    pub(super) fn rank_of(&self, job: &Job, occurrence: u32) -> Rank {
         if !self.policies.rank {
             return submission_rank(job);
         }
--- a/crates/cj-sched/src/sched/policy.rs
+++ b/crates/cj-sched/src/sched/policy.rs
@@ -30,6 +30,9 @@
     pub learn: bool,
     /// Jobs that can still be in time go before those that can't; see `rank`.
     pub rank: bool,
+    /// Jobs that aren't expected to end within their latency objectives are refused in an overload; see `load_report`. Without it,
+    /// a job is refused when the whole backlog exceeds eight objectives.
+    pub admit: bool,
 }
 
 /// Accessor for the flag of a policy.
@@ -48,6 +51,7 @@
     ("speed", |policies| &mut policies.speed),
     ("learn", |policies| &mut policies.learn),
     ("rank", |policies| &mut policies.rank),
+    ("admit", |policies| &mut policies.admit),
 ];
 
 impl Default for Policies {
@@ -64,6 +68,7 @@
             speed: true,
             learn: true,
             rank: true,
+            admit: true,
         }
     }
 }
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -357,7 +357,7 @@
 
     /// Powered-off spares that can be moved. Those that are due for maintenance come first and are taken last, since their
     /// maintenance costs nothing while they are powered off.
-    fn spares(&self, spare_pool: &ServiceId) -> Vec<VmId> {
+    pub(super) fn spares(&self, spare_pool: &ServiceId) -> Vec<VmId> {
         let free = |row: &&VmRow| {
             row.pool == *spare_pool
                 && row.state == VmState::Up
@@ -452,6 +452,12 @@
         self.pools.moves.remove(vm);
     }
 
+    /// The VMs that are moving, each with its new pool and the time since which it is off: that of the command until that is answered.
+    pub(super) fn moving_vms(&self) -> impl Iterator<Item = (&VmId, &ServiceId, Instant)> {
+        let off_since = |moving: &Move| moving.done_at.unwrap_or(moving.sent);
+        self.pools.moves.iter().map(move |(vm, moving)| (vm, &moving.to, off_since(moving)))
+    }
+
     /// True while any VM is moving.
     pub(super) fn has_moves(&self) -> bool {
         !self.pools.moves.is_empty()
--- a/crates/cj-sched/src/sched/rank.rs
+++ b/crates/cj-sched/src/sched/rank.rs
@@ -12,10 +12,10 @@
 use crate::sched::{estimate::TimeEstimate, work::Job};
 
 /// A late job is still of some use to its caller up to this multiple of its objective.
-const LATE_FACTOR: u32 = 3;
+pub const LATE_FACTOR: u32 = 3;
 
 /// A job counts as in time if this multiple of its expected remaining time is left.
-const TIME_MARGIN: f32 = 1.35;
+pub const TIME_MARGIN: f32 = 1.35;
 
 /// Head start of a job of which tasks have run: finishing it frees its caller and wastes no work.
 const STARTED_BONUS: Duration = Duration::from_millis(1_500);
@@ -45,6 +45,11 @@
     pub(super) fn group(self) -> (u32, Timeliness) {
         (self.priority, self.timeliness)
     }
+
+    /// Latest start of the remaining work of a job in time, by which such jobs are ordered.
+    pub(super) fn latest_start(self) -> UnixMillis {
+        UnixMillis(self.order.max(0) as u64)
+    }
 }
 
 /// Rank of an occurrence of a job.
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -13,6 +13,7 @@
 mod late_calls;
 mod lease_evidence;
 mod listings;
+mod load_report;
 mod log_lines;
 mod logs;
 mod network;
