Publish loads more often, and measure admission with simulated surges

Cause: between two loads 300 ms apart, nodes that had refused all began to accept all, so that more was accepted than the pool does in time (trial with the new benchmark). Runs that take several times as long as expected counted as capacity.

Change: a load every 150 ms, less often the larger it is and the longer it takes to make. The arrival rate covers several loads. Overdue runs don't count as capacity. `copperjunction bench admission` measures decisions and loads, and simulates surges with and without the policy. A node test covers the way from the record to the refusal, and the metric.

--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Benchmarks behind `copperjunction bench`. Each file holds one benchmark and returns a JSON report.
 
 pub mod added;
+pub mod admission;
 pub mod append;
 pub mod buffer;
 pub mod cancel;
@@ -39,6 +40,7 @@
 /// All benchmarks by the name used on the command line.
 pub const BENCHMARKS: &[(&str, Benchmark)] = &[
     ("added", added::run),
+    ("admission", admission::run),
     ("append", append::run),
     ("buffer", buffer::run),
     ("cancel", cancel::run),
--- a/crates/cj-entry/src/admission.rs
+++ b/crates/cj-entry/src/admission.rs
@@ -86,7 +86,10 @@
     let decision = if expected.has_room || in_time {
         AdmissionDecision::Accept
     } else {
-        AdmissionDecision::Refuse(retry_after(key, expected.wait - expected.longest_wait))
+        AdmissionDecision::Refuse(retry_after(
+            key,
+            expected.wait.saturating_sub(expected.longest_wait),
+        ))
     };
     Some((decision, expected))
 }
--- a/crates/cj-entry/src/api.rs
+++ b/crates/cj-entry/src/api.rs
@@ -1,14 +1,11 @@
 //! The requests of callers: submit a job, read its state, cancel it, and count the waiting jobs of a queue.
 
-use std::{
-    fmt,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use cj_sched::{
     Access, JobKey, JobSpec, JobState, Queue, Record, Submission, codec, record::OwnerHeartbeat,
 };
-use cj_types::{AccountId, Clock};
+use cj_types::Clock;
 use compact_str::{CompactString, ToCompactString};
 use log::info;
 use serde::{Deserialize, Serialize};
@@ -17,6 +14,7 @@
     access::Caller,
     admission::AdmissionDecision,
     follow::FollowState,
+    log_context::{AccountName, LogContext},
     member::CellMember,
     metrics::{AnswerLabels, RefusalLabels},
     node::EntryNode,
@@ -237,46 +235,11 @@
     }
 }
 
-/// The name of an account in a log line.
-struct AccountName<'a>(Option<&'a AccountId>);
-
-impl fmt::Display for AccountName<'_> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.0.map_or("none", AccountId::as_str))
-    }
-}
-
-/// The part of a log line that tells the cell of a job and how far the node has read it.
-struct LogContext<'a, P, C>(Option<&'a CellMember<P, C>>);
-
-impl<P, C> fmt::Display for LogContext<'_, P, C>
-where
-    P: Platform,
-    C: Clock + 'static,
-{
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Some(member) = self.0 else { return f.write_str("cell=none") };
-        if !member.is_followed() {
-            let heartbeat_age =
-                member.node.owners.borrow().heartbeat_age(member.id, member.node.clock.now());
-            let age = heartbeat_age.map_or(-1, |age| age.as_millis() as i64);
-            return write!(f, "cell={} owner_age_ms={age}", member.id);
-        }
-        let (offset, answered) = (member.job_log.next(), member.job_log.is_reachable());
-        write!(f, "cell={} offset={offset} store_answers={answered}", member.id)
-    }
-}
-
 impl<P, C> CellMember<P, C>
 where
     P: Platform,
     C: Clock + 'static,
 {
-    /// The part of a log line about this cell.
-    pub(crate) fn log_context(&self) -> impl fmt::Display {
-        LogContext(Some(self))
-    }
-
     async fn decide_submission(
         &self,
         queue: &Queue,
--- a/crates/cj-entry/src/expected_end.rs
+++ b/crates/cj-entry/src/expected_end.rs
@@ -126,7 +126,7 @@
     if longest_wait.is_zero() || demand.first_work > most * longest_wait.as_secs_f64() {
         return None;
     }
-    let ahead = work_ahead(view, job, &demand, objective - demand.span);
+    let ahead = work_ahead(view, job, &demand, objective.saturating_sub(demand.span));
     let mean_task = demand.first_work / demand.first_cores.max(1.0);
     let wait = time_to_start(view, ahead + demand.first_work, mean_task)?;
     let wait = (wait - view.age.as_secs_f64()).max(0.0);
--- a/crates/cj-entry/src/lib.rs
+++ b/crates/cj-entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod layout_agreement;
 mod lease;
 pub mod load_view;
+mod log_context;
 pub mod logging;
 mod member;
 pub mod metrics;
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -46,6 +46,12 @@
 /// Time between two load summaries, which are published to all nodes with the heartbeats.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Shortest time between two loads for the admission of jobs. The older a load, the more jobs nodes accept beyond what it shows.
+const ADMISSION_LOAD_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Shortest time between two of these loads, in multiples of the time that making one takes: a fiftieth of the processor.
+const LOAD_REST_FACTOR: u32 = 50;
+
 /// Most bytes in a second of the loads that the owners of all cells publish for the admission of jobs: each node reads them
 /// all.
 const LOAD_BYTES_PER_SECOND: f64 = 6_000.0;
@@ -282,7 +288,10 @@
         if now.mono.saturating_duration_since(self.last_load_report) > LOAD_REPORT_INTERVAL {
             self.last_load_report = now.mono;
             self.writer.set_load(self.scheduler.load());
-            self.report_load(now.mono);
+        }
+        let load_due = self.member.node.clock.now();
+        if load_due >= self.load_report_due {
+            self.report_load(load_due);
         }
         if now.mono.saturating_duration_since(self.last_cleanup) > CLEANUP_INTERVAL {
             self.last_cleanup = now.mono;
@@ -290,15 +299,18 @@
         }
     }
 
-    /// Makes a new load for the admission of jobs, unless the last one was so large that the next one has to wait.
+    /// Makes a new load for the admission of jobs. The larger it is and the longer it takes, the later is the next one.
     fn report_load(&mut self, now: Instant) {
-        let policies = self.member.node.settings.policies;
-        if !policies.admit || self.load_report_due > now {
+        self.load_report_due = now + ADMISSION_LOAD_INTERVAL;
+        if !self.member.node.settings.policies.admit {
             return;
         }
         let report = self.scheduler.load_report();
+        let took = self.member.node.clock.now().saturating_duration_since(now);
         let bytes = codec::to_bytes(&report).len() as f64 * f64::from(self.layout.cells);
-        self.load_report_due = now + Duration::from_secs_f64(bytes / LOAD_BYTES_PER_SECOND);
+        let interval = Duration::from_secs_f64(bytes / LOAD_BYTES_PER_SECOND);
+        let interval = interval.max(ADMISSION_LOAD_INTERVAL).max(took * LOAD_REST_FACTOR);
+        self.load_report_due = now + interval;
         *self.member.load_report.borrow_mut() = Some((report, now));
     }
 
--- a/crates/cj-entry/src/submission_check.rs
+++ b/crates/cj-entry/src/submission_check.rs
@@ -13,6 +13,7 @@
     admission::{AdmissionDecision, admit, admit_by_end, backlog_time},
     expected_end::{ExpectedEnd, JobAccount, JobDemand, JobRequest, PoolView},
     load_view::AcceptedJob,
+    log_context::LogContext,
     member::CellMember,
     platform::Platform,
 };
@@ -122,7 +123,7 @@
     ) {
         let Some(heartbeat) = self.owner_heartbeat() else { return };
         let (service, epoch, name) = (&queue.service, heartbeat.epoch, basis.name());
-        let context = self.log_context();
+        let context = LogContext(Some(self));
         match basis {
             Basis::ExpectedEnd(expected, age) => info!(
                 target: "decision",
--- a/crates/cj-entry/tests/entry/api.rs
+++ b/crates/cj-entry/tests/entry/api.rs
@@ -9,7 +9,9 @@
     layout::NodeCapacity,
 };
 use cj_sched::{
-    Access, FleetConfig, JobKey, JobSpec, Queue, Record, StepSpec, Submission, codec,
+    Access, FleetConfig, JobKey, JobSpec, LoadReport, PoolLoad, Queue, Record, StepSpec,
+    Submission, codec,
+    load_report::WaitingBand,
     record::ServiceLoad,
     sched::{Limits, Policies},
 };
@@ -165,6 +167,44 @@
     assert_eq!(answer, SubmitOutcome::Unknown, "nothing was read since the request");
 }
 
+/// Guards against loads that are published and read but not decided on, and against refusals on one that has become too old.
+#[actix_rt::test]
+async fn refuses_by_the_load_that_the_owner_published() {
+    let band = WaitingBand { priority: 0, latest_start_ms: 100, work: 5_000 };
+    let load =
+        PoolLoad { capacity: 1_000, asked: 1_000, waiting: vec![band], ..PoolLoad::default() };
+    let pools = vec![(ServiceId::try_from("s").unwrap(), load)];
+    let report = LoadReport { epoch: 3, owned_ms: 9_000, age_ms: 0, pools };
+    let owner = Record::Owner(heartbeat(3, false, 0).owner);
+    let entries = [owner, Record::Load(Box::new(report))].map(|record| codec::entry(&record));
+    let records = (0..).zip(entries).map(|(offset, (key, value))| record(offset, &key, value));
+    let page = Page { records: records.collect(), next: 2, end: 2 };
+    let node = node(vec![after(4, Ok(0))]).await;
+    node.platform.reads.borrow_mut().push_back(after(1, Ok(page)));
+    while node.members()[0].job_index.borrow().owner().is_none() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    node.clock.advance(Duration::from_millis(50));
+    let mut submitted = Box::pin(submit(&node));
+    let early = tokio::time::timeout(Duration::from_millis(60), &mut submitted).await;
+    assert!(early.is_err(), "the job may be known to another node");
+    let empty = Page { records: Vec::new(), next: 2, end: 2 };
+    node.platform.reads.borrow_mut().push_back(after(1, Ok(empty)));
+    // 5 s of work go first, and the job can wait for 0.68 s.
+    let SubmitOutcome::Refused("overload", retry_after) = submitted.await else {
+        panic!("not refused")
+    };
+    assert!(retry_after > Duration::from_secs(3) && retry_after < Duration::from_secs(6));
+    let metrics = node.metrics.render();
+    assert!(
+        metrics.contains("copperjunction_refusals_total{reason=\"expected_end\"} 1"),
+        "{metrics}"
+    );
+
+    node.clock.advance(Duration::from_millis(2_100));
+    assert_eq!(submit(&node).await, SubmitOutcome::Accepted, "the load is too old");
+}
+
 /// Guards against callers waiting for a store that is known to be unreachable.
 #[actix_rt::test]
 async fn refuses_at_once_when_the_store_is_unreachable() {
--- a/crates/cj-entry/tests/entry/owner_directory.rs
+++ b/crates/cj-entry/tests/entry/owner_directory.rs
@@ -6,8 +6,8 @@
     layout::CellId,
     owner_directory::{CellHeartbeat, CellRecord, OwnerDirectory},
 };
-use cj_sched::record::OwnerHeartbeat;
-use cj_types::{Millicores, NodeId};
+use cj_sched::{LoadReport, PoolLoad, record::OwnerHeartbeat};
+use cj_types::{Millicores, NodeId, ServiceId};
 
 pub(crate) fn heartbeat(epoch: u64, released: bool, waiting: u32) -> CellHeartbeat {
     let owner = OwnerHeartbeat {
@@ -79,3 +79,17 @@
         assert!(CellRecord::decode(key, &value).is_err(), "{key}");
     }
 }
+
+/// Guards against a load of a cell that is taken for that of another, and a process that ends because of a malformed one.
+#[test]
+fn loads_of_cells_round_trip() {
+    let pools =
+        vec![(ServiceId::try_from("s").unwrap(), PoolLoad { capacity: 9, ..PoolLoad::default() })];
+    let record =
+        CellRecord::Load(CellId(3), LoadReport { epoch: 4, owned_ms: 5, age_ms: 6, pools });
+    let (key, value) = record.entry();
+    assert_eq!(CellRecord::decode(&key, &value).unwrap(), record);
+    for length in 0..value.len() {
+        assert!(CellRecord::decode(&key, &value[..length]).is_err(), "{length} bytes");
+    }
+}
--- a/crates/cj-sched/src/sched/load_report.rs
+++ b/crates/cj-sched/src/sched/load_report.rs
@@ -19,13 +19,23 @@
     },
     record::Outcome,
     sched::{
-        demand::MIN_VMS, estimate::longest_of, rank::Timeliness, scheduler::Scheduler, work::Job,
+        demand::MIN_VMS,
+        estimate::longest_of,
+        rank::Timeliness,
+        scheduler::Scheduler,
+        work::{Job, TaskRef},
         worker::Worker,
     },
 };
 
-/// Time over which arrivals count for the arrival rate. It covers the time from one report to the next and the way there.
-const ARRIVAL_WINDOW: Duration = Duration::from_millis(500);
+/// Times over which arrivals count for the arrival rate, which is the higher one. The short one follows a rise. The long one covers
+/// several reports: nodes that all accept after a load and all refuse after the next make the arrivals of one report say
+/// little about those of the next.
+const ARRIVAL_WINDOWS: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(2_000)];
+
+/// A run that takes longer than this multiple of the expected time doesn't count as capacity: it may go on for several times as
+/// long, and frees no room meanwhile.
+const OVERDUE_FACTOR: u32 = 2;
 
 /// Parts into which all work is divided; the other bands are for changes of priority and for late work.
 const EVEN_BANDS: u128 = MAX_BANDS as u128 - 3;
@@ -49,8 +59,8 @@
     asked: u64,
     /// Least that one of these tasks asks for.
     smallest: Option<Resources>,
-    /// Work of the jobs that arrived within [`ARRIVAL_WINDOW`], in millicores times milliseconds.
-    arrived: u64,
+    /// Work of the jobs that arrived within each of [`ARRIVAL_WINDOWS`], in millicores times milliseconds.
+    arrived: [u64; 2],
     accounts: HashMap<&'a AccountId, u64>,
     run_times: RunTimeFit,
     /// Processors in use by finite tasks, and free ones in which a waiting task fits, in millicores.
@@ -100,7 +110,7 @@
     /// Adds the waiting work of a job.
     fn add_waiting<'a>(&self, job: &'a Job, pool: &mut PoolSums<'a>) {
         let wall = self.now.wall;
-        let is_recent = wall.since(job.submission.received_at) < ARRIVAL_WINDOW;
+        let age = wall.since(job.submission.received_at);
         for (number, occurrence) in job.occurrences.iter().enumerate() {
             let not_due = occurrence.due.is_some_and(|due| due > wall);
             if occurrence.outcome != Outcome::Open || not_due {
@@ -121,9 +131,9 @@
                 let task = u64::from(demand.cores.0).saturating_mul(expected.as_millis() as u64);
                 let idle = step.idle.len() as u64;
                 work = work.saturating_add(idle.saturating_mul(task));
-                if is_recent && job.fresh {
-                    let all = u64::from(spec.count).saturating_mul(task);
-                    pool.arrived = pool.arrived.saturating_add(all);
+                let arrived = pool.arrived.iter_mut().zip(ARRIVAL_WINDOWS);
+                for (sum, _) in arrived.filter(|(_, window)| job.fresh && age < *window) {
+                    *sum = sum.saturating_add(u64::from(spec.count).saturating_mul(task));
                 }
                 if idle > 0 && occurrence.is_ready(number) {
                     pool.asked += idle * u64::from(demand.cores.0);
@@ -150,15 +160,27 @@
 
     /// Adds the capacity of a worker that takes tasks.
     fn add_worker(&self, worker: &Worker, pool: &mut PoolSums<'_>) {
-        let finite = worker.runs.iter().map(|at| self.jobs[at.job].step_spec(at.step));
-        let finite = finite.filter(|spec| !spec.long_running);
-        pool.used += finite.map(|spec| u64::from(spec.allocation().cores.0)).sum::<u64>();
+        let ending = worker.runs.iter().filter(|at| self.is_about_to_end(**at));
+        let cores = |at: &TaskRef| self.jobs[at.job].step_spec(at.step).allocation().cores.0;
+        pool.used += ending.map(|at| u64::from(cores(at))).sum::<u64>();
         pool.free += usable(worker.free(), pool.smallest);
         if worker.runs.is_empty() && worker.accepts_tasks(self.now.mono) {
             pool.idle_vms.push(u64::from(worker.capacity.cores.0));
         }
     }
 
+    /// True for a run of a finite task that takes about as long as expected.
+    fn is_about_to_end(&self, at: TaskRef) -> bool {
+        let job = &self.jobs[at.job];
+        let Some(placed) =
+            self.task(at).placement().filter(|_| !job.step_spec(at.step).long_running)
+        else {
+            return false;
+        };
+        let taken = self.now.mono.saturating_duration_since(placed.started_at);
+        taken <= self.expected_run_time(job, at.step, job.step(at)) * OVERDUE_FACTOR
+    }
+
     /// Adds the capacity of the VMs that are moving to a pool and whose workers haven't registered yet.
     fn add_arrivals<'a>(&'a self, pools: &mut BTreeMap<&'a ServiceId, PoolSums<'_>>) {
         for (vm, to, off_since) in self.moving_vms() {
@@ -219,13 +241,14 @@
 
     /// The load but for what depends on other pools.
     fn load(&self) -> PoolLoad {
-        let window = ARRIVAL_WINDOW.as_millis() as u64;
+        let rates = self.arrived.iter().zip(ARRIVAL_WINDOWS);
+        let rates = rates.map(|(work, window)| work / window.as_millis() as u64);
         PoolLoad {
             capacity: saturated(self.used + self.free),
             free: saturated(self.free),
             asked: saturated(self.asked),
             arriving: group_arrivals(self.arriving.clone()),
-            arrival_rate: saturated(self.arrived / window),
+            arrival_rate: saturated(rates.max().unwrap_or_default()),
             run_times: self.run_times.means(),
             waiting: bands(self.waiting.clone()),
             ..PoolLoad::default()
