Name the time of the load report after what it is

Cause: the name said when a load is due, and the value is the present time.

Change: the variable is renamed.

--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -289,9 +289,9 @@
             self.last_load_report = now.mono;
             self.writer.set_load(self.scheduler.load());
         }
-        let load_due = self.member.node.clock.now();
-        if load_due >= self.load_report_due {
-            self.report_load(load_due);
+        let polled_at = self.member.node.clock.now();
+        if polled_at >= self.load_report_due {
+            self.report_load(polled_at);
         }
         if now.mono.saturating_duration_since(self.last_cleanup) > CLEANUP_INTERVAL {
             self.last_cleanup = now.mono;
