--- a/crates/cj-entry/src/metrics.rs
+++ b/crates/cj-entry/src/metrics.rs
@@ -38,11 +38,20 @@
 /// Label values of the quantiles whose calibration is counted.
 const QUANTILE_LABELS: [&str; CALIBRATED_QUANTILES.len()] = ["0.5", "0.9"];
 
+/// Label of the counter of refused submissions.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// Why the submission was refused.
+    pub reason: &'static str,
+}
+
 /// All metrics of a node.
 pub struct Metrics {
     registry: Registry,
     /// Number of answers to callers.
     pub answers: Family<AnswerLabels, Counter>,
+    /// Number of refused submissions.
+    pub refusals: Family<RefusalLabels, Counter>,
     /// Seconds from the receipt of a request's head to the answer.
     pub latency: Histogram,
     /// Number of start commands.
@@ -70,6 +79,7 @@
         let mut registry = Registry::with_prefix("copperjunction");
         let metrics = Metrics {
             answers: Family::default(),
+            refusals: Family::default(),
             latency: Histogram::new(exponential_buckets(0.001, 2.0, 13)),
             starts: Counter::default(),
             run_time_predictions: Family::default(),
@@ -83,6 +93,7 @@
             registry: Registry::default(),
         };
         registry.register("answers", "Answers to callers", metrics.answers.clone());
+        registry.register("refusals", "Refused submissions", metrics.refusals.clone());
         registry.register("latency_seconds", "Time to the answer", metrics.latency.clone());
         registry.register("starts_ordered", "Starts ordered", metrics.starts.clone());
         registry.register(
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -12,7 +12,7 @@
 };
 
 use cj_sched::{
-    Action, Event, Log, OVERFLOW_LOGS, Record, Scheduler,
+    Action, Event, Log, OVERFLOW_LOGS, Record, Scheduler, codec,
     run_times::PredictionCounts,
     sched::{OWNERSHIP_LEASE, OwnershipLease},
 };
@@ -47,6 +47,16 @@
 /// Time between two load summaries, which are published to all nodes with the heartbeats.
 const LOAD_REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Shortest time between two loads for the admission of jobs. The older a load, the more jobs nodes accept beyond what it shows.
+const ADMISSION_LOAD_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Shortest time between two of these loads, in multiples of the time that making one takes: a fiftieth of the processor.
+const LOAD_REST_FACTOR: u32 = 50;
+
+/// Most bytes in a second of the loads that the owners of all cells publish for the admission of jobs: each node reads them
+/// all.
+const LOAD_BYTES_PER_SECOND: f64 = 6_000.0;
+
 /// Time between two clean-ups of finished jobs.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -157,6 +167,7 @@
     }
     *member.events.borrow_mut() = None;
     member.completed_waves.take();
+    member.load_report.take();
     owner.lease.set(None);
     tasks.abort_all();
     info!(target: "decision", "cell={} choice=disown epoch={} deposed={}", member.id, ownership.epoch, owner.is_deposed());
@@ -189,6 +200,8 @@
     last_load_report: Instant,
     /// Predictions that are in the metrics.
     counted_predictions: PredictionCounts,
+    /// Earliest time of the next load for the admission of jobs.
+    load_report_due: Instant,
 }
 
 impl<P, C> Owner<P, C>
@@ -239,6 +252,7 @@
             last_cleanup,
             last_load_report,
             counted_predictions: PredictionCounts::default(),
+            load_report_due: now.mono,
         }
     }
 
@@ -280,6 +294,10 @@
             self.writer.set_load(self.scheduler.load());
             self.count_predictions();
         }
+        let polled_at = self.member.node.clock.now();
+        if polled_at >= self.load_report_due {
+            self.report_load(polled_at);
+        }
         if now.mono.saturating_duration_since(self.last_cleanup) > CLEANUP_INTERVAL {
             self.last_cleanup = now.mono;
             self.clean_up();
@@ -293,6 +311,21 @@
         self.counted_predictions = counts;
     }
 
+    /// Makes a new load for the admission of jobs. The larger it is and the longer it takes, the later is the next one.
+    fn report_load(&mut self, now: Instant) {
+        self.load_report_due = now + ADMISSION_LOAD_INTERVAL;
+        if !self.member.node.settings.policies.admit {
+            return;
+        }
+        let report = self.scheduler.load_report();
+        let took = self.member.node.clock.now().saturating_duration_since(now);
+        let bytes = codec::to_bytes(&report).len() as f64 * f64::from(self.layout.cells);
+        let interval = Duration::from_secs_f64(bytes / LOAD_BYTES_PER_SECOND);
+        let interval = interval.max(ADMISSION_LOAD_INTERVAL).max(took * LOAD_REST_FACTOR);
+        self.load_report_due = now + interval;
+        *self.member.load_report.borrow_mut() = Some((report, now));
+    }
+
     /// Tells the scheduler once all submissions are read that earlier owners may have acted on.
     fn update_submissions_read(&mut self) {
         let job_index = self.member.job_index.borrow();
--- a/crates/cj-sched/src/codec.rs
+++ b/crates/cj-sched/src/codec.rs
@@ -23,6 +23,7 @@
         Record::Wave(_, progress) => to_bytes(progress),
         Record::Owner(body) => to_bytes(body),
         Record::RunTimes(body) => to_bytes(body),
+        Record::Load(body) => to_bytes(body),
         Record::Drop(_) => Vec::new(),
     }
 }
@@ -57,6 +58,7 @@
         RecordKey::Wave(number) => Ok(Record::Wave(number, from_bytes(value)?)),
         RecordKey::Owner => Ok(Record::Owner(from_bytes(value)?)),
         RecordKey::RunTimes => Ok(Record::RunTimes(from_bytes(value)?)),
+        RecordKey::Load => Ok(Record::Load(Box::new(from_bytes(value)?))),
     }
 }
 
--- a/crates/cj-sched/src/record.rs
+++ b/crates/cj-sched/src/record.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     job::{JobKey, JobSpec},
+    load_report::LoadReport,
     run_times::RunTimes,
 };
 
@@ -27,6 +28,8 @@
     Owner,
     /// Learned run times.
     RunTimes,
+    /// The load that the owner publishes for admission. Earlier releases skip the record.
+    Load,
 }
 
 impl fmt::Display for RecordKey {
@@ -38,6 +41,7 @@
             RecordKey::Wave(number) => write!(f, "w{number}"),
             RecordKey::Owner => f.write_str("owner"),
             RecordKey::RunTimes => f.write_str("run-times"),
+            RecordKey::Load => f.write_str("load"),
         }
     }
 }
@@ -50,6 +54,7 @@
         match text {
             "owner" => return Ok(RecordKey::Owner),
             "run-times" => return Ok(RecordKey::RunTimes),
+            "load" => return Ok(RecordKey::Load),
             _ => {}
         }
         let (kind, rest) = text.split_at_checked(1).ok_or_else(invalid)?;
@@ -210,6 +215,8 @@
     Owner(OwnerHeartbeat),
     /// Learned run times.
     RunTimes(RunTimes),
+    /// Load for the admission of jobs.
+    Load(Box<LoadReport>),
     /// The record of the key is dropped.
     Drop(RecordKey),
 }
@@ -224,6 +231,7 @@
             Record::Wave(number, _) => RecordKey::Wave(*number),
             Record::Owner(_) => RecordKey::Owner,
             Record::RunTimes(_) => RecordKey::RunTimes,
+            Record::Load(_) => RecordKey::Load,
             Record::Drop(key) => *key,
         }
     }
--- a/crates/cj-sched/src/sched/policy.rs
+++ b/crates/cj-sched/src/sched/policy.rs
@@ -34,6 +34,10 @@
     pub learn: bool,
     /// Jobs that can still be in time go before those that can't; see `rank`.
     pub rank: bool,
+    /// Jobs that aren't expected to end within their latency objectives are refused in an overload; see `load_report`. Without it,
+    /// a job is refused when the whole backlog exceeds eight objectives. Off by default: refused callers that come back after a
+    /// second have little of their objectives left.
+    pub admit: bool,
 }
 
 /// Accessor for the flag of a policy.
@@ -54,6 +58,7 @@
     ("speed", |policies| &mut policies.speed),
     ("learn", |policies| &mut policies.learn),
     ("rank", |policies| &mut policies.rank),
+    ("admit", |policies| &mut policies.admit),
 ];
 
 impl Default for Policies {
@@ -72,17 +77,19 @@
             speed: true,
             learn: true,
             rank: true,
+            admit: false,
         }
     }
 }
 
-/// Parses the names of the policies to switch off, separated by commas. Fails on an unknown name.
-impl FromStr for Policies {
-    type Err = Error;
-
-    fn from_str(text: &str) -> Result<Self> {
-        let mut policies = Policies::default();
-        for name in text.split(',').map(str::trim).filter(|name| !name.is_empty()) {
+impl Policies {
+    /// Switches the policies with these names on or off; names are separated by commas.
+    ///
+    /// # Errors
+    ///
+    /// An unknown name.
+    pub fn set(&mut self, names: &str, on: bool) -> Result<()> {
+        for name in names.split(',').map(str::trim).filter(|name| !name.is_empty()) {
             let known = SWITCHES.iter().find(|(known, _)| *known == name);
             let Some((_, switch)) = known else {
                 let names: Vec<_> = SWITCHES.iter().map(|(name, _)| *name).collect();
@@ -92,8 +99,19 @@
                     format!("use one of {}", names.join(", ")),
                 ));
             };
-            *switch(&mut policies) = false;
+            *switch(self) = on;
         }
+        Ok(())
+    }
+}
+
+/// Parses the names of the policies to switch off.
+impl FromStr for Policies {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let mut policies = Policies::default();
+        policies.set(text, false)?;
         Ok(policies)
     }
 }
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -14,6 +14,7 @@
 mod learned_times;
 mod lease_evidence;
 mod listings;
+mod load_report;
 mod log_lines;
 mod logs;
 mod network;
