Order the work that waits for a pool by recent service of the accounts

Cause: the shares of accounts look only at what runs at the moment, from 1.8 times the share on, and nothing orders what waits.

Change: the policy `fair` (it needs `share`; off: as before) sums up the share of each pool that the accounts use, decaying over 4 s (account_service.rs), and places the steps of the same priority and timeliness by weighted fair queueing (account_order.rs). Jobs of which tasks have run, jobs whose delay would help nobody, and accounts far below their share keep their places. For long-running tasks the present rule of `share` goes on.

--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -38,7 +38,7 @@
 /// What an account uses and what it may use.
 #[derive(Clone, Debug)]
 pub(super) struct AccountUsage {
-    id: AccountId,
+    pub(super) id: AccountId,
     pub(super) weight: Weight,
     /// This cell's part of the cap.
     cap: AccountCap,
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -1,5 +1,7 @@
 //! The scheduler of a cell, which runs on the node that owns the cell.
 
+mod account_order;
+mod account_service;
 mod advice;
 mod balance;
 mod call_history;
--- a/crates/cj-sched/src/sched/pass.rs
+++ b/crates/cj-sched/src/sched/pass.rs
@@ -130,12 +130,14 @@
     pub(super) number: u64,
     /// Use of the pools by accounts, where these share them.
     pub(super) pools: HashMap<ServiceId, PoolShares>,
+    /// Work that stands before the next group of candidates, in seconds of the whole pool.
+    pub(super) work_ahead: HashMap<ServiceId, f32>,
     services: HashMap<ServiceId, ServiceWork>,
 }
 
 impl Pass {
     pub(super) fn new(number: u64, pools: HashMap<ServiceId, PoolShares>) -> Self {
-        Pass { number, pools, services: HashMap::new() }
+        Pass { number, pools, work_ahead: HashMap::new(), services: HashMap::new() }
     }
 
     /// Begins the second part, which has work of its own.
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -32,10 +32,12 @@
 const RUN_NUMBER_BITS: u32 = 20;
 
 /// An occurrence with idle tasks that are ready to start.
-struct Candidate {
-    rank: Rank,
-    at: TaskRef,
-    service: ServiceId,
+pub(super) struct Candidate {
+    pub(super) rank: Rank,
+    pub(super) at: TaskRef,
+    pub(super) service: ServiceId,
+    /// Time until the remaining work has to start; `None` without a latency objective.
+    pub(super) slack: Option<Duration>,
 }
 
 /// What became of the idle tasks of a step in a pass.
@@ -71,6 +73,10 @@
         }
         let shared = self.policies.share && !self.ledger.is_empty();
         let pools = if shared { self.pool_shares() } else { HashMap::new() };
+        let fair = shared && self.policies.fair;
+        if fair {
+            self.account_service.update(now, &pools);
+        }
         let mut pass = Pass::new(self.pass_number, pools);
         for candidate in &candidates {
             let pool = pass.pools.get_mut(&candidate.service);
@@ -79,7 +85,10 @@
             }
         }
         for group in candidates.chunk_by(|a, b| a.rank.group() == b.rank.group()) {
-            self.place_group(group, &mut pass);
+            match fair {
+                true => self.place_group_by_account(group, &mut pass),
+                false => self.place_group(group, &mut pass),
+            }
         }
         self.place_left_out(&candidates, &mut pass);
         self.request_advice();
@@ -105,19 +114,26 @@
     }
 
     /// True if the account of an occurrence has more than its share of the pool.
-    fn is_over_share(&self, candidate: &Candidate, pass: &Pass) -> bool {
+    pub(super) fn is_over_share(&self, candidate: &Candidate, pass: &Pass) -> bool {
         let account = self.jobs[candidate.at.job].account;
         let pool = pass.pools.get(&candidate.service);
         pool.zip(account).is_some_and(|(pool, account)| pool.is_over(&self.ledger, account))
     }
 
     /// Counts started tasks of a step for the share of their account.
-    fn add_to_share(&self, candidate: &Candidate, step: u32, started: u32, pass: &mut Pass) {
+    pub(super) fn add_to_share(
+        &self,
+        candidate: &Candidate,
+        step: u32,
+        started: u32,
+        pass: &mut Pass,
+    ) {
         let charge = self.charge_of(TaskRef { step, ..candidate.at });
         let pool = pass.pools.get_mut(&candidate.service);
         if let Some((pool, charge)) = pool.zip(charge) {
             let demand = charge.demand.times(started);
-            pool.add_run(&self.ledger, Charge { demand, ..charge });
+            let is_finite = !self.jobs[candidate.at.job].step_spec(step).long_running;
+            pool.add_run(&self.ledger, Charge { demand, ..charge }, is_finite);
         }
     }
 
@@ -138,11 +154,11 @@
         }
     }
 
-    fn begin_turn(&self, candidate: &Candidate) -> Turn {
+    pub(super) fn begin_turn(&self, candidate: &Candidate) -> Turn {
         Turn::begin(self.jobs[candidate.at.job].occurrence(candidate.at))
     }
 
-    fn take_turn(&mut self, candidate: &Candidate, mut turn: Turn, pass: &mut Pass) {
+    pub(super) fn take_turn(&mut self, candidate: &Candidate, mut turn: Turn, pass: &mut Pass) {
         while let Some(step) = self.next_step(candidate, &mut turn, pass) {
             self.place_next(candidate, step, &mut turn, pass);
         }
@@ -150,7 +166,12 @@
 
     /// The step of an occurrence to place next. `None` at the end of its turn, which is recorded then. A turn that the
     /// work of its service cuts short goes on later, but doesn't count.
-    fn next_step(&mut self, candidate: &Candidate, turn: &mut Turn, pass: &Pass) -> Option<u32> {
+    pub(super) fn next_step(
+        &mut self,
+        candidate: &Candidate,
+        turn: &mut Turn,
+        pass: &Pass,
+    ) -> Option<u32> {
         let at = candidate.at;
         let is_cut = pass.is_used_up(&candidate.service);
         let occurrence = self.jobs[at.job].occurrence_mut(at);
@@ -167,7 +188,7 @@
     }
 
     /// Starts the tasks of a step that fit, and moves on to the next one. Returns how many it started.
-    fn place_next(
+    pub(super) fn place_next(
         &mut self,
         candidate: &Candidate,
         step: u32,
@@ -222,18 +243,23 @@
                 occurrence.last_turn.pass.get_or_insert(self.pass_number - 1);
                 let job = &self.jobs[slot];
                 let at = TaskRef { job: slot, occurrence: number as u32, step: 0, index: 0 };
-                let rank = self.rank_of(job, at.occurrence);
-                found.push(Candidate { rank, at, service: service.clone() });
+                let (rank, slack) = self.rank_of(job, at.occurrence);
+                found.push(Candidate { rank, at, service: service.clone(), slack });
             }
         }
         found
     }
 
-    fn rank_of(&self, job: &Job, occurrence: u32) -> Rank {
+    /// Rank of an occurrence, and the time until its remaining work has to start.
+    fn rank_of(&self, job: &Job, occurrence: u32) -> (Rank, Option<Duration>) {
         if !self.policies.rank {
-            return submission_rank(job);
+            return (submission_rank(job), None);
         }
-        rank(job, occurrence, self.estimate_occurrence(job, occurrence), self.now.wall)
+        let estimate = self.estimate_occurrence(job, occurrence);
+        let rank = rank(job, occurrence, estimate, self.now.wall);
+        let has_slack = rank.timeliness == Timeliness::InTime;
+        let slack = estimate.deadline.since(self.now.wall + estimate.remaining);
+        (rank, has_slack.then_some(slack))
     }
 
     /// Starts the idle tasks of a step that the cap of the account allows.
--- a/crates/cj-sched/src/sched/policy.rs
+++ b/crates/cj-sched/src/sched/policy.rs
@@ -20,6 +20,8 @@
     pub balance: bool,
     /// Accounts above their share of a full pool wait for the others; see `share`.
     pub share: bool,
+    /// What waits is ordered by the recent service of the accounts as well; see `account_order`. Needs `share`.
+    pub fair: bool,
     /// Finite tasks are preempted by long-running ones.
     pub preempt: bool,
     /// Workers that fail or hang get tasks only as a last resort.
@@ -43,6 +45,7 @@
     ("reclaim", |policies| &mut policies.reclaim),
     ("balance", |policies| &mut policies.balance),
     ("share", |policies| &mut policies.share),
+    ("fair", |policies| &mut policies.fair),
     ("preempt", |policies| &mut policies.preempt),
     ("quarantine", |policies| &mut policies.quarantine),
     ("speed", |policies| &mut policies.speed),
@@ -59,6 +62,7 @@
             reclaim: true,
             balance: true,
             share: true,
+            fair: true,
             preempt: true,
             quarantine: true,
             speed: true,
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -18,6 +18,7 @@
     job_index::JobIndex,
     record::{Outcome, Progress, Submission},
     sched::{
+        account_service::AccountService,
         advice::AdviceCalls,
         call_history::DepartedWorkers,
         crash::UnexplainedCrashes,
@@ -89,6 +90,8 @@
     pub(super) estimators: HashMap<CompactString, RunTimeEstimator>,
     /// What each account has running.
     pub(super) ledger: Ledger,
+    /// What each account got of each pool of late.
+    pub(super) account_service: AccountService,
     /// Most that runs of earlier owners can use on workers that weren't listed yet, at the last placement pass.
     pub(super) unlisted: Resources,
     /// All submissions that earlier owners may have acted on have been read.
@@ -148,6 +151,7 @@
             unanswered_starts: Vec::new(),
             estimators: HashMap::new(),
             ledger: Ledger::default(),
+            account_service: AccountService::default(),
             unlisted: Resources::default(),
             submissions_read: false,
             write: Default::default(),
--- a/crates/cj-sched/src/sched/share.rs
+++ b/crates/cj-sched/src/sched/share.rs
@@ -26,6 +26,10 @@
     weights: f32,
     /// Resources in use by the accounts that have tasks in the pool, running or ready to start.
     used: HashMap<AccountSlot, Resources>,
+    /// The part of `used` that finite tasks use.
+    finite: HashMap<AccountSlot, Resources>,
+    /// Used by the long-running tasks of all jobs.
+    long_running: Resources,
 }
 
 impl PoolShares {
@@ -42,21 +46,52 @@
         }
     }
 
+    /// Counts what a long-running task uses, whether its job belongs to an account or not.
+    pub(super) fn add_long_running(&mut self, used: Resources) {
+        self.long_running = self.long_running.plus(used);
+    }
+
     /// Counts a run.
-    pub(super) fn add_run(&mut self, ledger: &Ledger, run: Charge) {
+    pub(super) fn add_run(&mut self, ledger: &Ledger, run: Charge, is_finite: bool) {
         self.add_account(ledger, run.account);
+        if is_finite {
+            let finite = self.finite.entry(run.account).or_default();
+            *finite = finite.plus(run.demand);
+        }
         let used = self.used.entry(run.account).or_default();
         *used = used.plus(run.demand);
     }
 
     /// True if an account uses much more than its share.
     pub(super) fn is_over(&self, ledger: &Ledger, account: AccountSlot) -> bool {
-        let entitled = ledger.usage(account).weight.value() / self.weights.max(f32::MIN_POSITIVE);
+        let entitled = self.entitled_share(ledger.usage(account).weight.value());
         let limit = (entitled * EXCESS_FACTOR).min((1.0 + entitled) / 2.0);
         self.used.get(&account).is_some_and(|used| dominant_share(*used, self.capacity) > limit)
     }
 }
 
+impl PoolShares {
+    /// Share of the pool's room for finite tasks that a demand takes.
+    pub(super) fn share_of(&self, demand: Resources) -> f32 {
+        dominant_share(demand, self.capacity.minus(self.long_running))
+    }
+
+    /// Share of the pool's room for finite tasks that those of an account use.
+    pub(super) fn running_share(&self, account: AccountSlot) -> f32 {
+        self.finite.get(&account).map_or(0.0, |used| self.share_of(*used))
+    }
+
+    /// Shares of all accounts with finite tasks that run.
+    pub(super) fn running_shares(&self) -> impl Iterator<Item = (AccountSlot, f32)> {
+        self.finite.iter().map(|(account, used)| (*account, self.share_of(*used)))
+    }
+
+    /// Share of the pool that the weight of an account entitles it to.
+    pub(super) fn entitled_share(&self, weight: f32) -> f32 {
+        weight / self.weights.max(f32::MIN_POSITIVE)
+    }
+}
+
 /// Largest share of a resource that `used` is of `capacity`.
 fn dominant_share(used: Resources, capacity: Resources) -> f32 {
     let share = |used: u32, capacity: u32| used as f32 / capacity.max(1) as f32;
@@ -75,8 +110,14 @@
             }
             let Some(shares) = pools.get_mut(&worker.service) else { continue };
             shares.add_capacity(worker.capacity);
-            for run in worker.runs.iter().filter_map(|&at| self.charge_of(at)) {
-                shares.add_run(&self.ledger, run);
+            for &at in &worker.runs {
+                let spec = self.jobs[at.job].step_spec(at.step);
+                if spec.long_running {
+                    shares.add_long_running(spec.demand);
+                }
+                if let Some(run) = self.charge_of(at) {
+                    shares.add_run(&self.ledger, run, !spec.long_running);
+                }
             }
         }
         pools
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -320,6 +320,8 @@
     pub(super) account: Option<AccountSlot>,
     /// The cap of its account has held it back, which was logged.
     pub(super) held: bool,
+    /// Its tasks were passed over in favour of another account, which was counted.
+    pub(super) deferred: bool,
     /// It was expected to meet its latency objective when it was last ranked.
     pub(super) in_time: bool,
 }
@@ -350,6 +352,7 @@
             active_runs: 0,
             account: None,
             held: false,
+            deferred: false,
             in_time: true,
         }
     }
--- a/crates/cj-sched/tests/sim/accounts.rs
+++ b/crates/cj-sched/tests/sim/accounts.rs
@@ -1,6 +1,6 @@
 //! Client accounts in the simulation: caps that change, and the check that no start exceeds them.
 
-use std::rc::Rc;
+use std::{collections::HashMap, rc::Rc};
 
 use cj_sched::{Account, AccountCap, Accounts, Event, FleetConfig, Submission, TaskId, Weight};
 use cj_types::{AccountId, Resources, Version};
@@ -21,10 +21,12 @@
 pub(crate) struct Caps {
     previous: Option<Accounts>,
     changed_at: u64,
+    /// Accounts of the jobs that have one of their own choice, by key.
+    pub(crate) assigned: HashMap<u64, AccountId>,
 }
 
 /// The account of a job, by its key; every fourth job belongs to none.
-pub(crate) fn account_of(key: u64) -> Option<AccountId> {
+fn account_of(key: u64) -> Option<AccountId> {
     let (name, _) = CAPS.get(key as usize % 4)?;
     Some(AccountId::try_from(*name).unwrap())
 }
@@ -43,10 +45,20 @@
     /// Puts accounts into force whose caps are this percentage of the usual ones. Jobs that are submitted from now on belong
     /// to accounts.
     pub(crate) fn set_accounts(&mut self, percent: u64) {
+        self.put_accounts(accounts(percent));
+    }
+
+    /// Account that a job with this key belongs to once accounts are in force.
+    pub(crate) fn account_of_job(&self, key: u64) -> Option<AccountId> {
+        self.caps.assigned.get(&key).cloned().or_else(|| account_of(key))
+    }
+
+    /// Puts accounts into force.
+    pub(crate) fn put_accounts(&mut self, accounts: Accounts) {
         let version = Version(self.config.version.0 + 1);
-        let previous = self.config.accounts.clone();
-        self.caps = Caps { previous, changed_at: self.now };
-        let accounts = Some(accounts(percent));
+        self.caps.previous = self.config.accounts.clone();
+        self.caps.changed_at = self.now;
+        let accounts = Some(accounts);
         self.config = Rc::new(FleetConfig { version, accounts, ..(*self.config).clone() });
         self.notify_owners(&Event::Config(self.config.clone()));
     }
--- a/crates/cj-sched/tests/sim/logs.rs
+++ b/crates/cj-sched/tests/sim/logs.rs
@@ -13,7 +13,6 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
-    accounts::account_of,
     network::Peer,
     store::{APPEND_RETRY_MS, Appends},
     world::{Owner, SimEvent, World, service},
@@ -252,7 +251,7 @@
             objective: Duration::from_secs(4),
             received_at: self.clocks().wall,
             spec,
-            account: self.config.accounts.as_ref().and_then(|_| account_of(key)),
+            account: self.config.accounts.as_ref().and_then(|_| self.account_of_job(key)),
         };
         let log = self.caller_log();
         self.append_submission(log, job, submission);
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler against a simulated store and simulated workers, in virtual time.
 
+mod account_order;
 mod accounts;
 mod advice;
 mod calls;
