Show which accounts are held back in favour of others

Cause: nobody could see that a job waits because of its account.

Not run: a node whose metric is scraped during a flood.

--- a/crates/cj-entry/src/metrics.rs
+++ b/crates/cj-entry/src/metrics.rs
@@ -38,6 +38,8 @@
     pub takeovers: Counter<u64, AtomicU64>,
     /// Number of cells that this node owns.
     pub owned_cells: Gauge<i64, AtomicI64>,
+    /// Number of jobs that an owner on this node held back in favour of other accounts.
+    pub account_deferrals: Counter<u64, AtomicU64>,
     /// Version of the configuration in force.
     pub config_version: Gauge<i64, AtomicI64>,
     /// Seconds since the operator's topic was last read completely; -1 before the first read.
@@ -59,6 +61,7 @@
             starts: Counter::default(),
             takeovers: Counter::default(),
             owned_cells: Gauge::default(),
+            account_deferrals: Counter::default(),
             config_version: Gauge::default(),
             config_age: Gauge::default(),
             body_bytes: Gauge::default(),
@@ -75,6 +78,11 @@
             metrics.takeovers.clone(),
         );
         registry.register("is_owner", "Cells that this node owns", metrics.owned_cells.clone());
+        registry.register(
+            "account_deferrals",
+            "Jobs held back in favour of other accounts",
+            metrics.account_deferrals.clone(),
+        );
         registry.register(
             "config_version",
             "Configuration in force",
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -184,6 +184,8 @@
     writer: Rc<Writer<P, C>>,
     lease: Rc<OwnerLease<C>>,
     deposed: Rc<Cell<bool>>,
+    /// Deferrals of the scheduler that the metric counts already.
+    counted_deferrals: u64,
     last_cleanup: Instant,
     last_load_report: Instant,
 }
@@ -233,6 +235,7 @@
             writer,
             lease,
             deposed,
+            counted_deferrals: 0,
             last_cleanup,
             last_load_report,
         }
@@ -271,6 +274,7 @@
             }
         }
         self.member.needs_vm_list.set(self.scheduler.needs_vm_list());
+        self.count_deferrals();
         if now.mono.saturating_duration_since(self.last_load_report) > LOAD_REPORT_INTERVAL {
             self.last_load_report = now.mono;
             self.writer.set_load(self.scheduler.load());
@@ -281,6 +285,13 @@
         }
     }
 
+    /// Adds new deferrals to the metric, which goes on over several ownerships.
+    fn count_deferrals(&mut self) {
+        let deferrals = self.scheduler.account_deferrals();
+        let before = std::mem::replace(&mut self.counted_deferrals, deferrals);
+        self.member.node.metrics.account_deferrals.inc_by(deferrals - before);
+    }
+
     /// Tells the scheduler once all submissions are read that earlier owners may have acted on.
     fn update_submissions_read(&mut self) {
         let job_index = self.member.job_index.borrow();
