Add the benchmark accounts: placement passes with 20, 82 and 1,000 accounts

Cause: the cost of a pass with many accounts wasn't known.

Change: `copperjunction bench accounts` measures polls with 3,000 waiting jobs, half of them of one account, with and without `fair`.

Not measured alone on an idle machine, nor at 3,000 workers and 42 pools.

--- a/crates/cj-bench/src/lib.rs
+++ b/crates/cj-bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Benchmarks behind `copperjunction bench`. Each file holds one benchmark and returns a JSON report.
 
+pub mod accounts;
 pub mod added;
 pub mod append;
 pub mod buffer;
@@ -38,6 +39,7 @@
 
 /// All benchmarks by the name used on the command line.
 pub const BENCHMARKS: &[(&str, Benchmark)] = &[
+    ("accounts", accounts::run),
     ("added", added::run),
     ("append", append::run),
     ("buffer", buffer::run),
--- a/crates/cj-bench/src/waiting.rs
+++ b/crates/cj-bench/src/waiting.rs
@@ -12,7 +12,9 @@
         WorkerRegistration,
     },
 };
-use cj_types::{Accelerators, Mebibytes, Millicores, Resources, Result, UnixMillis, Version};
+use cj_types::{
+    Accelerators, AccountId, Mebibytes, Millicores, Resources, Result, UnixMillis, Version,
+};
 use serde_json::{Value, json};
 
 use crate::Options;
@@ -34,13 +36,13 @@
 const TASK_CORES: u32 = 2_000;
 
 /// A scheduler whose workers answer each command at once, and end no run.
-struct Fleet {
-    scheduler: Scheduler,
+pub(crate) struct Fleet {
+    pub(crate) scheduler: Scheduler,
     start: Instant,
     elapsed: Duration,
 }
 
-fn resources(cores: u32, memory: u32) -> Resources {
+pub(crate) fn resources(cores: u32, memory: u32) -> Resources {
     Resources { cores: Millicores(cores), memory: Mebibytes(memory), accelerators: Accelerators(0) }
 }
 
@@ -68,7 +70,7 @@
 }
 
 impl Fleet {
-    fn new(workers: u32) -> Self {
+    pub(crate) fn new(workers: u32) -> Self {
         let (start, elapsed) = (Instant::now(), Duration::ZERO);
         let now = Now { mono: start, wall: UnixMillis(0) };
         let (limits, index) = (Limits::default(), JobIndex::default());
@@ -101,7 +103,7 @@
     }
 
     /// Polls the scheduler once and answers its commands. Returns the processor time of the poll and the number of starts.
-    fn poll(&mut self) -> (Duration, usize) {
+    pub(crate) fn poll(&mut self) -> (Duration, usize) {
         self.elapsed += POLL_INTERVAL;
         let now = self.now();
         self.scheduler.set_ownership(OwnershipLease::from_heartbeat(now.mono));
@@ -134,7 +136,8 @@
         (took, starts)
     }
 
-    fn submit(&mut self, steps: Vec<StepSpec>) {
+    /// Submits a job, of this account if it belongs to one.
+    pub(crate) fn submit(&mut self, key: u64, account: Option<AccountId>, steps: Vec<StepSpec>) {
         let submission = Submission {
             queue: "red".into(),
             service: "red".parse().expect("valid name"),
@@ -143,9 +146,9 @@
             objective: Duration::from_secs(4),
             received_at: UnixMillis(0),
             spec: JobSpec { text: String::new(), steps, schedule: None },
-            account: None,
+            account,
         };
-        let (job, submission) = (JobKey(1), Rc::new(submission));
+        let (job, submission) = (JobKey(key), Rc::new(submission));
         self.handle(Event::Submitted { job, submission, fresh: true, recorded: Vec::new() });
     }
 }
@@ -161,7 +164,7 @@
 
 fn measure(workers: u32, steps: Vec<StepSpec>) -> Value {
     let mut fleet = Fleet::new(workers);
-    fleet.submit(steps);
+    fleet.submit(1, None, steps);
     let (first, started) = fleet.poll();
     let mut times: Vec<Duration> = (0..POLLS).map(|_| fleet.poll().0).collect();
     times.sort();
