--- a/crates/cj-sched/src/sched/load_report.rs
+++ b/crates/cj-sched/src/sched/load_report.rs
@@ -143,7 +143,7 @@
             if work == 0 {
                 continue;
             }
-            let rank = self.rank_of(job, number as u32);
+            let (rank, _) = self.rank_of(job, number as u32);
             let in_time = rank.timeliness == Timeliness::InTime;
             let latest_start_ms = match in_time {
                 true => saturated(rank.latest_start().since(wall).as_millis()).min(LATE - 1),
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -17,6 +17,7 @@
     job_index::JobIndex,
     record::{Outcome, Progress, Submission},
     sched::{
+        account_service::AccountService,
         advice::AdviceCalls,
         call_history::DepartedWorkers,
         crash::UnexplainedCrashes,
@@ -88,6 +89,8 @@
     pub(super) learning: Learning,
     /// What each account has running.
     pub(super) ledger: Ledger,
+    /// What each account got of each pool of late.
+    pub(super) account_service: AccountService,
     /// Most that runs of earlier owners can use on workers that weren't listed yet, at the last placement pass.
     pub(super) unlisted: Resources,
     /// All submissions that earlier owners may have acted on have been read.
@@ -147,6 +150,7 @@
             unanswered_starts: Vec::new(),
             learning: Learning::restore(index.run_times()),
             ledger: Ledger::default(),
+            account_service: AccountService::default(),
             unlisted: Resources::default(),
             submissions_read: false,
             write: Default::default(),
