Answer placement queries of operators at every entry node

Cause: an operator who wants to know why jobs of a queue are refused or late has only the log lines of jobs that were submitted.

Change: Scheduler::explain_placement tells without side effects which workers the first steps of a job would get, what speaks against the others in counts, the work ahead, what the pool has, and the expected end.

Not run for this commit: the other tests, and a real node.

--- a/crates/cj-entry/src/api.rs
+++ b/crates/cj-entry/src/api.rs
@@ -26,7 +26,7 @@
 };
 
 /// When a caller may retry after the node couldn't reach the store.
-const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// How long a caller waits for an append before its result is reported as unknown; another node may reach the store.
 const MAX_APPEND_WAIT: Duration = Duration::from_millis(1_800);
@@ -279,7 +279,7 @@
             self.log_unreachable(job);
             return SubmitOutcome::Refused("store_unreachable", STORE_RETRY_AFTER);
         }
-        let objective = spec.critical_path().mul_f32(queue.stretch.max(1.0)) + queue.target;
+        let objective = queue.objective(&spec);
         let decision = admit(self.owner_heartbeat().as_ref(), &queue.service, &spec, objective);
         if let AdmissionDecision::Refuse(after) = decision {
             self.log_overload(job, queue, objective);
@@ -348,7 +348,7 @@
     }
 
     /// The last known heartbeat of the owner.
-    fn owner_heartbeat(&self) -> Option<OwnerHeartbeat> {
+    pub(crate) fn owner_heartbeat(&self) -> Option<OwnerHeartbeat> {
         if self.is_followed() {
             return self.job_index.borrow().owner().map(|owner| owner.heartbeat.clone());
         }
@@ -372,17 +372,11 @@
         let Some(heartbeat) = self.owner_heartbeat() else { return };
         let load = heartbeat.load.iter().find(|(service, _)| *service == queue.service);
         let wait = load.map(|(_, load)| backlog_time(load)).unwrap_or_default();
-        let now = self.node.clock.now();
-        let age = if self.is_followed() {
-            self.last_heartbeat.get().map(|at| now.saturating_duration_since(at))
-        } else {
-            self.node.owners.borrow().heartbeat_age(self.id, now)
-        };
         info!(
             target: "decision",
             "job={job} reason=overload service={} wait_ms={} objective_ms={} epoch={} {} load_age_ms={}",
             queue.service, wait.as_millis(), objective.as_millis(), heartbeat.epoch, LogContext(Some(self)),
-            age.unwrap_or_default().as_millis()
+            self.load_age().unwrap_or_default().as_millis()
         );
     }
 
@@ -469,7 +463,7 @@
     }
 
     /// True while appends are likely to be answered.
-    fn is_store_reachable(&self) -> bool {
+    pub(crate) fn is_store_reachable(&self) -> bool {
         let (now, state) = (self.node.clock.now(), self.follow_state());
         state.is_fresh(now) && state.is_reachable() && !self.outbox.is_stalled(now)
     }
--- a/crates/cj-entry/src/lib.rs
+++ b/crates/cj-entry/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod owner;
 pub mod owner_directory;
 pub mod peer;
+pub mod placement_query;
 mod platform;
 mod writer;
 
--- a/crates/cj-entry/src/member.rs
+++ b/crates/cj-entry/src/member.rs
@@ -20,6 +20,7 @@
     layout::CellId,
     node::EntryNode,
     outbox::Outbox,
+    placement_query::QuerySender,
     platform::{Platform, Topic},
 };
 
@@ -57,6 +58,8 @@
     earlier_heartbeat: Cell<Option<Instant>>,
     /// Sender of events to the scheduler, while this node owns the cell.
     pub events: RefCell<Option<mpsc::UnboundedSender<Event>>>,
+    /// Sender of placement queries to the scheduler, while this node owns the cell.
+    pub(crate) queries: RefCell<Option<QuerySender>>,
     /// The scheduler needs an up-to-date list of VMs.
     pub needs_vm_list: Cell<bool>,
     /// Waves of which the cell has no VM left to maintain, while this node owns it.
@@ -86,6 +89,7 @@
             last_heartbeat: Cell::default(),
             earlier_heartbeat: Cell::default(),
             events: RefCell::default(),
+            queries: RefCell::default(),
             needs_vm_list: Cell::default(),
             completed_waves: RefCell::default(),
             claimed: Notify::new(),
@@ -137,6 +141,15 @@
         }
     }
 
+    /// Age of the last known heartbeat of the owner, and of the load in it.
+    pub(crate) fn load_age(&self) -> Option<Duration> {
+        let now = self.node.clock.now();
+        if self.is_followed() {
+            return self.last_heartbeat.get().map(|at| now.saturating_duration_since(at));
+        }
+        self.node.owners.borrow().heartbeat_age(self.id, now)
+    }
+
     /// Time from which no earlier owner takes itself for the only one; `None` if there is nothing to wait for. An earlier owner's
     /// heartbeat may have been appended after this node had found the cell without an owner.
     pub(crate) fn earlier_owner_until(&self) -> Option<Instant> {
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -33,6 +33,7 @@
     member::CellMember,
     node::EntryNode,
     overflow::{drop_overflow_records, write_owner_marker},
+    placement_query::MAX_WAITING_QUERIES,
     platform::Platform,
     writer::{WriteRequest, Writer, WriterEvent},
 };
@@ -126,6 +127,8 @@
     let acts_from = member.earlier_owner_until().unwrap_or(ownership.acknowledged_at);
     let (events, mut received) = mpsc::unbounded_channel();
     *member.events.borrow_mut() = Some(events.clone());
+    let (queries, mut received_queries) = mpsc::channel(MAX_WAITING_QUERIES);
+    *member.queries.borrow_mut() = Some(queries);
     let mut owner = Owner::new(member, &layout, &ownership, events);
     owner.scheduler.begin_at(acts_from);
     let mut tasks = owner.spawn_background_tasks(&ownership);
@@ -133,6 +136,10 @@
     loop {
         let event = tokio::select! {
             event = received.recv() => event,
+            Some(query) = received_queries.recv() => {
+                query.answer(&owner.scheduler);
+                None
+            }
             () = tokio::time::sleep(MAX_POLL_INTERVAL) => None,
             () = node.stop.notified() => None,
         };
@@ -155,6 +162,7 @@
         }
     }
     *member.events.borrow_mut() = None;
+    *member.queries.borrow_mut() = None;
     member.completed_waves.take();
     owner.lease.set(None);
     tasks.abort_all();
--- a/crates/cj-entry/tests/entry/cells.rs
+++ b/crates/cj-entry/tests/entry/cells.rs
@@ -23,11 +23,15 @@
     platform::{FakePlatform, Scripted, after, record},
 };
 
-type Node = Rc<EntryNode<FakePlatform, ManualClock>>;
+pub(crate) type Node = Rc<EntryNode<FakePlatform, ManualClock>>;
 
 /// A weak node of a fleet with two cells, after a heartbeat of each owner was read. `backlog_s` is the backlog of each
 /// cell in seconds.
-async fn node(backlog_s: u64, appends: Vec<Scripted<u64>>, responses: Vec<PeerResponse>) -> Node {
+pub(crate) async fn node(
+    backlog_s: u64,
+    appends: Vec<Scripted<u64>>,
+    responses: Vec<PeerResponse>,
+) -> Node {
     let platform = FakePlatform::new();
     platform.layout.borrow_mut().cells = 2;
     platform.layout.borrow_mut().cores = Millicores(500);
--- a/crates/cj-entry/tests/entry/main.rs
+++ b/crates/cj-entry/tests/entry/main.rs
@@ -10,4 +10,5 @@
 mod layout;
 mod logging;
 mod owner_directory;
+mod placement_query;
 mod platform;
--- a/crates/cj-sched/src/config.rs
+++ b/crates/cj-sched/src/config.rs
@@ -5,7 +5,10 @@
 use cj_types::{AccountId, ServiceId, Version};
 use compact_str::CompactString;
 
-use crate::account::{Account, Accounts};
+use crate::{
+    account::{Account, Accounts},
+    job::JobSpec,
+};
 
 /// Timing of the policy service that a queue asks for the workers that may run a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +46,13 @@
     pub public: bool,
 }
 
+impl Queue {
+    /// Latency objective of a job, from the estimates of its caller.
+    pub fn objective(&self, spec: &JobSpec) -> Duration {
+        spec.critical_path().mul_f32(self.stretch.max(1.0)) + self.target
+    }
+}
+
 /// A pool: the VMs of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pool {
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -252,6 +252,18 @@
         self.unlisted.at_most(self.ledger.usage(account).unsettled)
     }
 
+    /// What an account may start in this cell; `None` if it has no cap.
+    pub(super) fn cap_room(&self, id: &AccountId) -> Option<Resources> {
+        let Some(&slot) = self.ledger.slots.get(id) else {
+            let cap = self.config.account(id)?.cap;
+            let part = cap.divided_by(u32::from(self.ledger.cells));
+            return (!cap.is_unlimited()).then(|| part.limits());
+        };
+        let usage = self.ledger.usage(slot);
+        let used = usage.used.plus(self.unlisted_usage(slot));
+        (!usage.cap.is_unlimited()).then(|| usage.cap.room(used))
+    }
+
     /// Counts the open tasks of a job as possibly running, since an earlier owner may have started them.
     pub(super) fn add_unsettled(&mut self, job: &Job) {
         let Some(account) = job.account else { return };
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -24,6 +24,9 @@
 mod pass;
 mod persist;
 mod place;
+mod placement_query;
+mod placement_report;
+mod placement_trial;
 mod policy;
 mod pool;
 mod preempt;
@@ -47,6 +50,8 @@
 
 pub use event::*;
 pub use ownership::{OWNER_TIMEOUT, OWNERSHIP_LEASE, OwnershipLease};
+pub use placement_query::{MAX_QUERY_STEPS, PlacementQuery};
+pub use placement_report::*;
 pub use policy::Policies;
 pub use scheduler::{Now, Scheduler};
 pub use settings::Limits;
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -457,6 +457,16 @@
         !self.pools.moves.is_empty()
     }
 
+    /// The VMs that this owner has sent to a pool, and when it sent them. A VM stays among them until some time after its
+    /// arrival.
+    pub(super) fn sent_to<'a>(
+        &'a self,
+        pool: &'a ServiceId,
+    ) -> impl Iterator<Item = (&'a VmId, Instant)> {
+        let moves = self.pools.moves.iter().filter(move |(_, moving)| moving.to == *pool);
+        moves.map(|(vm, moving)| (vm, moving.sent))
+    }
+
     /// True while the VM is moving to another pool.
     pub(super) fn is_moving(&self, vm: &VmId) -> bool {
         self.pools.moves.contains_key(vm)
--- a/crates/cj-sched/src/sched/worker_choice.rs
+++ b/crates/cj-sched/src/sched/worker_choice.rs
@@ -21,12 +21,12 @@
 /// Constraints of a step, and where its tasks already run.
 pub(super) struct StepView<'a> {
     pub(super) spec: &'a StepSpec,
-    service: &'a ServiceId,
-    by_worker: HashMap<WorkerKey, u32>,
+    pub(super) service: &'a ServiceId,
+    pub(super) by_worker: HashMap<WorkerKey, u32>,
     /// Workers with a ticket for the step; `None` if its queue needs no advice.
     allowed: Option<Vec<WorkerKey>>,
     avoid: Option<WorkerKey>,
-    by_rack: HashMap<CompactString, u32>,
+    pub(super) by_rack: HashMap<CompactString, u32>,
     /// Workers whose VMs are due for maintenance; empty unless the step is long-running.
     due: HashSet<WorkerKey>,
     /// The task starts alone, so that workers kept free for such tasks are eligible too.
@@ -35,7 +35,7 @@
 
 /// Cost of placing a task on a worker. Lower is better; compared field by field.
 #[derive(PartialEq, PartialOrd)]
-struct Cost {
+pub(super) struct Cost {
     quarantined: bool,
     avoided: bool,
     off_rack: bool,
@@ -113,13 +113,23 @@
         }
         let allowed = self.needs_advice(at).then(|| self.ticketed_workers(at));
         let avoid = self.task(at).avoid;
+        let unplaced = self.unplaced_view(spec, self.service_of(&job.submission));
+        StepView { by_worker, allowed, avoid, by_rack, ..unplaced }
+    }
+
+    /// View of a step that has no placed tasks and needs no advice.
+    pub(super) fn unplaced_view<'a>(
+        &self,
+        spec: &'a StepSpec,
+        service: &'a ServiceId,
+    ) -> StepView<'a> {
         StepView {
             spec,
-            service: self.service_of(&job.submission),
-            by_worker,
-            allowed,
-            avoid,
-            by_rack,
+            service,
+            by_worker: HashMap::new(),
+            allowed: None,
+            avoid: None,
+            by_rack: HashMap::new(),
             due: if spec.long_running { self.maintenance_due_workers() } else { HashSet::new() },
             isolated: false,
         }
@@ -153,7 +163,7 @@
             && view.allowed.as_ref().is_none_or(|allowed| allowed.contains(&key))
     }
 
-    fn cost(&self, view: &StepView<'_>, key: WorkerKey, worker: &Worker) -> Cost {
+    pub(super) fn cost(&self, view: &StepView<'_>, key: WorkerKey, worker: &Worker) -> Cost {
         let spec = view.spec;
         let now = self.now.mono;
         let off_rack = spec.affinity.as_ref().is_some_and(|rack| worker.rack() != Some(rack));
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -16,6 +16,7 @@
 mod log_lines;
 mod logs;
 mod network;
+mod placement_query;
 mod policies;
 mod policy_service;
 mod random;
--- a/crates/copperjunction/src/commands/command.rs
+++ b/crates/copperjunction/src/commands/command.rs
@@ -8,7 +8,7 @@
 
 use crate::output::{Exit, report_error, usage_error};
 
-use super::{bench, check, demo, explain, keygen, publish, status};
+use super::{bench, check, demo, explain, keygen, publish, status, where_to};
 
 const PROGRAM: &str = "copperjunction";
 
@@ -23,6 +23,7 @@
   publish   publish settings of an office
   status    show the state of the fleet as a node sees it
   explain   explain what happened to a job, a VM or a setting, and why
+  where     ask an entry node where a job would run, without submitting it
   demo      run a demonstration with fakes and entry nodes in one process
   bench     run a benchmark
 
@@ -52,6 +53,7 @@
     publish::COMMAND,
     status::COMMAND,
     explain::COMMAND,
+    where_to::COMMAND,
     demo::COMMAND,
     bench::COMMAND,
 ];
--- a/crates/copperjunction/src/commands/mod.rs
+++ b/crates/copperjunction/src/commands/mod.rs
@@ -8,5 +8,7 @@
 mod keygen;
 mod publish;
 mod status;
+mod where_report;
+mod where_to;
 
 pub use command::{Command, run};
