--- a/crates/cj-bench/src/waiting.rs
+++ b/crates/cj-bench/src/waiting.rs
@@ -1,4 +1,4 @@
-//! Time of the scheduler's placement passes while a job of many tasks waits for room.
+//! Time of the scheduler's placement passes and of placement queries while a job of many tasks waits for room.
 
 use std::{
     rc::Rc,
@@ -8,8 +8,8 @@
 use cj_sched::{
     Event, FleetConfig, JobIndex, JobKey, JobSpec, Pool, Queue, Scheduler, StepSpec, Submission,
     sched::{
-        Action, CommandAnswer, Limits, ListAnswer, Listing, Now, OwnershipLease, WorkerId,
-        WorkerRegistration,
+        Action, CommandAnswer, Limits, ListAnswer, Listing, MAX_NAMED_STEPS, Now, OwnershipLease,
+        PlacementQuery, WorkerId, WorkerRegistration,
     },
 };
 use cj_types::{Accelerators, Mebibytes, Millicores, Resources, Result, UnixMillis, Version};
@@ -29,6 +29,9 @@
 /// Number of polls with full workers.
 const POLLS: u32 = 400;
 
+/// Number of placement queries with full workers.
+const QUERIES: u32 = 20;
+
 /// Processors of a worker and of a task, in millicores.
 const WORKER_CORES: u32 = 64_000;
 const TASK_CORES: u32 = 2_000;
@@ -159,6 +162,17 @@
     }
 }
 
+/// Mean time of a placement query for a job with these first steps.
+fn query_time(scheduler: &Scheduler, steps: Vec<StepSpec>) -> Duration {
+    let spec = JobSpec { text: String::new(), steps, schedule: None };
+    let query = PlacementQuery { queue: "red".into(), account: None, spec };
+    let began = Instant::now();
+    for _ in 0..QUERIES {
+        std::hint::black_box(scheduler.explain_placement(&query));
+    }
+    began.elapsed() / QUERIES
+}
+
 fn measure(workers: u32, steps: Vec<StepSpec>) -> Value {
     let mut fleet = Fleet::new(workers);
     fleet.submit(steps);
@@ -170,6 +184,8 @@
     json!({
         "started": started, "first_pass_ms": ms(first), "mean_ms": ms(mean),
         "max_ms": ms(times.last().copied().unwrap_or_default()),
+        "query_ms": ms(query_time(&fleet.scheduler, vec![step(8)])),
+        "query_many_steps_ms": ms(query_time(&fleet.scheduler, vec![step(8); MAX_NAMED_STEPS])),
     })
 }
 
--- a/crates/cj-sched/src/sched/placement_query.rs
+++ b/crates/cj-sched/src/sched/placement_query.rs
@@ -237,6 +237,13 @@
             state.next_arrival_ms =
                 Some(state.next_arrival_ms.map_or(left, |known: u64| known.min(left)));
         }
+        // A worker registers before a list of VMs shows on which VM it runs, so some of these may have arrived.
+        let absent = (state.vms + state.arriving).saturating_sub(state.workers);
+        if absent < state.arriving {
+            state.arriving_m = state.arriving_m * absent as u64 / state.arriving as u64;
+            state.arriving = absent;
+            state.next_arrival_ms = state.next_arrival_ms.filter(|_| absent > 0);
+        }
         state
     }
 
--- a/crates/cj-sched/src/sched/placement_report.rs
+++ b/crates/cj-sched/src/sched/placement_report.rs
@@ -130,7 +130,7 @@
     pub long_running_m: u64,
     /// Number of VMs that are up, according to the list of VMs.
     pub vms: usize,
-    /// Number of VMs that are moving to the pool.
+    /// Number of VMs that are moving to the pool and whose workers haven't registered.
     pub arriving: usize,
     /// Processors of these VMs.
     pub arriving_m: u64,
--- a/crates/cj-sched/tests/sim/placement_query.rs
+++ b/crates/cj-sched/tests/sim/placement_query.rs
@@ -1,17 +1,18 @@
 //! Placement queries: what the scheduler tells about a job, compared with what it does with it.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use cj_sched::{
-    Action, Event, JobIndex, JobSpec, StepSpec,
+    Action, Event, JobIndex, JobSpec, Pool, StepSpec,
     sched::{
         Hold, MAX_NAMED_STEPS, MAX_NAMED_WORKERS, NoTimes, Obstacle, PlacementQuery,
-        PlacementReport, WorkerRegistration,
+        PlacementReport, VmAnswer, VmRow, WorkerId, WorkerRegistration,
     },
 };
+use cj_types::{ServiceId, VmId};
 
 use crate::{
-    decisions::{Harness, starts},
+    decisions::{Harness, config, starts},
     world::step,
 };
 
@@ -112,7 +113,7 @@
     let registration = |harness: &Harness, worker| harness.registration(worker, "r2", 8_000, 1);
     let draining = WorkerRegistration { draining: true, ..registration(&harness, 2) };
     harness.handle(Event::Registered(draining));
-    let other = cj_types::ServiceId::try_from("blue").unwrap();
+    let other = ServiceId::try_from("blue").unwrap();
     let moved = WorkerRegistration { service: other, ..registration(&harness, 3) };
     harness.handle(Event::Registered(moved));
     harness.handle(Event::Unregistered(harness.workers[4].clone()));
@@ -160,6 +161,38 @@
     assert!(harness.scheduler.explain_placement(&unknown).is_none());
 }
 
+/// Guards against VMs on their way that are left out, counted again once their workers have registered, or still counted
+/// as spare.
+#[test]
+fn counts_the_vms_that_are_on_their_way() {
+    let mut harness = Harness::new(&["r1"], None);
+    let spare = ServiceId::try_from("spare").unwrap();
+    let mut config = (*config(None)).clone();
+    config.pools.insert(spare.clone(), Pool { rejects_overload: true, spare: true });
+    harness.handle(Event::Config(Rc::new(config)));
+    for n in 1..4 {
+        let vm = VmId::try_from(format!("vm-{n}").as_str()).unwrap();
+        let row = VmRow { vm, pool: spare.clone(), worker: None, ..harness.vm_rows[0].clone() };
+        harness.vm_rows.push(row);
+        harness.workers.push(WorkerId(format!("w{n}").into()));
+    }
+    harness.handle(Event::VmsListed(harness.now().mono, harness.vm_rows.clone()));
+    let pool = |harness: &Harness| explain(harness, vec![step(1, 1_000, 500)]).pool;
+    assert_eq!((pool(&harness).vms, pool(&harness).arriving, pool(&harness).spare), (1, 0, 3));
+    harness.submit(1, vec![step(40, 1_000, 500)], None);
+    harness.poll_after(200);
+    let moved = pool(&harness);
+    assert_eq!((moved.arriving, moved.arriving_m, moved.spare), (3, 24_000, 0));
+    assert_eq!(moved.next_arrival_ms, Some(1_500));
+    let rows = harness.vm_rows.clone();
+    rows[1..].iter().for_each(|row| harness.handle(Event::Moved(row.vm.clone(), VmAnswer::Done)));
+    harness.poll_after(1_000);
+    assert_eq!((pool(&harness).arriving, pool(&harness).next_arrival_ms), (3, Some(500)));
+    harness.register(1, "r1", 8_000);
+    let some_up = pool(&harness);
+    assert_eq!((some_up.workers, some_up.arriving, some_up.arriving_m), (2, 2, 16_000));
+}
+
 /// Guards against an answer that grows with the fleet or with the job, and against sums that overflow.
 #[test]
 fn the_answer_to_a_hostile_job_is_bounded() {
--- a/crates/copperjunction/src/commands/where_report.rs
+++ b/crates/copperjunction/src/commands/where_report.rs
@@ -40,7 +40,7 @@
     let account = answer["account"].as_str().unwrap_or("none");
     writeln!(
         out,
-        "queue {}, account {account}, pool {}, objective {}",
+        "queue {}, account {account}, pool {}, objective {} by the caller's estimates",
         plain(&answer["queue"]),
         plain(&answer["service"]),
         ms(&answer["objective_ms"])
@@ -88,11 +88,13 @@
         let flag = |name: &str| owner[name].as_bool().unwrap_or_default();
         let this = if flag("this_node") { " (this node)" } else { "" };
         let gone = if flag("released") { ", has given up the cell" } else { "" };
+        let address =
+            owner["address"].as_str().map(|_| format!(" at {}", plain(&owner["address"])));
         writeln!(
             out,
-            "  owner       {}{this} at {}, epoch {}{gone}; heartbeat read {} ago",
+            "  owner       {}{this}{}, epoch {}{gone}; heartbeat read {} ago",
             plain(&owner["node"]),
-            plain(&owner["address"]),
+            address.unwrap_or_default(),
             plain(&owner["epoch"]),
             ms(&owner["heartbeat_age_ms"])
         )?;
@@ -146,14 +148,14 @@
     }
     let (unnamed, later) = (&placement["unnamed_steps"], &placement["later_steps"]);
     if unnamed.as_u64() > Some(0) || later.as_u64() > Some(0) {
-        writeln!(out, "  more steps  {unnamed} could start too, {later} depend on others")?;
+        writeln!(out, "  more steps  {later} after others, {unnamed} that could start too")?;
     }
     let expected = &placement["expected"];
     if expected.is_object() {
         let in_time = expected["in_time"].as_bool().unwrap_or_default();
         writeln!(
             out,
-            "  expected    starts in {}, runs {}, ends in {}: {} (objective {})",
+            "  expected    starts in {}, runs {}, ends in {}: {} (objective {} by expected run times)",
             ms(&expected["wait_ms"]),
             ms(&expected["run_ms"]),
             ms(&expected["end_ms"]),
