--- a/crates/cj-sched/src/sched/placement_query.rs
+++ b/crates/cj-sched/src/sched/placement_query.rs
@@ -16,7 +16,7 @@
             Ages, ExpectedTimes, Hold, MAX_NAMED_STEPS, NoTimes, PlacementReport, PoolState,
             StepPlacement, WorkAhead,
         },
-        placement_trial::Trial,
+        placement_trial::{Trial, times_within},
         scheduler::Scheduler,
         work::{Job, TaskRef},
         worker::Worker,
@@ -119,7 +119,8 @@
         cap_room: Option<Resources>,
     ) -> StepPlacement {
         let service = &job.submission.service;
-        let capped = cap_room.map_or(step.count, |room| count_within(step, room));
+        let capped =
+            cap_room.map_or(step.count, |room| times_within(step.demand, room).min(step.count));
         let mut chosen = trial.place_step(self, step, service, capped);
         let queue = self.config.queue(&job.submission.queue);
         let hold = if !self.may_command() {
@@ -319,12 +320,3 @@
         }
     }
 }
-
-/// Number of tasks of a step that fit in `room` together, at most all.
-fn count_within(step: &StepSpec, room: Resources) -> u32 {
-    let times = |demand: u32, room: u32| if demand == 0 { u32::MAX } else { room / demand };
-    times(step.demand.cores.0, room.cores.0)
-        .min(times(step.demand.memory.0, room.memory.0))
-        .min(times(step.demand.accelerators.0, room.accelerators.0))
-        .min(step.count)
-}
--- a/crates/cj-sched/src/sched/placement_trial.rs
+++ b/crates/cj-sched/src/sched/placement_trial.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use cj_types::ServiceId;
+use cj_types::{Resources, ServiceId};
 use compact_str::CompactString;
 
 use crate::{
@@ -216,12 +216,15 @@
 
 /// Number of tasks of a step that a worker has room for, at most `spread`.
 fn tasks_with_room(spec: &StepSpec, worker: &Worker) -> u32 {
-    let (demand, free) = (spec.allocation(), worker.free());
-    let times = |demand: u32, free: u32| if demand == 0 { u32::MAX } else { free / demand };
+    times_within(spec.allocation(), worker.free()).min(spec.spread.unwrap_or(u32::MAX))
+}
+
+/// How many times a demand fits in the free resources.
+pub(super) fn times_within(demand: Resources, free: Resources) -> u32 {
+    let times = |demand: u32, free: u32| free.checked_div(demand).unwrap_or(u32::MAX);
     times(demand.cores.0, free.cores.0)
         .min(times(demand.memory.0, free.memory.0))
         .min(times(demand.accelerators.0, free.accelerators.0))
-        .min(spec.spread.unwrap_or(u32::MAX))
 }
 
 impl Scheduler {
