--- a/crates/cj-entry/src/api.rs
+++ b/crates/cj-entry/src/api.rs
@@ -27,7 +27,7 @@
 const OVERLOAD: &str = "overload";
 
 /// When a caller may retry after the node couldn't reach the store.
-const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const STORE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// How long a caller waits for an append before its result is reported as unknown; another node may reach the store.
 const MAX_APPEND_WAIT: Duration = Duration::from_millis(1_800);
@@ -260,7 +260,7 @@
             self.log_unreachable(job);
             return SubmitOutcome::Refused("store_unreachable", STORE_RETRY_AFTER);
         }
-        let objective = spec.critical_path().mul_f32(queue.stretch.max(1.0)) + queue.target;
+        let objective = queue.objective(&spec);
         let account = caller.account.as_ref();
         let (decision, basis) = self.check_submission(queue, account, job, &spec, objective);
         if let AdmissionDecision::Refuse(after) = decision {
@@ -436,7 +436,7 @@
     }
 
     /// True while appends are likely to be answered.
-    fn is_store_reachable(&self) -> bool {
+    pub(crate) fn is_store_reachable(&self) -> bool {
         let (now, state) = (self.node.clock.now(), self.follow_state());
         state.is_fresh(now) && state.is_reachable() && !self.outbox.is_stalled(now)
     }
--- a/crates/cj-entry/src/lib.rs
+++ b/crates/cj-entry/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod owner;
 pub mod owner_directory;
 pub mod peer;
+pub mod placement_query;
 mod platform;
 mod received_wave;
 mod submission_check;
--- a/crates/cj-entry/src/submission_check.rs
+++ b/crates/cj-entry/src/submission_check.rs
@@ -42,7 +42,7 @@
     P: Platform,
     C: Clock + 'static,
 {
-    /// Decides whether to accept a job. Without a recent load of an established owner, the whole backlog counts.
+    /// Decides whether to accept a job, and counts it for later decisions if it is accepted.
     pub(crate) fn check_submission(
         &self,
         queue: &Queue,
@@ -51,46 +51,74 @@
         spec: &JobSpec,
         objective: Duration,
     ) -> (AdmissionDecision, Basis) {
-        let heartbeat = self.owner_heartbeat();
+        let (choice, basis) = self.decide_admission(queue, account, key, spec, objective);
+        if choice == AdmissionDecision::Accept && self.admits_by_end(spec) {
+            let now = self.node.clock.now();
+            let account = self.sharing_account(account);
+            let mut view = self.load_view.borrow_mut();
+            let load = view.pool(&queue.service, self.owner_epoch(), now);
+            let run_times = load.map(|(load, _)| load.run_times).unwrap_or_default();
+            let demand = JobDemand::new(spec, &run_times);
+            let job = AcceptedJob { account, work: demand.work, cores: demand.first_cores };
+            view.add_accepted(queue.service.clone(), job, now);
+        }
+        (choice, basis)
+    }
+
+    /// Decides whether a job would be accepted. Without a recent load of an established owner, the whole backlog counts.
+    pub(crate) fn decide_admission(
+        &self,
+        queue: &Queue,
+        account: Option<&AccountId>,
+        key: JobKey,
+        spec: &JobSpec,
+        objective: Duration,
+    ) -> (AdmissionDecision, Basis) {
         let by_backlog = || {
+            let heartbeat = self.owner_heartbeat();
             let decision = admit(heartbeat.as_ref(), &queue.service, spec, objective);
             (decision, Basis::Backlog)
         };
-        let policies = self.node.settings.policies;
-        if !policies.admit || spec.is_long_running() || spec.schedule.is_some() {
+        if !self.admits_by_end(spec) {
             return by_backlog();
         }
         let now = self.node.clock.now();
-        let account = account.filter(|_| policies.share).map(|id| self.job_account(id));
-        let epoch = heartbeat.as_ref().map_or(0, |heartbeat| heartbeat.epoch);
-        let mut view = self.load_view.borrow_mut();
-        let mut run_times = Default::default();
-        let mut decision = None;
-        if let Some((load, age)) = view.pool(&queue.service, epoch, now) {
-            run_times = load.run_times;
-            let pool = PoolView {
-                load,
-                age,
-                accepted: view.accepted_since(&queue.service, age, now),
-                move_time: self.node.settings.limits.move_time,
-            };
-            let request = JobRequest {
-                spec,
-                priority: queue.priority,
-                stretch: queue.stretch,
-                target: queue.target,
-                account,
-            };
-            let decided = admit_by_end(&pool, key, &request);
-            decision = decided.map(|(choice, end)| (choice, Basis::ExpectedEnd(end, age)));
-        }
-        let (choice, basis) = decision.unwrap_or_else(by_backlog);
-        if choice == AdmissionDecision::Accept {
-            let demand = JobDemand::new(spec, &run_times);
-            let job = AcceptedJob { account, work: demand.work, cores: demand.first_cores };
-            view.add_accepted(queue.service.clone(), job, now);
-        }
-        (choice, basis)
+        let view = self.load_view.borrow();
+        let Some((load, age)) = view.pool(&queue.service, self.owner_epoch(), now) else {
+            return by_backlog();
+        };
+        let pool = PoolView {
+            load,
+            age,
+            accepted: view.accepted_since(&queue.service, age, now),
+            move_time: self.node.settings.limits.move_time,
+        };
+        let request = JobRequest {
+            spec,
+            priority: queue.priority,
+            stretch: queue.stretch,
+            target: queue.target,
+            account: self.sharing_account(account),
+        };
+        let decided = admit_by_end(&pool, key, &request);
+        let decision = decided.map(|(choice, end)| (choice, Basis::ExpectedEnd(end, age)));
+        decision.unwrap_or_else(by_backlog)
+    }
+
+    /// True if the expected end of a job decides on it.
+    fn admits_by_end(&self, spec: &JobSpec) -> bool {
+        let policies = self.node.settings.policies;
+        policies.admit && !spec.is_long_running() && spec.schedule.is_none()
+    }
+
+    fn owner_epoch(&self) -> u64 {
+        self.owner_heartbeat().map_or(0, |heartbeat| heartbeat.epoch)
+    }
+
+    /// The account of a job, if accounts share the pools.
+    fn sharing_account(&self, account: Option<&AccountId>) -> Option<JobAccount> {
+        let shared = account.filter(|_| self.node.settings.policies.share);
+        shared.map(|id| self.job_account(id))
     }
 
     fn job_account(&self, id: &AccountId) -> JobAccount {
@@ -134,7 +162,7 @@
             Basis::Backlog => {
                 let load = heartbeat.load.iter().find(|(name, _)| name == service);
                 let wait = load.map(|(_, load)| backlog_time(load)).unwrap_or_default();
-                let age = self.heartbeat_age().unwrap_or_default();
+                let age = self.load_age().unwrap_or_default();
                 info!(
                     target: "decision",
                     "job={job} reason=overload basis={name} service={service} wait_ms={} objective_ms={} epoch={epoch} {context} load_age_ms={}",
@@ -143,13 +171,4 @@
             }
         }
     }
-
-    /// Time since the owner's last heartbeat was read.
-    fn heartbeat_age(&self) -> Option<Duration> {
-        let now = self.node.clock.now();
-        if self.is_followed() {
-            return self.last_heartbeat.get().map(|at| now.saturating_duration_since(at));
-        }
-        self.node.owners.borrow().heartbeat_age(self.id, now)
-    }
 }
--- a/crates/cj-sched/src/sched/estimate.rs
+++ b/crates/cj-sched/src/sched/estimate.rs
@@ -43,11 +43,16 @@
         (state.total_time + times.expected()) / (state.ended.runs + 1)
     }
 
-    /// Expected run time of the longest task of a step.
-    pub(super) fn longest_run_time(&self, job: &Job, step: u32, state: &Step) -> Duration {
+    /// Expected run time of the longest of `count` tasks of a step.
+    pub(super) fn longest_run_time(
+        &self,
+        job: &Job,
+        step: u32,
+        state: &Step,
+        count: u32,
+    ) -> Duration {
         let times = self.step_times(job, step, state);
-        let ratio = times.longest_ratio(job.step_spec(step).count);
-        self.mean_run_time(&times, state).mul_f32(ratio)
+        self.mean_run_time(&times, state).mul_f32(times.longest_ratio(count))
     }
 
     /// Time that this share of the runs of tasks of a step doesn't exceed.
--- a/crates/cj-sched/src/sched/load_report.rs
+++ b/crates/cj-sched/src/sched/load_report.rs
@@ -124,7 +124,7 @@
                 }
                 let expected = self.expected_run_time(job, number, step);
                 if step.ended.runs == 0 {
-                    let longest = self.longest_run_time(job, number, step);
+                    let longest = self.longest_run_time(job, number, step, spec.count);
                     pool.run_times.add(spec.estimate, expected, longest);
                 }
                 let demand = spec.allocation();
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -19,6 +19,7 @@
 mod log_lines;
 mod logs;
 mod network;
+mod placement_query;
 mod policies;
 mod policy_service;
 mod random;
