Trust a forecast by earlier ones of its size, and count the work of recent arrivals

Cause: small forecasts between the surges, which failed by chance, left a low trust, and the first large forecast was discounted by it. Recent arrivals that are larger than usual counted as average ones.

Change: a forecast counts as far as earlier ones came true, where those that are small beside it say little; the work of recent arrivals counts if it exceeds that of average jobs.

--- a/crates/cj-sched/src/sched/forecast.rs
+++ b/crates/cj-sched/src/sched/forecast.rs
@@ -31,6 +31,9 @@
 /// Weight of a new comparison: about the last twenty count, which cover four seconds.
 const SCORE_GAIN: f32 = 0.05;
 
+/// Weight of a forecast itself in how far it is trusted, beside the mean of the earlier ones.
+const PRIOR_WEIGHT: f32 = 0.3;
+
 /// A forecast, and the demand that was known when it was made, in millicores.
 #[derive(Clone, Copy, Debug)]
 struct Pending {
@@ -42,7 +45,8 @@
 /// Arrivals of jobs at one service, and how earlier forecasts proved right.
 #[derive(Clone, Debug, Default)]
 pub(super) struct DemandForecast {
-    arrivals: VecDeque<Instant>,
+    /// Time of each recent arrival, and its work in millicores times milliseconds.
+    arrivals: VecDeque<(Instant, f32)>,
     /// Number of jobs that the means rest on, at most [`MEAN_JOBS`].
     jobs: f32,
     /// Mean work of a job in millicores times milliseconds.
@@ -61,7 +65,7 @@
         self.jobs = (self.jobs + 1.0).min(MEAN_JOBS);
         self.mean_work += (work as f32 - self.mean_work) / self.jobs;
         self.mean_stay += (stay.as_secs_f32() - self.mean_stay) / self.jobs;
-        self.arrivals.push_back(now);
+        self.arrivals.push_back((now, work as f32));
     }
 
     /// Demand of finite tasks in millicores when a VM that is requested now has arrived; 0 without a forecast. `known` is the
@@ -73,15 +77,16 @@
         if self.pending.back().is_none_or(|last| now + ahead >= last.due + SCORE_INTERVAL) {
             self.pending.push_back(Pending { due: now + ahead, known, demand });
         }
-        known + (demand - known) * self.trust()
+        known + (demand - known) * self.trust((demand - known).max(0.0))
     }
 
-    /// Share of the forecast increases that came.
-    fn trust(&self) -> f32 {
-        if self.forecast_rise <= 0.0 {
+    /// Share of the forecast increases that came. Earlier ones that were small beside this one say little about it.
+    fn trust(&self, rise: f32) -> f32 {
+        let prior = rise * PRIOR_WEIGHT;
+        if self.forecast_rise + prior <= 0.0 {
             return 1.0;
         }
-        (self.actual_rise / self.forecast_rise).clamp(0.0, 1.0)
+        (self.actual_rise + prior) / (self.forecast_rise + prior)
     }
 
     /// Compares the forecasts for this time with the demand that is known now.
@@ -100,21 +105,23 @@
         let half_stay = Duration::from_secs_f32(self.mean_stay / 2.0);
         let window = half_stay.clamp(shortest, longest);
         let age = |at: &Instant| now.saturating_duration_since(*at);
-        while self.arrivals.pop_front_if(|at| age(at) > window * 2).is_some() {}
-        let last = self.arrivals.iter().filter(|at| age(at) < window).count();
-        if last < MIN_ARRIVALS {
+        while self.arrivals.pop_front_if(|(at, _)| age(at) > window * 2).is_some() {}
+        let recent = self.arrivals.iter().filter(|(at, _)| age(at) < window);
+        let (count, work) = recent.fold((0, 0.0), |(n, sum), (_, work)| (n + 1, sum + work));
+        if count < MIN_ARRIVALS {
             return None;
         }
-        let before = (self.arrivals.len() - last) as f32;
-        let last = last as f32;
+        let before = (self.arrivals.len() - count) as f32;
+        let last = count as f32;
         let difference = last - before;
         // The variance of a difference of random counts is their sum. A difference of one standard deviation counts half.
         let explained = 1.0 - (last + before) / (difference * difference + last + before);
         let seconds = window.as_secs_f32();
         // The jobs that run then arrive this much later than those of the last window did on average.
         let later = ahead.as_secs_f32() - half_stay.as_secs_f32() + seconds / 2.0;
-        let arrivals = last + difference * explained * (later / seconds).max(0.0);
-        let rate = arrivals.max(0.0) / seconds;
-        Some(rate * self.mean_work / 1_000.0)
+        let trend = difference * explained * (later / seconds).max(0.0) * self.mean_work;
+        // Jobs that have just arrived and are larger than usual count with their own work.
+        let level = work.max(last * self.mean_work);
+        Some((level + trend).max(0.0) / seconds / 1_000.0)
     }
 }
