--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -22,6 +22,7 @@
 mod placement_query;
 mod policies;
 mod policy_service;
+mod pool_sizes;
 mod random;
 mod regressions;
 mod replaced_owner;
