Keep the reset of a worker's age but for repeated answers of another worker

Change: only an answer of another worker at an address, repeated while nothing was heard of the worker, leaves its age as it was.

--- a/crates/cj-sched/src/sched/listing.rs
+++ b/crates/cj-sched/src/sched/listing.rs
@@ -77,9 +77,18 @@
             ListAnswer::Listed(listing) => self.read_listing(key, sent, listing),
             ListAnswer::Refused(Refusal::Fenced) => self.step_down(id),
             ListAnswer::Refused(Refusal::OtherIncarnation) => {
-                self.workers[key].missed_listings += 1;
+                let worker = &mut self.workers[key];
+                worker.missed_listings += 1;
+                let (known_since, unnamed_lists) = (worker.known_since, worker.unnamed_lists);
+                let unseen = worker.started_at.is_none() && !worker.is_reconciled();
                 self.end_incarnation(key, None, IncarnationEvidence::OtherIncarnation(sent));
-                self.workers[key].next_listing = Some(now + LISTING_RETRY);
+                let worker = &mut self.workers[key];
+                worker.next_listing = Some(now + LISTING_RETRY);
+                if unseen {
+                    // The same answer again shows no new incarnation, which lists of VMs wouldn't name yet.
+                    worker.known_since = known_since;
+                    worker.unnamed_lists = unnamed_lists;
+                }
             }
             ListAnswer::Refused(_) | ListAnswer::Unanswered => {
                 let worker = &mut self.workers[key];
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -209,11 +209,8 @@
         }
         self.expect_late_calls(now, longest);
         self.started_at = started_at;
-        // An end alone doesn't show a next incarnation, which lists of VMs would have to name.
-        if started_at.is_some() {
-            self.known_since = now;
-            self.unnamed_lists = 0;
-        }
+        self.known_since = now;
+        self.unnamed_lists = 0;
         self.taken_off = false;
         self.clock = None;
         self.orphan_runs = 0;
