Clarify names and comments of pools, run times, admission and queries

Cause: a newcomer's reading of the change since found private or misleading names (hold, rested, fruitless, taken_off, unread_work), two types named RunTimes, items without doc comments, and the same condition for open and due occurrences in four places.

Change: names and comments only, apart from these settled repetitions: Occurrence::is_open_and_due, Scheduler::registered_workers, and ln_seconds in place of a one-run Siblings. The load report's RunTimes is PoolRunTimes now; a test follows the rename. No logic, constant, log field, record or metric changed: postcard doesn't write the names of types.

Tests were not run.

--- a/crates/cj-entry/src/expected_end.rs
+++ b/crates/cj-entry/src/expected_end.rs
@@ -8,7 +8,7 @@
 
 use cj_sched::{
     JobSpec,
-    load_report::{ArrivingCapacity, LATE, PoolLoad, RunTimes},
+    load_report::{ArrivingCapacity, LATE, PoolLoad, PoolRunTimes},
     sched::TIME_MARGIN,
 };
 
@@ -17,7 +17,7 @@
 /// Time from a submission until the owner has requested a VM for it, and from the start of a VM until it takes tasks.
 const REQUEST_TIME: Duration = Duration::from_millis(300);
 
-/// Share of the capacity of a VM that tasks fill in practice.
+/// Share of the capacity of a VM that tasks fill in practice, as in the planning of pool sizes.
 const USABLE_SHARE: f64 = 0.8;
 
 /// Typical error of an expected wait, as a share of it: run times and the demand for VMs vary.
@@ -63,7 +63,7 @@
     pub move_time: Duration,
 }
 
-/// Expected course of a job.
+/// Expected end of a job, and what it rests on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ExpectedEnd {
     /// The pool has free room for the job.
@@ -97,7 +97,7 @@
 
 impl JobDemand {
     /// The demand of a job with these learned run times.
-    pub fn new(spec: &JobSpec, run_times: &RunTimes) -> Self {
+    pub fn new(spec: &JobSpec, run_times: &PoolRunTimes) -> Self {
         let span = spec.critical_path_by(|_, step| run_times.of_step(step.estimate).1);
         let mut demand = JobDemand { span, ..JobDemand::default() };
         for step in &spec.steps {
@@ -133,7 +133,7 @@
     let error = (wait * WAIT_ERROR).max(MIN_WAIT_ERROR);
     let likelihood = 1.0 / (1.0 + ((wait - longest_wait.as_secs_f64()) / error).exp());
     let wait = Duration::from_secs_f64(wait.min(f64::from(u32::MAX)));
-    let taken = view.accepted.cores + unread_work(view) / mean_task.max(f64::MIN_POSITIVE);
+    let taken = view.accepted.cores + accepted_elsewhere(view) / mean_task.max(f64::MIN_POSITIVE);
     let free = f64::from(load.free) - f64::from(load.asked) - taken;
     let has_room = free >= demand.first_cores;
     let end = wait + demand.span;
@@ -166,7 +166,7 @@
             from = until;
         }
     }
-    let (accepted, others) = (view.accepted.work, unread_work(view));
+    let (accepted, others) = (view.accepted.work, accepted_elsewhere(view));
     let (earlier, all) = (earlier + accepted + others, in_time + accepted + others);
     urgent
         + match job.account {
@@ -176,7 +176,7 @@
 }
 
 /// Work that other nodes are expected to have accepted since the load was taken, in millicores times seconds.
-fn unread_work(view: &PoolView<'_>) -> f64 {
+fn accepted_elsewhere(view: &PoolView<'_>) -> f64 {
     let all = f64::from(view.load.arrival_rate) * view.age.as_secs_f64();
     (all - view.accepted.work).max(0.0)
 }
@@ -194,6 +194,7 @@
 ) -> f64 {
     let part_earlier = if all > 0.0 { earlier / all } else { 0.0 };
     let known = f64::max(all - others - view.accepted.work, 1.0);
+    // What other nodes accepted is assumed to belong to the listed accounts in proportion to their work.
     let growth = 1.0 + others / known;
     let mut rest = all;
     let (mut own, mut own_waiting, mut weights) = (0.0, 0.0, account.weight);
@@ -228,6 +229,7 @@
     let before = own + job_work;
     let share = |(weight, waiting): &(f64, f64)| waiting.min(weight / account.weight * before);
     let by_share = own + competing.iter().map(share).sum::<f64>() + rest * part_earlier;
+    // True if the account has more than its share of what waits.
     let is_over = own_waiting > all * account.weight / weights;
     if is_over { by_share } else { by_share.min(earlier) }
 }
--- a/crates/cj-entry/src/load_view.rs
+++ b/crates/cj-entry/src/load_view.rs
@@ -65,11 +65,12 @@
     }
 }
 
-/// The load of a cell.
+/// What a node knows about the load of a cell.
 #[derive(Clone, Debug, Default)]
 pub struct LoadView {
     /// The last load, and when it was taken by the clock of this node.
     last: Option<(LoadReport, Instant)>,
+    /// Jobs that this node accepted of late, the oldest first.
     accepted: VecDeque<(Instant, ServiceId, AcceptedJob)>,
 }
 
--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -51,8 +51,9 @@
 /// Shortest time between two loads for the admission of jobs. The older a load, the more jobs nodes accept beyond what it shows.
 const ADMISSION_LOAD_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Shortest time between two of these loads, in multiples of the time that making one takes: a fiftieth of the processor.
-const LOAD_REST_FACTOR: u32 = 50;
+/// Shortest time between two of these loads, in multiples of the time that making one takes, so that they take at most a fiftieth
+/// of a processor.
+const LOAD_INTERVAL_FACTOR: u32 = 50;
 
 /// Most bytes in a second of the loads that the owners of all cells publish for the admission of jobs: each node reads them
 /// all.
@@ -333,7 +334,7 @@
         let took = self.member.node.clock.now().saturating_duration_since(now);
         let bytes = codec::to_bytes(&report).len() as f64 * f64::from(self.layout.cells);
         let interval = Duration::from_secs_f64(bytes / LOAD_BYTES_PER_SECOND);
-        let interval = interval.max(ADMISSION_LOAD_INTERVAL).max(took * LOAD_REST_FACTOR);
+        let interval = interval.max(ADMISSION_LOAD_INTERVAL).max(took * LOAD_INTERVAL_FACTOR);
         self.load_report_due = now + interval;
         *self.member.load_report.borrow_mut() = Some((report, now));
     }
--- a/crates/cj-entry/src/placement_query.rs
+++ b/crates/cj-entry/src/placement_query.rs
@@ -223,6 +223,7 @@
         result
     }
 
+    /// As [`Self::query_placement`], without the log line and the count.
     async fn try_query(
         &self,
         queue: &str,
@@ -278,6 +279,7 @@
     P: Platform,
     C: Clock + 'static,
 {
+    /// The part of an answer for this cell. The scheduler is asked only if `asks_scheduler`.
     async fn answer_query(
         &self,
         queue: &Queue,
--- a/crates/cj-entry/src/submission_check.rs
+++ b/crates/cj-entry/src/submission_check.rs
@@ -1,4 +1,4 @@
-//! Whether a cell has room for a submitted job, on what the node has read of the cell's load.
+//! Decides whether a cell has room for a submitted job, by what the node has read of the cell's load.
 
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
     platform::Platform,
 };
 
-/// What a decision was made on.
+/// What an admission decision is based on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Basis {
     /// The whole backlog of the service.
@@ -111,6 +111,7 @@
         policies.admit && !spec.is_long_running() && spec.schedule.is_none()
     }
 
+    /// Fencing token in the last heartbeat of the owner; 0 if none is known.
     fn owner_epoch(&self) -> u64 {
         self.owner_heartbeat().map_or(0, |heartbeat| heartbeat.epoch)
     }
@@ -121,6 +122,7 @@
         shared.map(|id| self.job_account(id))
     }
 
+    /// An account with its weight by the configuration.
     fn job_account(&self, id: &AccountId) -> JobAccount {
         let config = self.node.config.borrow();
         let known = config.as_ref().and_then(|config| config.account(id));
--- a/crates/cj-entry/tests/entry/admission.rs
+++ b/crates/cj-entry/tests/entry/admission.rs
@@ -9,7 +9,7 @@
 };
 use cj_sched::{
     JobKey, JobSpec, LoadReport, PoolLoad, StepSpec,
-    load_report::{AccountLoad, ArrivingCapacity, LATE, RunTimes, WaitingBand},
+    load_report::{AccountLoad, ArrivingCapacity, LATE, PoolRunTimes, WaitingBand},
     record::{OwnerHeartbeat, ServiceLoad},
 };
 use cj_types::{Millicores, NodeId, Resources, ServiceId};
@@ -235,15 +235,20 @@
 /// Guards against estimates that count although they predict nothing, and against values of a corrupt load that lead to a panic.
 #[test]
 fn run_times_follow_estimates_as_far_as_those_are_accurate() {
-    let run_times = RunTimes { estimate_ms: 500, task_ms: 700, step_ms: 1_000, slope_percent: 0 };
-    let of_step = |run_times: RunTimes, ms| run_times.of_step(Duration::from_millis(ms));
+    let run_times =
+        PoolRunTimes { estimate_ms: 500, task_ms: 700, step_ms: 1_000, slope_percent: 0 };
+    let of_step = |run_times: PoolRunTimes, ms| run_times.of_step(Duration::from_millis(ms));
     let (task, step) = (Duration::from_millis(700), Duration::from_secs(1));
     for estimate_ms in [0, 500, 365 * 86_400_000] {
         assert_eq!(of_step(run_times, estimate_ms), (task, step));
     }
-    assert_eq!(of_step(RunTimes { slope_percent: 100, ..run_times }, 1_000), (task * 2, step * 2));
+    assert_eq!(
+        of_step(PoolRunTimes { slope_percent: 100, ..run_times }, 1_000),
+        (task * 2, step * 2)
+    );
     let (most, bands) = (u32::MAX, WaitingBand { priority: 0, latest_start_ms: 5, work: u32::MAX });
-    let run_times = RunTimes { estimate_ms: 1, task_ms: most, step_ms: most, slope_percent: most };
+    let run_times =
+        PoolRunTimes { estimate_ms: 1, task_ms: most, step_ms: most, slope_percent: most };
     let accounts = vec![AccountLoad { account: 1, weight: 0, work: most }; 40];
     let load = PoolLoad { waiting: vec![bands; 3], accounts, run_times, ..full_pool(1.0) };
     let AdmissionDecision::Refuse(after) = decide_by_end(&view(&load), 1, Some(account(2))) else {
--- a/crates/cj-sched/src/load_report.rs
+++ b/crates/cj-sched/src/load_report.rs
@@ -39,9 +39,9 @@
 /// Load of a pool. Work is in millicores times seconds.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PoolLoad {
-    /// Processors that finite tasks use or can use, in millicores.
+    /// Processors that finite tasks use or can use, without those of overdue runs, in millicores.
     pub capacity: u32,
-    /// The part of `capacity` that the tasks in question fit in, in millicores.
+    /// The free part of `capacity`, as far as tasks like the smallest waiting one fit in, in millicores.
     pub free: u32,
     /// Processors for which ready tasks wait, in millicores.
     pub asked: u32,
@@ -52,7 +52,7 @@
     /// Work of the jobs that arrived of late, in millicores times seconds for each second.
     pub arrival_rate: u32,
     /// Learned run times.
-    pub run_times: RunTimes,
+    pub run_times: PoolRunTimes,
     /// Waiting work by latest start, the most urgent first.
     pub waiting: Vec<WaitingBand>,
     /// Work of the accounts that waits and can be in time, the account with the most first.
@@ -92,7 +92,7 @@
 
 /// Learned run times of the steps of a pool's jobs, as geometric means.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunTimes {
+pub struct PoolRunTimes {
     /// Mean estimate of the callers, in ms; 0 if no step is known.
     pub estimate_ms: u32,
     /// Mean expected run time of a task, in ms.
@@ -103,7 +103,7 @@
     pub slope_percent: u32,
 }
 
-impl RunTimes {
+impl PoolRunTimes {
     /// Expected run times of a task of a step with this estimate, and of the longest task of the step. Without learned run
     /// times, the estimate.
     pub fn of_step(&self, estimate: Duration) -> (Duration, Duration) {
@@ -120,7 +120,7 @@
     }
 }
 
-/// Digest by which a report names an account. A name takes up to several times as much.
+/// Digest by which a report names an account: it takes less room than the name.
 pub fn account_digest(account: &AccountId) -> u32 {
     rendezvous::weight(account.as_str().as_bytes(), b"load") as u32
 }
--- a/crates/cj-sched/src/run_times/mod.rs
+++ b/crates/cj-sched/src/run_times/mod.rs
@@ -14,6 +14,7 @@
 pub use prediction::{
     CALIBRATED_QUANTILES, Prediction, PredictionCounts, RunBasis, Siblings, StepKind, StepTimes,
 };
+pub(crate) use regression::ln_seconds;
 pub use state::{
     BINS, MAX_QUEUE_NAME, MAX_QUEUES, MAX_SHAPES, QueueState, RatioState, RegressionState,
     RunTimes, ShapeKey, ShapeState,
--- a/crates/cj-sched/src/run_times/prediction.rs
+++ b/crates/cj-sched/src/run_times/prediction.rs
@@ -56,6 +56,7 @@
     pub(super) siblings: Siblings,
     /// Expected run time by the estimate and the shape of the step, in natural logarithms of seconds; `None` if nothing is known.
     pub(super) expected: Option<f32>,
+    /// The same as a time; 0 if nothing is known.
     pub(super) mean: Duration,
     /// Ratios to the expected run time for steps of which no task has ended.
     pub(super) fresh: &'a RatioTable,
@@ -94,6 +95,7 @@
     pub(super) centre: Option<f32>,
     /// Some task of the step has ended.
     pub(super) begun: bool,
+    /// Ratios to the expected run time.
     pub(super) table: &'a RatioTable,
 }
 
@@ -130,10 +132,13 @@
 /// What was predicted for a run at its start.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RunBasis {
+    /// Expected run time, in natural logarithms of seconds.
     pub(super) centre: f32,
+    /// Some task of the step had ended.
     pub(super) begun: bool,
     /// Slowness of the worker, as a natural logarithm.
     pub slowness: f32,
+    /// The predicted [`CALIBRATED_QUANTILES`].
     limits: [Duration; 2],
 }
 
@@ -147,6 +152,7 @@
 }
 
 impl PredictionCounts {
+    /// Counts a finished run.
     pub(super) fn count(&mut self, basis: &RunBasis, took: Duration) {
         for (index, limit) in basis.limits.iter().enumerate() {
             let counts = if took <= *limit { &mut self.within } else { &mut self.beyond };
--- a/crates/cj-sched/src/run_times/ratios.rs
+++ b/crates/cj-sched/src/run_times/ratios.rs
@@ -1,7 +1,7 @@
 //! Histogram of the ratios of actual to expected run times, and a table from which quantiles are read.
 //!
-//! The bins are equal in the inverse hyperbolic sine of the logarithm of the ratio: fine around 1, where the tasks of a step
-//! lie that has other ended tasks, and proportional to the logarithm further out.
+//! The bins have equal widths in the inverse hyperbolic sine of the logarithm of the ratio: they are fine around 1, where the
+//! ratios lie once other tasks of the step have ended, and proportional to the logarithm further out.
 
 use std::{cell::OnceCell, sync::LazyLock};
 
@@ -35,6 +35,7 @@
 static EDGES: LazyLock<[f32; BINS + 1]> =
     LazyLock::new(|| std::array::from_fn(|edge| log_at(edge as f32).exp()));
 
+/// Half of the range that the bins cover, in inverse hyperbolic sines.
 fn half_range() -> f32 {
     static HALF_RANGE: LazyLock<f32> = LazyLock::new(|| (MAX_LOG / FINE_LOG).asinh());
     *HALF_RANGE
@@ -88,6 +89,7 @@
         RatioTable::new(&std::array::from_fn(share))
     }
 
+    /// Share of the ratios in a bin.
     fn share(&self, bin: usize) -> f32 {
         self.beyond[bin] - self.beyond[bin + 1]
     }
@@ -172,6 +174,7 @@
         RatioHistogram { weights, total }
     }
 
+    /// The state to be recorded.
     pub(super) fn state(&self) -> RatioState {
         if self.total <= 0.0 {
             return RatioState::default();
--- a/crates/cj-sched/src/run_times/regression.rs
+++ b/crates/cj-sched/src/run_times/regression.rs
@@ -42,7 +42,7 @@
 const MAX_VARIANCE: f32 = 256.0;
 
 /// A time in natural logarithms of seconds, within the range of run times.
-pub(super) fn ln_seconds(time: Duration) -> f32 {
+pub(crate) fn ln_seconds(time: Duration) -> f32 {
     time.as_secs_f32().max(MIN_SECONDS).ln().min(LOG_RANGE.1)
 }
 
--- a/crates/cj-sched/src/sched/account_order.rs
+++ b/crates/cj-sched/src/sched/account_order.rs
@@ -36,7 +36,7 @@
 const RISK_FACTOR: f32 = 4.0;
 
 /// A pool counts as full after this many turns without a start, and the others are looked at in the order of their ranks.
-const FRUITLESS_TURNS: u32 = 16;
+const MAX_TURNS_WITHOUT_START: u32 = 16;
 
 /// Shapes of waiting steps whose work is added up for a candidate. Jobs of more are rare, and each look costs time.
 const COUNTED_SHAPES: usize = 4;
@@ -47,7 +47,7 @@
     weight: f32,
     /// Recent service by weight.
     level: f32,
-    /// It runs less than it is sure to get.
+    /// Less than [`KEPT_SHARE`] of its share is running.
     keeps_place: bool,
     waiting: VecDeque<usize>,
     /// The last candidate that is late unless other accounts let it go first, and that may be in time if they do.
@@ -59,8 +59,8 @@
 }
 
 impl AccountQueue {
-    /// True if one of its candidates behind this one is late unless it goes first.
-    fn needs_help(&self, behind: usize) -> bool {
+    /// True if one of its candidates that rank after the candidate `behind` is at risk.
+    fn has_at_risk(&self, behind: usize) -> bool {
         let first = self.waiting.front();
         first.zip(self.last_at_risk).is_some_and(|(first, last)| last >= *first && last > behind)
     }
@@ -70,6 +70,7 @@
 struct PoolQueues<'a> {
     service: &'a ServiceId,
     accounts: Vec<AccountQueue>,
+    /// Indices in `accounts`.
     by_account: HashMap<AccountSlot, usize>,
     /// Candidates that keep their places.
     unordered: VecDeque<usize>,
@@ -107,8 +108,8 @@
         let is_ahead =
             |q: &AccountQueue| !q.keeps_place && (q.level - lowest) * q.weight > tolerated;
         let in_order = Next::Account { queue: ahead, instead_of: None };
-        let helps = || waiting().any(|(_, q)| !is_ahead(q) && q.needs_help(index));
-        if !is_ahead(queue) || !helps() {
+        let helps_other = || waiting().any(|(_, q)| !is_ahead(q) && q.has_at_risk(index));
+        if !is_ahead(queue) || !helps_other() {
             return Some(in_order);
         }
         let behind = waiting().filter(|(_, q)| !is_ahead(q)).min_by_key(first);
@@ -164,6 +165,7 @@
         pools
     }
 
+    /// Adds a candidate to the queue of its account, or to those that keep their places.
     fn add_candidate(
         &self,
         pool: &mut PoolQueues<'_>,
@@ -189,7 +191,7 @@
             }
         };
         let queue = &mut pool.accounts[number];
-        if can_be_saved(candidate.slack, ahead, queue.work) {
+        if is_at_risk(candidate.slack, ahead, queue.work) {
             queue.last_at_risk = Some(index);
         }
         queue.work += work;
@@ -197,6 +199,7 @@
         pool.mean_work += work;
     }
 
+    /// A queue without candidates.
     fn account_queue(&self, account: AccountSlot) -> AccountQueue {
         AccountQueue {
             account,
@@ -231,7 +234,7 @@
         work
     }
 
-    /// Brings the standing of an account up to date.
+    /// Updates the recent service of an account, and whether it keeps its place.
     fn update_level(&self, queue: &mut AccountQueue, service: &ServiceId, pass: &Pass) {
         let Some(shares) = pass.pools.get(service) else { return };
         queue.level = self.account_service.served(service, shares, queue.account) / queue.weight;
@@ -244,9 +247,9 @@
         for queue in &mut pool.accounts {
             self.update_level(queue, pool.service, pass);
         }
-        let mut last = Vec::new();
-        let mut fruitless = 0;
-        while fruitless < FRUITLESS_TURNS && !pass.is_used_up(pool.service) {
+        let mut over_share = Vec::new();
+        let mut without_start = 0;
+        while without_start < MAX_TURNS_WITHOUT_START && !pass.is_used_up(pool.service) {
             let started = match pool.next() {
                 None => break,
                 Some(Next::Unordered) => {
@@ -255,7 +258,7 @@
                     let is_long_running =
                         self.jobs[candidate.at.job].submission.spec.is_long_running();
                     if is_long_running && self.is_over_share(candidate, pass) {
-                        last.push(index);
+                        over_share.push(index);
                         continue;
                     }
                     self.place_whole(candidate, pass)
@@ -268,9 +271,9 @@
                     started
                 }
             };
-            fruitless = if started > 0 { 0 } else { fruitless + 1 };
+            without_start = if started > 0 { 0 } else { without_start + 1 };
         }
-        self.place_rest(group, pool, last, pass);
+        self.place_rest(group, pool, over_share, pass);
     }
 
     /// Gives a candidate its turn, and returns how many tasks it started.
@@ -310,12 +313,12 @@
         started
     }
 
-    /// Places what is left in the order of rank: the pool is full, or nobody competes for it any more.
+    /// Places what is left in the order of rank, and `over_share` after it: the pool is full, or nobody competes for it any more.
     fn place_rest(
         &mut self,
         group: &[Candidate],
         mut pool: PoolQueues<'_>,
-        last: Vec<usize>,
+        over_share: Vec<usize>,
         pass: &mut Pass,
     ) {
         let mut rest: Vec<(usize, Option<Turn>)> = Vec::new();
@@ -325,7 +328,7 @@
             rest.extend(queue.waiting.iter().map(|index| (*index, turn.take())));
         }
         rest.sort_by_key(|(index, _)| *index);
-        rest.extend(last.into_iter().map(|index| (index, None)));
+        rest.extend(over_share.into_iter().map(|index| (index, None)));
         for (index, turn) in rest {
             let turn = turn.unwrap_or_else(|| self.begin_turn(&group[index]));
             self.take_turn(&group[index], turn, pass);
@@ -362,10 +365,10 @@
     }
 }
 
-/// True if a candidate may miss its latency objective when it waits for all work before it, and not when it waits only for
-/// that of its own account, both in seconds of the whole pool. One without an objective, or that is late anyway, counts as
-/// such.
-fn can_be_saved(slack: Option<Duration>, ahead: f32, own: f32) -> bool {
-    let saved = |slack: f32| ahead * RISK_FACTOR > slack && own <= slack;
-    slack.is_none_or(|slack| saved(slack.as_secs_f32()))
+/// True if a candidate may miss its latency objective when it waits for all work before it, `ahead`, and not when it waits only
+/// for that of its own account, `own`, both in seconds of the whole pool. One without an objective, or that is late anyway, has
+/// no `slack` and counts as at risk.
+fn is_at_risk(slack: Option<Duration>, ahead: f32, own: f32) -> bool {
+    let at_risk = |slack: f32| ahead * RISK_FACTOR > slack && own <= slack;
+    slack.is_none_or(|slack| at_risk(slack.as_secs_f32()))
 }
--- a/crates/cj-sched/src/sched/estimate.rs
+++ b/crates/cj-sched/src/sched/estimate.rs
@@ -36,6 +36,7 @@
         self.mean_run_time(&self.step_times(job, step, state), state)
     }
 
+    /// Mean run time of the tasks of a step: that of the ended ones, with the expected time as one more.
     fn mean_run_time(&self, times: &StepTimes<'_>, state: &Step) -> Duration {
         if !self.policies.learn {
             return times.expected();
@@ -75,6 +76,7 @@
         self.remaining_of_run(placed, self.mean_run_time(&times, state), times.predict())
     }
 
+    /// As [`Self::remaining_run_time`], for a step whose tasks take `mean`, with the `prediction` for one of them.
     fn remaining_of_run(
         &self,
         placed: &Placement,
@@ -97,7 +99,7 @@
         prediction.remaining(open.mul_f32(slowness), elapsed)
     }
 
-    /// Expected time of the remaining work of a step, and of all of it.
+    /// Expected time of the remaining work of a step, and of all of its work.
     fn times_of_step(&self, job: &Job, number: u32, step: &Step) -> [Duration; 2] {
         let times = self.step_times(job, number, step);
         let mean = self.mean_run_time(&times, step);
--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -125,7 +125,7 @@
                 let runs_known = self.workers[key].runs_known();
                 self.end_incarnation(key, None, IncarnationEvidence::ShutDown(sent));
                 let worker = &mut self.workers[key];
-                worker.taken_off = runs_known;
+                worker.known_shutdown = runs_known;
                 worker.registered = false;
                 worker.next_listing = None;
             }
--- a/crates/cj-sched/src/sched/forecast.rs
+++ b/crates/cj-sched/src/sched/forecast.rs
@@ -31,10 +31,11 @@
 /// Weight of a new comparison: about the last twenty count, which cover four seconds.
 const SCORE_GAIN: f32 = 0.05;
 
-/// Weight of a forecast itself in how far it is trusted, beside the mean of the earlier ones.
+/// A new forecast counts with this weight as one that came true, beside the averages of the earlier ones.
 const PRIOR_WEIGHT: f32 = 0.3;
 
-/// A forecast, and the demand that was known when it was made, in millicores.
+/// A forecast that hasn't been compared yet: when it is due, the demand that was known when it was made, and the demand that it
+/// expects, in millicores.
 #[derive(Clone, Copy, Debug)]
 struct Pending {
     due: Instant,
@@ -42,7 +43,7 @@
     demand: f32,
 }
 
-/// Arrivals of jobs at one service, and how earlier forecasts proved right.
+/// Arrivals of jobs at one service, and how far earlier forecasts came true.
 #[derive(Clone, Debug, Default)]
 pub(super) struct DemandForecast {
     /// Time of each recent arrival, and its work in millicores times milliseconds.
@@ -53,9 +54,11 @@
     mean_work: f32,
     /// Mean time from the arrival of a job to its end without any waiting, in seconds.
     mean_stay: f32,
+    /// Forecasts that aren't due yet, the earliest first.
     pending: VecDeque<Pending>,
-    /// Increases of demand that were forecast and that came, as decaying sums in millicores.
+    /// Moving average of the increases of demand that were forecast, in millicores.
     forecast_rise: f32,
+    /// Moving average of the part of them that came.
     actual_rise: f32,
 }
 
@@ -80,7 +83,8 @@
         known + (demand - known) * self.trust((demand - known).max(0.0))
     }
 
-    /// Share of the forecast increases that came. Earlier ones that were small beside this one say little about it.
+    /// Share of the forecast increases that came, for a forecast of `rise`: earlier ones that were small beside it say little
+    /// about it.
     fn trust(&self, rise: f32) -> f32 {
         let prior = rise * PRIOR_WEIGHT;
         if self.forecast_rise + prior <= 0.0 {
@@ -89,7 +93,7 @@
         (self.actual_rise + prior) / (self.forecast_rise + prior)
     }
 
-    /// Compares the forecasts for this time with the demand that is known now.
+    /// Compares the forecasts that are due with the demand that is known now.
     fn score(&mut self, known: f32, now: Instant) {
         while let Some(pending) = self.pending.pop_front_if(|pending| pending.due <= now) {
             let rise = (pending.demand - pending.known).max(0.0);
--- a/crates/cj-sched/src/sched/learn.rs
+++ b/crates/cj-sched/src/sched/learn.rs
@@ -15,7 +15,7 @@
     codec,
     record::Record,
     run_times::{
-        PredictionCounts, RunBasis, RunTimeModel, RunTimes, Siblings, StepKind, StepTimes,
+        PredictionCounts, RunBasis, RunTimeModel, RunTimes, StepKind, StepTimes, ln_seconds,
     },
     sched::{
         scheduler::Scheduler,
@@ -51,10 +51,12 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Slowness {
     log: f32,
+    /// Number of runs that it rests on, at most [`SLOWNESS_RUNS`].
     runs: f32,
 }
 
 impl Slowness {
+    /// Learns from a run that took longer than others of its step by `log`, a natural logarithm.
     fn observe(&mut self, log: f32) {
         self.runs = (self.runs + 1.0).min(SLOWNESS_RUNS);
         let deviation = log.clamp(-MAX_DEVIATION, MAX_DEVIATION) - self.log;
@@ -66,7 +68,8 @@
 #[derive(Default)]
 pub(super) struct Learning {
     pub(super) model: RunTimeModel,
-    /// Mean slowness of the workers of recent runs: tasks of a step that end later are longer on average, on all workers.
+    /// Mean slowness of the workers of recent runs. It isn't 0, since the tasks of a step that end later are longer on average, on
+    /// all workers.
     average: f32,
     /// Number of observations in the last record.
     recorded: u64,
@@ -78,13 +81,14 @@
 }
 
 impl Learning {
+    /// Starts from the recorded run times of an earlier owner, if there are any.
     pub(super) fn restore(state: Option<&RunTimes>) -> Self {
         let model = state.map(RunTimeModel::restore).unwrap_or_default();
         Learning { model, ..Learning::default() }
     }
 }
 
-/// What is known of the tasks of a step.
+/// What the model is asked about: the tasks of a step, with `state` in one occurrence of the job.
 pub(super) fn step_kind<'a>(job: &'a Job, step: u32, state: &Step) -> StepKind<'a> {
     let spec = job.step_spec(step);
     StepKind {
@@ -111,7 +115,7 @@
         worker.map_or(0.0, |worker: &Worker| worker.run_slowness.log - self.learning.average)
     }
 
-    /// What is predicted for a run that starts now.
+    /// What is predicted for a run that starts now on a worker; `None` for a long-running task.
     pub(super) fn predict_run(&self, at: TaskRef, worker: WorkerKey) -> Option<RunBasis> {
         let job = &self.jobs[at.job];
         if job.step_spec(at.step).long_running {
@@ -138,19 +142,15 @@
             Some(basis) => self.learning.model.observe(&kind, basis, took),
             None => self.learning.model.observe_unpredicted(&kind, took),
         }
-        let mut whole = Siblings::default();
-        whole.add(took, 0.0);
-        if let Some(others) = state.ended.mean_log()
-            && let Some(own) = whole.mean_log()
-        {
+        if let Some(others) = state.ended.mean_log() {
             let worker = &mut self.workers[key].run_slowness;
-            worker.observe(own - others);
+            worker.observe(ln_seconds(took) - others);
             self.learning.average += AVERAGE_GAIN * (worker.log - self.learning.average);
         }
         self.jobs[at.job].step_mut(at).ended.add(took, slowness);
     }
 
-    /// Learns from a run of a finite task that didn't complete, and lasted until then at least: its task would have taken longer. A
+    /// Learns from a run that lasted at least until `until` without completing its finite task: the task would have taken longer. A
     /// run that was stopped because it made no progress says nothing about that.
     pub(super) fn learn_unfinished(&mut self, at: TaskRef, run: &Placement, until: Instant) {
         let elapsed = until.saturating_duration_since(run.started_at);
@@ -184,13 +184,13 @@
         let now = self.now.mono;
         let learning = &mut self.learning;
         let observations = learning.model.observations();
-        let rested = learning.record_from.is_none_or(|from| from <= now);
-        if !self.policies.learn || !rested || observations == learning.recorded {
+        let is_due = learning.record_from.is_none_or(|from| from <= now);
+        if !self.policies.learn || !is_due || observations == learning.recorded {
             return None;
         }
         let record = Record::RunTimes(learning.model.state());
-        let rest = Duration::from_secs(codec::encode(&record).len() as u64) / RECORD_RATE;
-        learning.record_from = Some(now + rest.max(RECORD_INTERVAL));
+        let interval = Duration::from_secs(codec::encode(&record).len() as u64) / RECORD_RATE;
+        learning.record_from = Some(now + interval.max(RECORD_INTERVAL));
         learning.recorded = observations;
         Some(record)
     }
@@ -204,8 +204,8 @@
     pub(super) fn log_run_times(&mut self) {
         let now = self.now.mono;
         let learning = &mut self.learning;
-        let rested = learning.logged_at.is_none_or(|at| at + LOG_INTERVAL <= now);
-        if !self.policies.learn || !rested {
+        let is_due = learning.logged_at.is_none_or(|at| at + LOG_INTERVAL <= now);
+        if !self.policies.learn || !is_due {
             return;
         }
         learning.logged_at = Some(now);
--- a/crates/cj-sched/src/sched/lifetime.rs
+++ b/crates/cj-sched/src/sched/lifetime.rs
@@ -12,7 +12,7 @@
     worker::{Worker, WorkerKey},
 };
 
-/// Expected times that differ by less than this count as equal, so that tasks still fill up few workers.
+/// Expected times that differ by less than this count as equal, so that tasks still go to few workers.
 const BAND: Duration = Duration::from_millis(250);
 
 /// Expected time that a long-running task keeps its worker busy.
@@ -29,15 +29,15 @@
 }
 
 impl Scheduler {
-    /// Counts a task that is about to start on a worker.
+    /// Extends the busy time of a worker by a task that is about to start there.
     pub(super) fn extend_busy_time(&mut self, key: WorkerKey, at: TaskRef) {
-        let end = self.now.mono + self.expected_hold(at);
+        let end = self.now.mono + self.expected_busy_time(at);
         let worker = &mut self.workers[key];
         worker.busy_until = worker.busy_until.max(Some(end));
     }
 
     /// Expected time for which a task that starts now keeps its worker busy.
-    pub(super) fn expected_hold(&self, at: TaskRef) -> Duration {
+    pub(super) fn expected_busy_time(&self, at: TaskRef) -> Duration {
         let job = &self.jobs[at.job];
         if job.step_spec(at.step).long_running {
             return LONG_RUNNING_TIME;
@@ -50,12 +50,14 @@
         let now = self.now.mono;
         let keys: Vec<WorkerKey> = self.workers.keys().collect();
         for key in keys {
-            let remaining = self.workers[key].runs.iter().map(|&at| self.remaining_hold(at)).max();
+            let remaining =
+                self.workers[key].runs.iter().map(|&at| self.remaining_busy_time(at)).max();
             self.workers[key].busy_until = remaining.map(|remaining| now + remaining);
         }
     }
 
-    fn remaining_hold(&self, at: TaskRef) -> Duration {
+    /// Expected time for which a run still keeps its worker busy; 0 for a task without a placement.
+    fn remaining_busy_time(&self, at: TaskRef) -> Duration {
         if self.jobs[at.job].step_spec(at.step).long_running {
             return LONG_RUNNING_TIME;
         }
--- a/crates/cj-sched/src/sched/load_report.rs
+++ b/crates/cj-sched/src/sched/load_report.rs
@@ -15,9 +15,8 @@
     account::Weight,
     load_report::{
         AccountLoad, ArrivingCapacity, LATE, LoadReport, MAX_ACCOUNTS, MAX_ARRIVALS, MAX_BANDS,
-        MAX_POOL_ACCOUNTS, PoolLoad, RunTimes, WaitingBand, account_digest, saturated,
+        MAX_POOL_ACCOUNTS, PoolLoad, PoolRunTimes, WaitingBand, account_digest, saturated,
     },
-    record::Outcome,
     sched::{
         demand::MIN_VMS,
         rank::Timeliness,
@@ -56,14 +55,16 @@
     waiting: Vec<Waiting>,
     /// Processors for which ready tasks wait, in millicores.
     asked: u64,
-    /// Least that one of these tasks asks for.
+    /// Least that these tasks ask for, by resource.
     smallest: Option<Resources>,
     /// Work of the jobs that arrived within each of [`ARRIVAL_WINDOWS`], in millicores times milliseconds.
     arrived: [u64; 2],
+    /// Waiting work by account of the jobs that can be in time, in millicores times milliseconds.
     accounts: HashMap<&'a AccountId, u64>,
     run_times: RunTimeFit,
-    /// Processors in use by finite tasks, and free ones in which a waiting task fits, in millicores.
+    /// Processors in use by finite tasks that aren't overdue, in millicores.
     used: u64,
+    /// Free processors in which a waiting task fits, in millicores.
     free: u64,
     /// Capacities of the idle VMs, in millicores.
     idle_vms: Vec<u64>,
@@ -111,8 +112,7 @@
         let wall = self.now.wall;
         let age = wall.since(job.submission.received_at);
         for (number, occurrence) in job.occurrences.iter().enumerate() {
-            let not_due = occurrence.due.is_some_and(|due| due > wall);
-            if occurrence.outcome != Outcome::Open || not_due {
+            if !occurrence.is_open_and_due(wall) {
                 continue;
             }
             let mut work: u64 = 0;
@@ -160,17 +160,17 @@
 
     /// Adds the capacity of a worker that takes tasks.
     fn add_worker(&self, worker: &Worker, pool: &mut PoolSums<'_>) {
-        let ending = worker.runs.iter().filter(|at| self.is_about_to_end(**at));
+        let on_time = worker.runs.iter().filter(|at| self.is_within_expected_time(**at));
         let cores = |at: &TaskRef| self.jobs[at.job].step_spec(at.step).allocation().cores.0;
-        pool.used += ending.map(|at| u64::from(cores(at))).sum::<u64>();
+        pool.used += on_time.map(|at| u64::from(cores(at))).sum::<u64>();
         pool.free += usable(worker.free(), pool.smallest);
         if worker.runs.is_empty() && worker.accepts_tasks(self.now.mono) {
             pool.idle_vms.push(u64::from(worker.capacity.cores.0));
         }
     }
 
-    /// True for a run of a finite task that takes about as long as expected.
-    fn is_about_to_end(&self, at: TaskRef) -> bool {
+    /// True for a run of a finite task that isn't overdue; see [`OVERDUE_FACTOR`].
+    fn is_within_expected_time(&self, at: TaskRef) -> bool {
         let job = &self.jobs[at.job];
         let Some(placed) =
             self.task(at).placement().filter(|_| !job.step_spec(at.step).long_running)
@@ -239,7 +239,7 @@
         self.waiting.is_empty() && self.free >= self.used
     }
 
-    /// The load but for what depends on other pools.
+    /// The load without the fields that depend on other pools or on the configuration.
     fn load(&self) -> PoolLoad {
         let rates = self.arrived.iter().zip(ARRIVAL_WINDOWS);
         let rates = rates.map(|(work, window)| work / window.as_millis() as u64);
@@ -320,12 +320,14 @@
     count: f64,
     estimate: f64,
     task: f64,
+    /// Of the longest tasks of the steps.
     step: f64,
     estimate_squared: f64,
     product: f64,
 }
 
 impl RunTimeFit {
+    /// Adds a step with the expected run times of a task and of its longest task.
     fn add(&mut self, estimate: Duration, task: Duration, step: Duration) {
         let ln = |time: Duration| (time.as_secs_f64() * 1e3).max(1.0).ln();
         let (x, y) = (ln(estimate), ln(task));
@@ -337,9 +339,10 @@
         self.product += x * y;
     }
 
-    fn means(&self) -> RunTimes {
+    /// The geometric means, and the slope of the regression.
+    fn means(&self) -> PoolRunTimes {
         if self.count < 1.0 {
-            return RunTimes::default();
+            return PoolRunTimes::default();
         }
         let mean = |sum: f64| sum / self.count;
         let ms = |sum: f64| mean(sum).exp().round() as u32;
@@ -347,7 +350,7 @@
         let covariance = mean(self.product) - mean(self.estimate) * mean(self.task);
         // Steps with the same estimate don't show whether estimates predict anything.
         let slope = if variance < 1e-6 { 1.0 } else { covariance / variance };
-        RunTimes {
+        PoolRunTimes {
             estimate_ms: ms(self.estimate).max(1),
             task_ms: ms(self.task),
             step_ms: ms(self.step),
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -9,17 +9,14 @@
 use cj_types::ServiceId;
 use log::info;
 
-use crate::{
-    record::Outcome,
-    sched::{
-        ledger::Charge,
-        pass::{Pass, Turn},
-        rank::{Rank, Timeliness, rank, submission_rank},
-        scheduler::Scheduler,
-        settings::PREEMPTION_DELAY,
-        work::{Job, JobSlot, TaskRef},
-        worker::WorkerKey,
-    },
+use crate::sched::{
+    ledger::Charge,
+    pass::{Pass, Turn},
+    rank::{Rank, Timeliness, rank, submission_rank},
+    scheduler::Scheduler,
+    settings::PREEMPTION_DELAY,
+    work::{Job, JobSlot, TaskRef},
+    worker::WorkerKey,
 };
 
 /// Longest time between two placement passes: one runs after this time even if no event requested it.
@@ -235,9 +232,7 @@
             }
             for number in 0..self.jobs[slot].occurrences.len() {
                 let occurrence = &mut self.jobs[slot].occurrences[number];
-                let not_due = occurrence.due.is_some_and(|due| due > self.now.wall);
-                let open = occurrence.outcome == Outcome::Open && !not_due;
-                if !open || occurrence.startable.is_empty() {
+                if !occurrence.is_open_and_due(self.now.wall) || occurrence.startable.is_empty() {
                     continue;
                 }
                 occurrence.last_turn.pass.get_or_insert(self.pass_number - 1);
--- a/crates/cj-sched/src/sched/placement_query.rs
+++ b/crates/cj-sched/src/sched/placement_query.rs
@@ -8,7 +8,7 @@
 use crate::{
     config::Queue,
     job::{JobKey, JobSpec, StepSpec},
-    record::{Outcome, Submission},
+    record::Submission,
     sched::{
         event::VmState,
         placement_report::{
@@ -105,10 +105,21 @@
         Job::new(JobKey(0), Rc::new(submission), true, self.now.mono, |_| None)
     }
 
+    /// The registered workers of a pool.
+    fn registered_workers<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = &'a Worker> {
+        let of_pool = move |worker: &&Worker| worker.registered && worker.service == *service;
+        self.workers.values().filter(of_pool)
+    }
+
+    /// Expected run time of a task of a step.
     fn run_time(&self, job: &Job, step: usize) -> Duration {
         self.expected_run_time(job, step as u32, &job.occurrences[0].steps[step])
     }
 
+    /// Tells where the tasks of a step that waits for no other would start.
     fn explain_step(
         &self,
         number: usize,
@@ -140,8 +151,7 @@
             let has_label = step.requires.as_ref().is_none_or(|label| labels.contains(label));
             has_label && step.allocation().fits(capacity)
         };
-        let of_pool = |worker: &&Worker| worker.registered && worker.service == *service;
-        let workers = self.workers.values().filter(of_pool);
+        let workers = self.registered_workers(service);
         StepPlacement {
             step: number as u32,
             tasks: step.count,
@@ -167,8 +177,7 @@
             let goes_first = priority < queue.priority || (priority == queue.priority && in_time);
             let mut waiting: u64 = 0;
             for (number, occurrence) in job.occurrences.iter().enumerate() {
-                let not_due = occurrence.due.is_some_and(|due| due > self.now.wall);
-                if occurrence.outcome != Outcome::Open || not_due {
+                if !occurrence.is_open_and_due(self.now.wall) {
                     continue;
                 }
                 for (step, state) in occurrence.steps.iter().enumerate() {
@@ -197,11 +206,11 @@
         sum
     }
 
+    /// Workers and VMs of a pool, present and arriving.
     fn pool_contents(&self, service: &ServiceId) -> PoolState {
         let now = self.now.mono;
         let mut state = PoolState::default();
-        let of_pool = |worker: &&Worker| worker.registered && worker.service == *service;
-        for worker in self.workers.values().filter(of_pool) {
+        for worker in self.registered_workers(service) {
             state.workers += 1;
             if !worker.accepts_tasks(now) {
                 continue;
@@ -305,13 +314,11 @@
         spares.map(|row| u64::from(row.capacity.cores.0)).sum()
     }
 
+    /// Ages of the inputs of the scheduler that an answer rests on.
     fn ages(&self, service: &ServiceId) -> Ages {
         let age = |at| ms(self.now.mono.saturating_duration_since(at));
-        let of_pool = |worker: &&Worker| worker.registered && worker.service == *service;
-        let listings = || {
-            let workers = self.workers.values().filter(of_pool);
-            workers.filter_map(|worker| worker.last_answer.map(age))
-        };
+        let listings =
+            || self.registered_workers(service).filter_map(|worker| worker.last_answer.map(age));
         Ages {
             vm_list_ms: self.vms_known.then(|| age(self.vms_requested)),
             heartbeat_ms: self.heartbeat_age() as u64,
--- a/crates/cj-sched/src/sched/placement_trial.rs
+++ b/crates/cj-sched/src/sched/placement_trial.rs
@@ -27,7 +27,7 @@
     changed: HashMap<WorkerKey, Worker>,
 }
 
-/// Workers for the tasks of a step.
+/// Workers for the tasks of a step; the fields are those of `StepPlacement`.
 pub(super) struct Chosen {
     pub(super) starting: u32,
     pub(super) workers: Vec<WorkerShare>,
@@ -42,10 +42,12 @@
 }
 
 impl Trial {
+    /// A worker as it would be now in the trial.
     fn worker<'a>(&'a self, scheduler: &'a Scheduler, key: WorkerKey) -> &'a Worker {
         self.changed.get(&key).unwrap_or_else(|| &scheduler.workers[key])
     }
 
+    /// Counts the allocation of tasks on a worker as used.
     fn use_room(&mut self, scheduler: &Scheduler, key: WorkerKey, spec: &StepSpec, tasks: u32) {
         let worker = self.changed.entry(key).or_insert_with(|| scheduler.workers[key].clone());
         worker.used = worker.used.plus(spec.allocation().times(tasks));
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -13,20 +13,17 @@
 use cj_types::{ServiceId, VmId};
 use log::info;
 
-use crate::{
-    record::Outcome,
-    sched::{
-        demand::{PoolDemand, least_covered},
-        event::{Action, VmAnswer, VmRow, VmState},
-        evidence::Incarnation,
-        forecast::DemandForecast,
-        ledger::CapRoom,
-        reclaim::PoolDrain,
-        scheduler::Scheduler,
-        watch::CommandGuard,
-        work::{Job, JobSlot},
-        worker::WorkerKey,
-    },
+use crate::sched::{
+    demand::{PoolDemand, least_covered},
+    event::{Action, VmAnswer, VmRow, VmState},
+    evidence::Incarnation,
+    forecast::DemandForecast,
+    ledger::CapRoom,
+    reclaim::PoolDrain,
+    scheduler::Scheduler,
+    watch::CommandGuard,
+    work::{Job, JobSlot},
+    worker::WorkerKey,
 };
 
 /// Shortest time between two plans of the pool sizes.
@@ -342,8 +339,7 @@
             return;
         }
         for occurrence in &job.occurrences {
-            let not_due = occurrence.due.is_some_and(|due| due > self.now.wall);
-            if occurrence.outcome != Outcome::Open || not_due {
+            if !occurrence.is_open_and_due(self.now.wall) {
                 continue;
             }
             for (number, step) in occurrence.steps.iter().enumerate() {
@@ -387,7 +383,7 @@
         let free = |row: &&VmRow| {
             let parked = match self.pools.moves.get(&row.vm) {
                 None => row.state == VmState::Up,
-                Some(moving) => self.has_just_parked(moving),
+                Some(moving) => self.counts_as_parked(moving),
             };
             row.pool == *spare_pool && parked && !self.is_in_wave(&row.vm)
         };
@@ -398,7 +394,7 @@
 
     /// True if a VM that this owner moved to the spare pool has been off for its move time. The list of VMs may show it as moving for
     /// seconds; the platform refuses to move it again if it still is.
-    fn has_just_parked(&self, moving: &Move) -> bool {
+    fn counts_as_parked(&self, moving: &Move) -> bool {
         let done_at = moving.done_at.filter(|_| self.policies.handover);
         done_at.is_some_and(|done| self.now.mono > done + self.limits.move_time + PARK_MARGIN)
     }
--- a/crates/cj-sched/src/sched/reconcile.rs
+++ b/crates/cj-sched/src/sched/reconcile.rs
@@ -37,7 +37,7 @@
             return;
         }
         let workers = || self.workers.values().filter(|worker| worker.service == *service);
-        let unlisted = workers().filter(|worker| !worker.is_reconciled() && !worker.taken_off);
+        let unlisted = workers().filter(|worker| !worker.is_reconciled() && !worker.known_shutdown);
         let open = workers().filter(|worker| worker.has_unknown_runs());
         let left = self.lease_horizon.saturating_duration_since(self.now.mono);
         info!(
@@ -50,7 +50,7 @@
     /// True when all workers of a service are listed, or the leases of earlier owners have ended.
     fn knows_all_runs(&self, service: &ServiceId) -> bool {
         let unknown = |worker: &Worker| {
-            worker.service == *service && !worker.runs_known() && !worker.taken_off
+            worker.service == *service && !worker.runs_known() && !worker.known_shutdown
         };
         let unregistered = |row: &VmRow| {
             let runs = row.pool == *service && row.state == VmState::Up;
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -31,7 +31,7 @@
 const DEADLINE_MARGIN: Duration = Duration::from_millis(1_200);
 
 /// Time before the end of a wave from which on half of a pool may be draining or in maintenance at once.
-const LAST_DRAINS: Duration = Duration::from_secs(5);
+const FINAL_DRAIN_PERIOD: Duration = Duration::from_secs(5);
 
 /// Finite tasks that save checkpoints are stopped after their VM has drained for this long.
 const CHECKPOINT_STOP_DELAY: Duration = Duration::from_millis(1_500);
@@ -227,7 +227,7 @@
             let requested = wave.progress.requested.contains(&row.vm);
             (!requested, !self.has_long_running(row), self.run_count(row))
         });
-        let divisor = if wave.is_due_within(LAST_DRAINS, now) { 2 } else { POOL_DIVISOR };
+        let divisor = if wave.is_due_within(FINAL_DRAIN_PERIOD, now) { 2 } else { POOL_DIVISOR };
         let mut chosen = Vec::new();
         for row in waiting {
             let size = self.vms.values().filter(|other| other.pool == row.pool).count();
--- a/crates/cj-sched/src/sched/work.rs
+++ b/crates/cj-sched/src/sched/work.rs
@@ -196,6 +196,11 @@
 }
 
 impl Occurrence {
+    /// True if it is neither over nor due later than `now`.
+    pub(super) fn is_open_and_due(&self, now: UnixMillis) -> bool {
+        self.outcome == Outcome::Open && self.due.is_none_or(|due| due <= now)
+    }
+
     fn new(
         spec: &JobSpec,
         shapes: &Shapes,
--- a/crates/cj-sched/src/sched/worker.rs
+++ b/crates/cj-sched/src/sched/worker.rs
@@ -94,7 +94,7 @@
     /// When it last answered.
     pub(super) last_answer: Option<Instant>,
     /// This owner moved or maintained its VM when all runs there were known, and a list of VMs showed the worker gone.
-    pub(super) taken_off: bool,
+    pub(super) known_shutdown: bool,
     /// Consecutive requests for a listing without an answer.
     pub(super) missed_listings: u32,
     /// It gets no new tasks until then.
@@ -165,7 +165,7 @@
             lease_end: None,
             foreign_lease_end: None,
             last_answer: None,
-            taken_off: false,
+            known_shutdown: false,
             missed_listings: 0,
             paused_until: None,
             quarantined_until: None,
@@ -214,7 +214,7 @@
             self.known_since = now;
             self.unnamed_lists = 0;
         }
-        self.taken_off = false;
+        self.known_shutdown = false;
         self.clock = None;
         self.orphan_runs = 0;
         self.orphan_stops.clear();
--- a/crates/copperjunction/src/commands/where_report.rs
+++ b/crates/copperjunction/src/commands/where_report.rs
@@ -15,6 +15,7 @@
     out
 }
 
+/// A value as text that is safe to print on a terminal.
 fn plain(value: &Value) -> String {
     match value {
         Value::Null => "unknown".into(),
--- a/crates/copperjunction/src/commands/where_to.rs
+++ b/crates/copperjunction/src/commands/where_to.rs
@@ -70,12 +70,12 @@
             other => return Err(argument_error(&other.unexpected())),
         }
     }
-    let missing = |problem, help| usage_error(problem, help);
     let node = node.ok_or_else(|| {
-        missing("no node given", "name its metrics listener with `--node IP:PORT`")
+        usage_error("no node given", "name its metrics listener with `--node IP:PORT`")
     })?;
-    let queue = queue.ok_or_else(|| missing("no queue given", "name it with `--queue QUEUE`"))?;
-    let job = job.ok_or_else(|| missing("no job given", "name its file with `--job FILE`"))?;
+    let queue =
+        queue.ok_or_else(|| usage_error("no queue given", "name it with `--queue QUEUE`"))?;
+    let job = job.ok_or_else(|| usage_error("no job given", "name its file with `--job FILE`"))?;
     let body = read_job(&job)?;
     let answer = ask(node, &Parameters { queue, account }, body)?;
     if as_json {
@@ -86,6 +86,7 @@
     Ok(Exit::Ok)
 }
 
+/// Reads the body of a submission from a file.
 fn read_job(path: &str) -> Result<Vec<u8>> {
     let failed = |problem: String, help: &str| Error::new(ErrorKind::Io(problem.into()), help);
     let mut body = Vec::new();
@@ -101,6 +102,7 @@
     Ok(body)
 }
 
+/// Sends the query to a node, and returns its answer.
 fn ask(node: SocketAddr, parameters: &Parameters, body: Vec<u8>) -> Result<Value> {
     let failed = |problem: &str, help: &str| Error::new(ErrorKind::Failed(problem.into()), help);
     let query = serde_urlencoded::to_string(parameters).map_err(|_| {
