--- a/crates/cj-entry/src/api.rs
+++ b/crates/cj-entry/src/api.rs
@@ -225,7 +225,7 @@
         count
     }
 
-    /// Counts a refused submission. For an overload, the reason is the basis of the decision.
+    /// Counts a refused submission. For an overload, `reason` is the name of the basis of the decision.
     fn count_refusal(&self, reason: &'static str) {
         self.metrics.refusals.get_or_create(&RefusalLabels { reason }).inc();
     }
--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -58,7 +58,7 @@
 pub use placement_query::{MAX_QUERY_STEPS, PlacementQuery};
 pub use placement_report::*;
 pub use policy::Policies;
-pub use rank::{LATE_FACTOR, TIME_MARGIN};
+pub use rank::TIME_MARGIN;
 pub use scheduler::{Now, Scheduler};
 pub use settings::Limits;
 pub use watch::CommandWatch;
--- a/crates/cj-sched/src/sched/pass.rs
+++ b/crates/cj-sched/src/sched/pass.rs
@@ -130,7 +130,7 @@
     pub(super) number: u64,
     /// Use of the pools by accounts, where these share them.
     pub(super) pools: HashMap<ServiceId, PoolShares>,
-    /// Work that stands before the next group of candidates, in seconds of the whole pool.
+    /// Work of the earlier groups of candidates, by pool, in seconds of the whole pool.
     pub(super) work_ahead: HashMap<ServiceId, f32>,
     services: HashMap<ServiceId, ServiceWork>,
 }
--- a/crates/cj-sched/src/sched/placement_query.rs
+++ b/crates/cj-sched/src/sched/placement_query.rs
@@ -88,7 +88,8 @@
         })
     }
 
-    /// A job with the steps of the query, but with one task each: the state of a step depends on its runs, and it has none.
+    /// A job with the steps of the query, but with one task each, which takes less time to make. Steps without runs are in the
+    /// same state whatever the number of their tasks.
     fn job_of_query(&self, queue: &Queue, query: &PlacementQuery) -> Job {
         let single = |step: &StepSpec| StepSpec { count: 1, ..step.clone() };
         let steps = query.spec.steps.iter().map(single).collect();
--- a/crates/cj-sched/src/sched/placement_report.rs
+++ b/crates/cj-sched/src/sched/placement_report.rs
@@ -88,7 +88,7 @@
     pub workers: Vec<WorkerShare>,
     /// Number of workers that would get tasks.
     pub chosen_workers: usize,
-    /// Number of the other workers of the cell, by what speaks against them.
+    /// Number of the other workers of the cell, by the first condition that they don't meet.
     pub others: BTreeMap<Obstacle, usize>,
     /// Number of workers of the pool that could hold a task if nothing else ran there.
     pub able_workers: usize,
--- a/crates/cj-sched/src/sched/placement_trial.rs
+++ b/crates/cj-sched/src/sched/placement_trial.rs
@@ -1,6 +1,6 @@
 //! A trial placement: the workers that the tasks of a job would get, without starting them.
 //!
-//! The workers are asked for and compared as in a placement pass; see `worker_choice`. What earlier steps of the trial
+//! The workers are chosen and compared as in a placement pass; see `worker_choice`. What earlier steps of the trial
 //! take counts as used for the later ones.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/crates/cj-sched/src/sched/rank.rs
+++ b/crates/cj-sched/src/sched/rank.rs
@@ -12,7 +12,7 @@
 use crate::sched::{estimate::TimeEstimate, work::Job};
 
 /// A late job is still of some use to its caller up to this multiple of its objective.
-pub const LATE_FACTOR: u32 = 3;
+const LATE_FACTOR: u32 = 3;
 
 /// A job counts as in time if this multiple of its expected remaining time is left.
 pub const TIME_MARGIN: f32 = 1.35;
--- a/crates/cj-sched/src/sched/share.rs
+++ b/crates/cj-sched/src/sched/share.rs
@@ -26,9 +26,9 @@
     weights: f32,
     /// Resources in use by the accounts that have tasks in the pool, running or ready to start.
     used: HashMap<AccountSlot, Resources>,
-    /// The part of `used` that finite tasks use.
+    /// The part of `used` for finite tasks.
     finite: HashMap<AccountSlot, Resources>,
-    /// Used by the long-running tasks of all jobs.
+    /// Resources in use by the long-running tasks of all jobs.
     long_running: Resources,
 }
 
@@ -68,9 +68,7 @@
         let limit = (entitled * EXCESS_FACTOR).min((1.0 + entitled) / 2.0);
         self.used.get(&account).is_some_and(|used| dominant_share(*used, self.capacity) > limit)
     }
-}
 
-impl PoolShares {
     /// Share of the pool's room for finite tasks that a demand takes.
     pub(super) fn share_of(&self, demand: Resources) -> f32 {
         dominant_share(demand, self.capacity.minus(self.long_running))
--- a/crates/cj-sched/src/sched/step.rs
+++ b/crates/cj-sched/src/sched/step.rs
@@ -24,7 +24,7 @@
     pub(super) idle: BTreeSet<u32>,
     /// Indexes of the placed tasks.
     pub(super) placed: BTreeSet<u32>,
-    /// Completed runs that took the whole time of a task, without resuming from a checkpoint.
+    /// Completed runs of whole tasks, which didn't resume from a checkpoint.
     pub(super) ended: Siblings,
     /// Total duration of these runs.
     pub(super) total_time: Duration,
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -80,7 +80,7 @@
         self.progress.begun.contains(vm)
     }
 
-    /// True within this time before its end. Once it is late, running tasks go first again.
+    /// True if it ends within `time`. It is false after its end: a late wave waits for running tasks again.
     fn is_due_within(&self, time: Duration, now: Instant) -> bool {
         now < self.due && now + time >= self.due
     }
