--- a/crates/cj-entry/src/node.rs
+++ b/crates/cj-entry/src/node.rs
@@ -288,7 +288,9 @@
             Ok(OperatorChange::Config(config)) => self.apply_config(config, record.offset),
             Ok(OperatorChange::Wave(wave)) => {
                 let received = ReceivedWave::new(wave.clone(), self.clock.now());
-                self.waves.borrow_mut().entry(wave.number).or_insert(received);
+                let mut waves = self.waves.borrow_mut();
+                waves.entry(wave.number).or_insert(received).spec = wave.clone();
+                drop(waves);
                 for member in self.members.borrow().iter() {
                     let progress = member.job_index.borrow().wave(wave.number);
                     member.send(Event::Wave(wave.clone(), progress));
