Share the formula of the latency objective, and drop a factor of one

Cause: the objective by stretch and target stood twice in the scheduler, READY_DEMAND_SHARE was 1, and a comment on the trial placement was untrue. Change: Queue::objective_of; the constant is gone; the comment says what the trial leaves out. Behaviour is meant to be unchanged.

--- a/crates/cj-sched/src/config.rs
+++ b/crates/cj-sched/src/config.rs
@@ -49,7 +49,12 @@
 impl Queue {
     /// Latency objective of a job, from the estimates of its caller.
     pub fn objective(&self, spec: &JobSpec) -> Duration {
-        spec.critical_path().mul_f32(self.stretch.max(1.0)) + self.target
+        self.objective_of(spec.critical_path())
+    }
+
+    /// Latency objective of a job whose critical path takes this time.
+    pub fn objective_of(&self, critical_path: Duration) -> Duration {
+        critical_path.mul_f32(self.stretch.max(1.0)) + self.target
     }
 }
 
--- a/crates/cj-sched/src/sched/estimate.rs
+++ b/crates/cj-sched/src/sched/estimate.rs
@@ -154,9 +154,7 @@
         let [remaining, whole] =
             spec.critical_paths_by(|n, _| self.times_of_step(job, n as u32, &steps[n]));
         let queue = self.config.queue(&job.submission.queue);
-        let objective = queue.map_or(job.submission.objective, |queue| {
-            whole.mul_f32(queue.stretch.max(1.0)) + queue.target
-        });
+        let objective = queue.map_or(job.submission.objective, |queue| queue.objective_of(whole));
         TimeEstimate { remaining, deadline: job.latency_start(occurrence) + objective }
     }
 }
--- a/crates/cj-sched/src/sched/placement_trial.rs
+++ b/crates/cj-sched/src/sched/placement_trial.rs
@@ -107,8 +107,7 @@
         }
     }
 
-    /// Fills the workers one after the other. A finite task makes its worker no less preferable, so this is the choice of
-    /// a pass.
+    /// Fills the workers one after the other. Unlike a placement pass, it leaves out how long a task would keep its worker busy.
     fn choose_in_order(
         &self,
         scheduler: &Scheduler,
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -39,9 +39,6 @@
 /// An idle VM that its pool doesn't need may move to another pool after this time.
 const LEND_DELAY: Duration = Duration::from_millis(300);
 
-/// Share of the demand of ready tasks for which VMs are provided: some of them could start as running tasks end.
-const READY_DEMAND_SHARE: f32 = 1.0;
-
 /// A long-running task that waits this long counts as unplaced: its pool is too small.
 const UNPLACED_AFTER: Duration = Duration::from_millis(500);
 
@@ -356,8 +353,7 @@
                         step.idle.iter().take_while(fits).count()
                     }
                 };
-                let share = if spec.long_running { 1.0 } else { READY_DEMAND_SHARE };
-                let waiting = waiting as f32 * share;
+                let waiting = waiting as f32;
                 let tasks = step.placed.len() as f32 + waiting;
                 let per_task = spec.allocation();
                 let cores = per_task.cores.0 as f32;
