Simulate workers that restart around a takeover and that no owner reaches

The simulation of restarts cut workers off from one owner only, and from none that took over, so a new owner always read them at once.

Now a worker can be isolated from all owners, its registration can expire meanwhile, and owners fail just before or after the restarts: they end, or lose the store and still reach workers. No call is carried out late.

--- a/crates/cj-sched/tests/sim/logs.rs
+++ b/crates/cj-sched/tests/sim/logs.rs
@@ -120,7 +120,7 @@
         let owner = self.owners.len() - 1;
         for index in 0..self.workers.len() {
             let worker = &self.workers[index];
-            if worker.alive {
+            if worker.alive && !self.unregistered.contains(&index) {
                 let reported = self.reports.get(&index).filter(|report| report.id == worker.id);
                 let registration = reported.cloned().unwrap_or_else(|| worker.registration());
                 self.notify(owner, &Event::Registered(registration), 3);
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -10,6 +10,7 @@
 mod decisions;
 mod evidence;
 mod incarnations;
+mod isolation;
 mod large_jobs;
 mod late_calls;
 mod learned_times;
--- a/crates/cj-sched/tests/sim/network.rs
+++ b/crates/cj-sched/tests/sim/network.rs
@@ -39,6 +39,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Network {
     cuts: HashMap<(usize, Peer), Cut>,
+    /// When peers that no owner reaches are back, in ms.
+    isolated: HashMap<Peer, u64>,
 }
 
 impl Network {
@@ -53,9 +55,22 @@
         *end = until.max(*end);
     }
 
+    /// Cuts a peer off from all owners, later ones included, until the given time.
+    pub(crate) fn isolate(&mut self, peer: Peer, until: u64) {
+        log::info!(target: "sim", "peer={peer:?} isolated until={until}");
+        let end = self.isolated.entry(peer).or_default();
+        *end = until.max(*end);
+    }
+
+    /// True while no owner reaches the peer.
+    pub(crate) fn is_isolated(&self, peer: Peer, now: u64) -> bool {
+        self.isolated.get(&peer).is_some_and(|until| *until > now)
+    }
+
     /// Ends all cuts.
     pub(crate) fn restore(&mut self) {
         self.cuts.clear();
+        self.isolated.clear();
     }
 
     fn cut_of(&self, owner: usize, peer: Peer) -> Cut {
@@ -64,12 +79,12 @@
 
     /// True if calls of the owner reach the peer.
     pub(crate) fn delivers_calls(&self, owner: usize, peer: Peer, now: u64) -> bool {
-        self.cut_of(owner, peer).calls_until <= now
+        self.cut_of(owner, peer).calls_until <= now && !self.is_isolated(peer, now)
     }
 
     /// True if answers of the peer reach the owner.
     pub(crate) fn delivers_answers(&self, owner: usize, peer: Peer, now: u64) -> bool {
-        self.cut_of(owner, peer).answers_until <= now
+        self.cut_of(owner, peer).answers_until <= now && !self.is_isolated(peer, now)
     }
 
     /// True if the owner's calls to the peer are carried out and answered.
--- a/crates/cj-sched/tests/sim/restarts.rs
+++ b/crates/cj-sched/tests/sim/restarts.rs
@@ -22,22 +22,23 @@
 const MIN_RESTARTS: u64 = 15;
 
 /// What a seed includes beside restarts.
-struct Conditions {
+pub(crate) struct Conditions {
     /// Calls that go unanswered and are carried out seconds later, perhaps by the next incarnation.
-    late_calls: bool,
+    pub(crate) late_calls: bool,
     /// Starts are among these calls.
-    late_starts: bool,
-    takeovers: bool,
+    pub(crate) late_starts: bool,
+    pub(crate) takeovers: bool,
 }
 
-struct Restarts {
-    world: World,
+/// A fleet whose workers start again under their ids.
+pub(crate) struct Restarts {
+    pub(crate) world: World,
     next_job: u64,
-    count: u64,
+    pub(crate) count: u64,
 }
 
 impl Restarts {
-    fn start(seed: u64, conditions: &Conditions) -> Self {
+    pub(crate) fn start(seed: u64, conditions: &Conditions) -> Self {
         let mut world = World::new(seed);
         log::info!(target: "sim", "seed={seed} begins");
         world.faults = Faults {
@@ -90,14 +91,14 @@
         self.next_job += 1;
     }
 
-    fn submit_some(&mut self, most: u64) {
+    pub(crate) fn submit_some(&mut self, most: u64) {
         for _ in 0..self.world.rng.random_range(1..=most) {
             self.submit();
         }
     }
 
-    /// Restarts a worker under its id, and perhaps again soon after.
-    fn restart(&mut self, worker: usize) {
+    /// Restarts a worker under its id; its registration may say so late or never.
+    pub(crate) fn restart(&mut self, worker: usize) {
         if !self.world.workers[worker].alive {
             return;
         }
@@ -164,10 +165,13 @@
     }
 
     /// Ends all faults, cancels the long-running jobs, and gives the others time to end.
-    fn settle(&mut self) {
+    pub(crate) fn settle(&mut self) {
         let world = &mut self.world;
         world.network.restore();
         world.faults = Faults::default();
+        if !world.owners.iter().any(|owner| owner.active) {
+            world.take_over(false);
+        }
         world.run_for(2_000);
         for worker in 0..world.workers.len() {
             if world.workers[worker].alive {
@@ -178,7 +182,7 @@
         world.run_for(SETTLE_MS);
     }
 
-    fn assert_jobs_ended(&self, seed: u64) {
+    pub(crate) fn assert_jobs_ended(&self, seed: u64) {
         for (key, entry) in self.world.job_index.jobs() {
             assert!(entry.state().is_final(), "seed {seed}: job {key} is {}", entry.state());
         }
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -19,7 +19,11 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
-    accounts::Caps, logs::Logs, network::Network, policy_service::PolicyService, store::Appends,
+    accounts::Caps,
+    logs::Logs,
+    network::{Network, Peer},
+    policy_service::PolicyService,
+    store::Appends,
 };
 use cj_standin::{task_checks::TaskChecks, task_worker::TaskWorker};
 
@@ -188,6 +192,8 @@
     pub(crate) policy_service: PolicyService,
     /// Registrations of the workers in the store, by index.
     pub(crate) reports: HashMap<usize, WorkerRegistration>,
+    /// Workers whose registrations have expired, by index.
+    pub(crate) unregistered: HashSet<usize>,
     /// Tasks that crash the workers that start them, with the number of their starts so far.
     pub(crate) deadly: HashMap<TaskId, u32>,
     /// VMs whose workers such tasks have crashed, in order.
@@ -268,6 +274,7 @@
             max_listed_ends: None,
             policy_service: PolicyService::default(),
             reports: HashMap::new(),
+            unregistered: HashSet::new(),
             deadly: HashMap::new(),
             deadly_vms: Vec::new(),
         }
@@ -296,9 +303,16 @@
     pub(crate) fn report_worker(&mut self, index: usize) {
         let registration = self.workers[index].registration();
         self.reports.insert(index, registration.clone());
+        self.unregistered.remove(&index);
         self.notify_owners(&Event::Registered(registration));
     }
 
+    /// Removes the registration of a worker that sends no heartbeats, although it may run.
+    pub(crate) fn expire_registration(&mut self, index: usize) {
+        self.unregistered.insert(index);
+        self.notify_owners(&Event::Unregistered(self.workers[index].id.clone()));
+    }
+
     /// Ends the process of a worker, which is back under its id after `down_ms`. Its registration stays as it was, until the new
     /// incarnation registers `report_ms` after its start, if it does.
     pub(crate) fn restart_under_id(&mut self, worker: usize, down_ms: u64, report_ms: Option<u64>) {
@@ -419,8 +433,9 @@
                 self.restart_unnoticed(worker, report_ms);
             }
             SimEvent::Report { worker, started_at } => {
-                let worker_state = &self.workers[worker];
-                if worker_state.alive && worker_state.started_at == started_at {
+                let state = &self.workers[worker];
+                let is_isolated = self.network.is_isolated(Peer::Worker(worker), self.now);
+                if state.alive && state.started_at == started_at && !is_isolated {
                     self.report_worker(worker);
                 }
             }
