Log why a new owner knows all runs of a pool, and the workers that it hasn't listed

Change: one line per pool and takeover, choice=reconciled, with its cause and the workers that weren't listed.

--- a/crates/cj-sched/src/sched/reconcile.rs
+++ b/crates/cj-sched/src/sched/reconcile.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use cj_types::ServiceId;
+use derive_more::Display;
 use log::info;
 
 use crate::sched::{
@@ -11,12 +12,29 @@
     worker::Worker,
 };
 
+/// Number of workers that a log line names at most.
+const MAX_NAMED_WORKERS: usize = 8;
+
+/// Why the runs that earlier owners started in a service are known. Log lines print the `display` texts.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum Reconciliation {
+    /// All workers are listed or gone.
+    #[display("listed")]
+    WorkersListed,
+    /// Some workers aren't listed, and the leases of their runs have ended.
+    #[display("leases_ended")]
+    LeasesEnded,
+}
+
 impl Scheduler {
     /// True when the initial reconciliation of a service is done: none of its workers can run tasks of earlier owners that are
     /// unknown to this owner. It counts only once no other owner can have acted before it: a worker that is gone may be one whose
     /// ends the next owner has read.
     pub(super) fn is_reconciled(&mut self, service: &ServiceId) -> bool {
-        if !self.reconciled.contains_key(service) && self.knows_all_runs(service) {
+        if !self.reconciled.contains_key(service)
+            && let Some(cause) = self.reconciliation_of(service)
+        {
+            self.log_reconciled(service, cause);
             self.reconciled.insert(service.clone(), self.now.mono);
         }
         self.reconciled.get(service).is_some_and(|at| self.was_sole_owner(*at))
@@ -36,19 +54,37 @@
         if self.reconciled.contains_key(service) {
             return;
         }
-        let workers = || self.workers.values().filter(|worker| worker.service == *service);
-        let unlisted = workers().filter(|worker| !worker.is_reconciled() && !worker.known_shutdown);
-        let open = workers().filter(|worker| worker.has_unknown_runs());
+        let open = self.workers.values().filter(|worker| worker.service == *service);
+        let open = open.filter(|worker| worker.has_unknown_runs());
         let left = self.lease_horizon.saturating_duration_since(self.now.mono);
         info!(
             target: "decision",
             "pool={service} choice=reconcile unlisted={} open={} lease_left_ms={} epoch={}",
-            unlisted.count(), open.count(), left.as_millis(), self.epoch
+            self.unlisted_in(service).count(), open.count(), left.as_millis(), self.epoch
         );
     }
 
-    /// True when all workers of a service are listed, or the leases of earlier owners have ended.
-    fn knows_all_runs(&self, service: &ServiceId) -> bool {
+    /// Workers of a service that may run tasks of earlier owners and that this owner hasn't listed.
+    fn unlisted_in(&self, service: &ServiceId) -> impl Iterator<Item = &Worker> {
+        let of_service = self.workers.values().filter(move |worker| worker.service == *service);
+        of_service.filter(|worker| !worker.is_reconciled() && !worker.known_shutdown)
+    }
+
+    /// Logs why all runs of a service are known, and the workers that weren't listed for it.
+    fn log_reconciled(&self, service: &ServiceId, cause: Reconciliation) {
+        let unlisted: Vec<&str> =
+            self.unlisted_in(service).map(|worker| worker.id.0.as_str()).collect();
+        let named = unlisted.len().min(MAX_NAMED_WORKERS);
+        info!(
+            target: "decision",
+            "pool={service} choice=reconciled cause={cause} unlisted={} workers={} epoch={}",
+            unlisted.len(), unlisted[..named].join(","), self.epoch
+        );
+    }
+
+    /// Why all runs of a service are known: all workers are listed, or the leases of earlier owners have ended. `None` while
+    /// some may be unknown.
+    fn reconciliation_of(&self, service: &ServiceId) -> Option<Reconciliation> {
         let unknown = |worker: &Worker| {
             worker.service == *service && !worker.runs_known() && !worker.known_shutdown
         };
@@ -64,6 +100,11 @@
         let open = |worker: &Worker| {
             worker.service == *service && worker.has_unknown_runs() && !self.has_lapsed(worker)
         };
-        all_listed || (self.is_lease_over(self.lease_horizon) && !self.workers.values().any(open))
+        if all_listed {
+            return Some(Reconciliation::WorkersListed);
+        }
+        let leases_ended =
+            self.is_lease_over(self.lease_horizon) && !self.workers.values().any(open);
+        leases_ended.then_some(Reconciliation::LeasesEnded)
     }
 }
