Start older tasks only once all records are read that earlier owners may have read

Callers may see a task of a cancelled job start again under a new owner after its run was done and that end was acknowledged (TWICE).

Cause: the cancellation is in an overflow log. An earlier owner had read it, so it acknowledged the ends of the job without a record of its own. The new owner had read the submission and not the cancellation, and started the task again.

Change: older tasks wait until the overflow logs are read up to this owner's marker, or until 20 s after the last command of earlier owners. Jobs that came after the takeover waited for that already, unless the service was reconciled.

--- a/crates/cj-sched/src/sched/ended_jobs.rs
+++ b/crates/cj-sched/src/sched/ended_jobs.rs
@@ -18,6 +18,11 @@
         self.now.mono < self.ownership_horizon + MAX_READ_LAG
     }
 
+    /// True while an earlier owner may have read records of callers, such as a cancellation, that this owner hasn't read.
+    pub(super) fn may_lack_records(&self) -> bool {
+        !self.submissions_read && self.is_catching_up()
+    }
+
     /// Records that a job has ended, as long as runs of it that an earlier owner started may still be listed.
     pub(super) fn mark_ended(&mut self, key: JobKey, submission: Option<Rc<Submission>>) {
         if self.is_catching_up() {
--- a/crates/cj-sched/src/sched/place.rs
+++ b/crates/cj-sched/src/sched/place.rs
@@ -220,7 +220,8 @@
             }
             let service = self.service_of(&job.submission).clone();
             let (fresh, moved) = (job.fresh, service != job.submission.service);
-            if !fresh && !self.is_reconciled(&service) {
+            // An earlier owner may have cancelled an older job, and acknowledged the ends of its runs.
+            if !fresh && (self.may_lack_records() || !self.is_reconciled(&service)) {
                 continue;
             }
             // Runs of a queue that has changed its service may be on the workers of any service that it had.
--- a/crates/cj-sched/tests/sim/decisions.rs
+++ b/crates/cj-sched/tests/sim/decisions.rs
@@ -73,20 +73,31 @@
         harness
     }
 
-    /// A new owner that hasn't listed its workers yet. Earlier owners have sent their last commands after
+    /// A new owner that has read all submissions and hasn't listed its workers yet. Earlier owners have sent their last commands after
     /// `ownership_horizon`.
     pub(crate) fn unlisted(
         job_index: &JobIndex,
         racks: &[&str],
         advice: Option<Advice>,
         ownership_horizon: Duration,
+    ) -> Self {
+        let mut harness = Harness::catching_up(job_index, racks, advice, ownership_horizon);
+        harness.scheduler.set_submissions_read();
+        harness
+    }
+
+    /// As [`Self::unlisted`], but earlier owners may have read records of callers that this one hasn't.
+    pub(crate) fn catching_up(
+        job_index: &JobIndex,
+        racks: &[&str],
+        advice: Option<Advice>,
+        ownership_horizon: Duration,
     ) -> Self {
         let start = Instant::now();
         let now = Now { mono: start, wall: UnixMillis(START_UNIX_MS) };
         let horizon = start + ownership_horizon;
-        let mut scheduler =
+        let scheduler =
             Scheduler::new(1, Limits::default(), config(advice), job_index, horizon, now);
-        scheduler.set_submissions_read();
         let mut harness =
             Harness { scheduler, start, elapsed_ms: 0, workers: Vec::new(), vm_rows: Vec::new() };
         let rows = racks.iter().enumerate().map(|(n, rack)| VmRow {
--- a/crates/cj-sched/tests/sim/takeover_evidence.rs
+++ b/crates/cj-sched/tests/sim/takeover_evidence.rs
@@ -19,12 +19,20 @@
 /// Time within which evidence has to count: two lists of VMs, and some answers.
 const SOON_MS: u64 = 2_500;
 
-/// A new owner with an older job and these workers, of which none is listed.
-fn new_owner(racks: &[&str]) -> Harness {
+/// Time after the last command of earlier owners by which all records are read that they may have read.
+const READ_LAG: Duration = Duration::from_secs(20);
+
+/// An older job of one task.
+fn older_job() -> JobIndex {
     let mut index = JobIndex::default();
     let job = Box::new(submission(vec![step(1, 1_000, 500)], None));
     index.apply(Log::Jobs, 1, Record::Submission(JobKey(1), job), true);
-    Harness::unlisted(&index, racks, None, LEASES)
+    index
+}
+
+/// A new owner with an older job and these workers, of which none is listed.
+fn new_owner(racks: &[&str]) -> Harness {
+    Harness::unlisted(&older_job(), racks, None, LEASES)
 }
 
 /// Guards against older tasks that wait for the longest lease because another worker answers at the address of one that is gone: no
@@ -144,3 +152,36 @@
         assert!(since < longest * 2, "it is never maintained");
     }
 }
+
+/// Number of starts of a new owner until `end`, which reads its only worker all the time.
+fn starts_until(harness: &mut Harness, end: Duration) -> usize {
+    let mut count = 0;
+    while harness.now().mono < harness.start + end {
+        harness.list_worker(0, Vec::new());
+        count += starts(&harness.poll_after(100)).len();
+    }
+    count
+}
+
+/// Guards against a task of a cancelled job that starts again after its end as done was acknowledged: the earlier owner has read the
+/// cancellation in an overflow log, and the new one hasn't.
+#[test]
+fn older_tasks_wait_for_records_that_earlier_owners_may_have_read() {
+    let mut harness = Harness::catching_up(&older_job(), &["r1"], None, LEASES);
+    assert_eq!(starts_until(&mut harness, Duration::from_secs(3)), 0);
+    harness.handle(Event::Cancelled(JobKey(1)));
+    harness.scheduler.set_submissions_read();
+    assert_eq!(starts_until(&mut harness, LEASES + READ_LAG * 2), 0);
+}
+
+/// Guards against older tasks that wait for good because an overflow log can't be read.
+#[test]
+fn older_tasks_start_once_records_are_read_or_can_have_no_effect() {
+    let mut harness = Harness::catching_up(&older_job(), &["r1"], None, LEASES);
+    assert_eq!(starts_until(&mut harness, Duration::from_secs(1)), 0);
+    harness.scheduler.set_submissions_read();
+    assert_eq!(starts_until(&mut harness, Duration::from_secs(2)), 1);
+    let mut harness = Harness::catching_up(&older_job(), &["r1"], None, LEASES);
+    assert_eq!(starts_until(&mut harness, LEASES + READ_LAG - Duration::from_secs(1)), 0);
+    assert_eq!(starts_until(&mut harness, LEASES + READ_LAG * 2), 1);
+}
