Count runs of jobs that ended lately for as long as their leases may last

Cause: a run of a cancelled job goes on under its lease on a worker that the stop doesn't reach, for 10.2 s after the end of the job. A new owner that can't list the worker counted such runs for 8 s only, the length of an ownership.

Change: the longer of both.

Result: runs_of_a_cancelled_job_count_for_their_account_while_their_leases_may_last fails before.

--- a/crates/cj-sched/src/sched/ended_jobs.rs
+++ b/crates/cj-sched/src/sched/ended_jobs.rs
@@ -30,10 +30,12 @@
         }
     }
 
-    /// Records a job that ended before this ownership. If that was a moment ago, its runs may still be stopping.
+    /// Records a job that ended before this ownership. If that was a moment ago, its runs may go on under their leases, on workers
+    /// that the stops haven't reached.
     pub(super) fn add_ended_job(&mut self, key: JobKey, entry: &JobEntry) {
         self.ended_jobs.insert(key, entry.submission().cloned());
-        let recent = entry.ended_at().is_some_and(|at| at + OWNERSHIP_LEASE > self.now.wall);
+        let leases = OWNERSHIP_LEASE.max(self.limits.longest_lease());
+        let recent = entry.ended_at().is_some_and(|at| at + leases > self.now.wall);
         let (true, Some(submission)) = (recent, entry.submission()) else { return };
         let progress = |number| entry.progress(number);
         let mut job = Job::new(key, submission.clone(), false, self.now.mono, progress);
--- a/crates/cj-sched/tests/sim/takeover_evidence.rs
+++ b/crates/cj-sched/tests/sim/takeover_evidence.rs
@@ -1,16 +1,19 @@
 //! A new owner whose service isn't reconciled yet: which workers keep it from starting older tasks.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use cj_sched::{
-    Action, Event, JobIndex, JobKey, Log, Pool, Record,
+    Account, AccountCap, Accounts, Action, Event, JobIndex, JobKey, Log, Pool, Record, Submission,
+    Weight,
     record::WaveProgress,
     sched::{Limits, ListAnswer, Refusal, VmAnswer, VmState, WaveSpec, WorkerId},
 };
 
+use cj_types::{AccountId, UnixMillis};
+
 use crate::{
     decisions::{Harness, config, starts, submission},
-    world::{service, step},
+    world::{START_UNIX_MS, service, step},
 };
 
 /// Time until the earlier owner has sent its last command.
@@ -185,3 +188,29 @@
     assert_eq!(starts_until(&mut harness, LEASES + READ_LAG - Duration::from_secs(1)), 0);
     assert_eq!(starts_until(&mut harness, LEASES + READ_LAG * 2), 1);
 }
+
+/// Guards against an account above its cap: a run of a job that was cancelled goes on under the longest lease, on a worker that neither
+/// the stop nor the new owner reaches.
+#[test]
+fn runs_of_a_cancelled_job_count_for_their_account_while_their_leases_may_last() {
+    let account = AccountId::try_from("small").unwrap();
+    let job = Submission {
+        account: Some(account.clone()),
+        ..submission(vec![step(1, 1_000, 60_000)], None)
+    };
+    let mut index = JobIndex::default();
+    index.apply(Log::Jobs, 1, Record::Submission(JobKey(1), Box::new(job.clone())), true);
+    let cancelled_at = UnixMillis(START_UNIX_MS - 9_000);
+    index.apply(Log::Jobs, 2, Record::Cancel(JobKey(1), cancelled_at), true);
+    let mut harness = Harness::unlisted(&index, &["r1", "r2"], None, LEASES);
+    let mut accounts = Accounts::default();
+    let cap = AccountCap::from_limits(1_000, 0, 0);
+    accounts.add(Account { id: account, weight: Weight::DEFAULT, cap }, []).unwrap();
+    let mut capped = (*config(None)).clone();
+    capped.accounts = Some(accounts);
+    harness.handle(Event::Config(capped.into()));
+    let (job, submission, recorded) = (JobKey(2), Rc::new(job), Vec::new());
+    harness.handle(Event::Submitted { job, submission, fresh: true, recorded });
+    assert_eq!(starts_until(&mut harness, LEASES), 0);
+    assert_eq!(starts_until(&mut harness, LEASES + Limits::default().max_lease * 2), 1);
+}
