Log when a new owner waits for records of callers, and describe the later horizon

The line choice=reconcile ended with the reconciliation of the pool, while older tasks may still wait for overflow logs. It goes on until both are done, and has a new field records_read.

--- a/crates/cj-sched/src/sched/reconcile.rs
+++ b/crates/cj-sched/src/sched/reconcile.rs
@@ -49,9 +49,9 @@
         services.iter().all(|service| self.is_reconciled(service))
     }
 
-    /// Logs how many workers keep the initial reconciliation of a service open.
+    /// Logs what keeps the older tasks of a service waiting.
     pub(super) fn log_unreconciled(&self, service: &ServiceId) {
-        if self.reconciled.contains_key(service) {
+        if self.reconciled.contains_key(service) && !self.may_lack_records() {
             return;
         }
         let open = self.workers.values().filter(|worker| worker.service == *service);
@@ -59,8 +59,8 @@
         let left = self.lease_horizon.saturating_duration_since(self.now.mono);
         info!(
             target: "decision",
-            "pool={service} choice=reconcile unlisted={} open={} lease_left_ms={} epoch={}",
-            self.unlisted_in(service).count(), open.count(), left.as_millis(), self.epoch
+            "pool={service} choice=reconcile unlisted={} open={} lease_left_ms={} records_read={} epoch={}",
+            self.unlisted_in(service).count(), open.count(), left.as_millis(), !self.may_lack_records(), self.epoch
         );
     }
 
