Name unregistered workers of running VMs among those that weren't listed

Change: one function gives the unlisted workers, registered or not, for both lines and for the decision.

--- a/crates/cj-sched/src/sched/reconcile.rs
+++ b/crates/cj-sched/src/sched/reconcile.rs
@@ -7,7 +7,7 @@
 use log::info;
 
 use crate::sched::{
-    event::{VmRow, VmState},
+    event::{VmState, WorkerId},
     scheduler::Scheduler,
     worker::Worker,
 };
@@ -65,15 +65,24 @@
     }
 
     /// Workers of a service that may run tasks of earlier owners and that this owner hasn't listed.
-    fn unlisted_in(&self, service: &ServiceId) -> impl Iterator<Item = &Worker> {
+    fn unlisted_in(&self, service: &ServiceId) -> impl Iterator<Item = &WorkerId> {
         let of_service = self.workers.values().filter(move |worker| worker.service == *service);
-        of_service.filter(|worker| !worker.is_reconciled() && !worker.known_shutdown)
+        let unlisted =
+            of_service.filter(|worker| !worker.is_reconciled() && !worker.known_shutdown);
+        unlisted.map(|worker| &worker.id).chain(self.unregistered_in(service))
+    }
+
+    /// Workers on running VMs of a service's pool that aren't registered.
+    fn unregistered_in(&self, service: &ServiceId) -> impl Iterator<Item = &WorkerId> {
+        let rows = self.vms.values();
+        let running = rows.filter(move |row| row.pool == *service && row.state == VmState::Up);
+        let workers = running.filter_map(|row| row.worker.as_ref());
+        workers.filter(|id| !self.worker_keys.contains_key(*id))
     }
 
     /// Logs why all runs of a service are known, and the workers that weren't listed for it.
     fn log_reconciled(&self, service: &ServiceId, cause: Reconciliation) {
-        let unlisted: Vec<&str> =
-            self.unlisted_in(service).map(|worker| worker.id.0.as_str()).collect();
+        let unlisted: Vec<&str> = self.unlisted_in(service).map(|id| id.0.as_str()).collect();
         let named = unlisted.len().min(MAX_NAMED_WORKERS);
         info!(
             target: "decision",
@@ -88,14 +97,9 @@
         let unknown = |worker: &Worker| {
             worker.service == *service && !worker.runs_known() && !worker.known_shutdown
         };
-        let unregistered = |row: &VmRow| {
-            let runs = row.pool == *service && row.state == VmState::Up;
-            let worker = row.worker.as_ref().filter(|_| runs);
-            worker.is_some_and(|id| !self.worker_keys.contains_key(id))
-        };
         let all_listed = self.vms_known
             && !self.workers.values().any(unknown)
-            && !self.vms.values().any(unregistered);
+            && self.unregistered_in(service).next().is_none();
         // What a worker left open is settled once its leases have lapsed.
         let open = |worker: &Worker| {
             worker.service == *service && worker.has_unknown_runs() && !self.has_lapsed(worker)
