--- a/crates/cj-sched/tests/sim/isolation.rs
+++ b/crates/cj-sched/tests/sim/isolation.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Cuts a worker off from everything for a while, or doesn't; its registration may expire.
+    /// Cuts a worker off from everything for a while, in four of five cases; its registration may expire.
     fn isolate(&mut self, worker: usize) {
         let world = &mut self.restarts.world;
         if world.rng.random_bool(0.2) {
