Say that the records a new owner waits for include cancellations

Older tasks wait for submissions_read since cancellations in overflow logs count as well; three comments still named submissions only. Comments only.

--- a/crates/cj-entry/src/owner.rs
+++ b/crates/cj-entry/src/owner.rs
@@ -345,7 +345,7 @@
         self.member.node.metrics.account_deferrals.inc_by(deferrals - before);
     }
 
-    /// Tells the scheduler once all submissions are read that earlier owners may have acted on.
+    /// Tells the scheduler once all submissions and cancellations are read that earlier owners may have acted on.
     fn update_submissions_read(&mut self) {
         let job_index = self.member.job_index.borrow();
         if (0..OVERFLOW_LOGS).all(|log| job_index.has_ownership_start(log, self.writer.epoch)) {
--- a/crates/cj-sched/src/sched/ledger.rs
+++ b/crates/cj-sched/src/sched/ledger.rs
@@ -239,7 +239,7 @@
         capacities.fold(Resources::default(), Resources::plus)
     }
 
-    /// Sets that all submissions that earlier owners may have acted on have been read.
+    /// Sets that all submissions and cancellations that earlier owners may have acted on have been read.
     pub fn set_submissions_read(&mut self) {
         self.submissions_read = true;
     }
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -95,7 +95,7 @@
     pub(super) account_service: AccountService,
     /// Most that runs of earlier owners can use on workers that weren't listed yet, at the last placement pass.
     pub(super) unlisted: Resources,
-    /// All submissions that earlier owners may have acted on have been read.
+    /// All submissions and cancellations that earlier owners may have acted on have been read.
     pub(super) submissions_read: bool,
     pub(super) write: super::persist::WriteState,
     pub(super) actions: Vec<Action>,
