--- a/review/lib-3/standin.py
+++ b/review/lib-3/standin.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import struct
+import subprocess
 import sys
 import tempfile
 import time
@@ -254,15 +255,18 @@
         self.up = False
         self.state = "up"
         self.cloud_fence = 0
+        self.last_call = 0.0
         self.server = None
         self.lives = 0
 
-    async def boot(self):
-        """Starts a new minion on the machine, which knows nothing of before."""
+    async def boot(self, same_id=False, register_after=0.0):
+        """Starts a new minion on the machine, which knows nothing of before. It may have the id of the last one; its counts and
+        its clock begin anew then, too."""
         self.lives += 1
-        self.id = f"i-{self.machine}-{self.lives}"
+        if not same_id:
+            self.id = f"i-{self.machine}-{self.lives}"
         self.born = int(time.time() * 1000)
-        self.clock_start = time.monotonic() - random.uniform(100, 500)
+        self.clock_start = time.monotonic() - (0 if same_id else random.uniform(100, 500))
         self.fence, self.runs, self.ended, self.last_end, self.acked = 0, {}, [], 0, 0
         self.highest = {}
         self.deadline = 0
@@ -271,8 +275,11 @@
         self.server = await serve(self.handle, "127.0.0.1")
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
         self.up, self.state = True, "up"
-        self.world.note(f"minion {self.id} is up on {self.machine}")
-        self.register()
+        self.world.note(f"minion {self.id} is up on {self.machine}, its life {self.lives} there")
+        if register_after:
+            asyncio.get_running_loop().call_later(register_after, self.register)
+        else:
+            self.register()
 
     def register(self, state="ready"):
         self.sequence += 1
@@ -289,10 +296,14 @@
         self.runs = {}
         for run in gone:
             self.world.record(event="lost", minion=self.id, task=run.task, run=run.run)
-            self.world.gang_ended(run, None)
-        old = self.id
+        old, life = self.id, self.lives
         self.world.note(f"minion {old} ends ({state})")
-        asyncio.get_running_loop().call_later(4.5, self.world.store.put, "keyed.servers", old, None)
+
+        def expire():
+            if self.id != old or self.lives == life:
+                self.world.store.put("keyed.servers", old, None)
+
+        asyncio.get_running_loop().call_later(4.5, expire)
 
     def clock(self):
         return int((time.monotonic() - self.clock_start) * 1000)
@@ -314,7 +325,6 @@
         self.changed.set()
         self.changed = asyncio.Event()
         self.world.record(event="end", minion=self.id, task=run.task, run=run.run, how=how, saved=saved)
-        self.world.gang_ended(run, how)
 
     def tick(self, now):
         if not self.up:
@@ -327,12 +337,14 @@
                 self.end(run, "stopped")
 
     async def handle(self, method, path, query, headers, body):
+        self.last_call = time.monotonic()
         if headers.get("x-target-instance") != self.id:
             return response(421, {"clock_ms": self.clock()})
         message = json.loads(body)
         token = message.get("fencing_token", 0)
-        if path == "/copperjunction/run-start" and self.world.may_answer is not None:
-            await self.world.may_answer(self, message)
+        if path == "/copperjunction/run-start" and self.world.leaves_unanswered(self, message):
+            await asyncio.sleep(5)
+            raise Closed
         reply = {"clock_ms": self.clock(), "born": self.born}
         if token < self.fence:
             return response(409, reply | {"reason": "fence"})
@@ -363,6 +375,10 @@
             return response(200, reply)
         if path != "/copperjunction/run-start":
             return response(404, reply)
+        return self.start(message, reply)
+
+    def start(self, message, reply):
+        task, number, token = message["task"], message["run"], message.get("fencing_token", 0)
         self.world.record(event="order", minion=self.id, task=task, run=number, token=token,
                           checkpoint=message.get("checkpoint", ""))
         self.extend(message.get("deadline_ms", 0))
@@ -461,10 +477,9 @@
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.store = Store()
         self.minions, self.nodes, self.links = [], [], {}
-        self.jobs, self.events, self.gangs = {}, [], {}
+        self.jobs, self.events = {}, []
         self.waves, self.upkeeps, self.spare = {}, {}, None
-        self.may_answer = None
-        self.outcome = lambda minion, run: "done"
+        self.leaves_unanswered = lambda minion, message: False
         self.temp = tempfile.mkdtemp(prefix="cj-review-")
         self.note(f"{title}; trouble {'on' if self.trouble else 'off'}")
 
@@ -509,61 +524,14 @@
         return min(99, self.worked(run) * 100 // max(1, self.duration(run.task)))
 
     def begin(self, minion, run):
-        step = self.step_of(run.task)
-        if step.get("gang"):
-            return self.gang_joined(minion, run)
         run.work_from = time.monotonic() + (BOUNDS["restore_ms"] / 1000 if run.base_ms else 0)
-        if not step.get("long_running"):
+        if not self.step_of(run.task).get("long_running"):
             asyncio.get_running_loop().create_task(self.work(minion, run))
 
     async def work(self, minion, run):
         await asyncio.sleep(max(0, self.duration(run.task) - run.base_ms) / 1000)
         if minion.up and minion.runs.get(run.task) is run:
-            minion.end(run, self.outcome(minion, run))
-
-    # Gangs: the tasks work only together, from when all of one run are present, and carry the same checkpoint.
-
-    def gang_joined(self, minion, run):
-        job, occurrence, step, _ = run.task.split(".")
-        gang = self.gangs.setdefault((job, occurrence, step, run.run), {})
-        gang[run.task] = (minion, run)
-        loop = asyncio.get_running_loop()
-        loop.call_later(BOUNDS["gang_wait_ms"] / 1000, self.gang_waited, minion, run)
-        if len(gang) < self.step_of(run.task)["count"]:
-            return
-        if len({member.checkpoint for _, member in gang.values()}) > 1:
-            self.note(f"the members of run {run.run} carry different checkpoints, so they can't work together: "
-                      + ", ".join(f"{task}={member.checkpoint or 'none'}" for task, (_, member) in sorted(gang.items())))
-            return
-        for _, member in gang.values():
-            member.work_from = time.monotonic() + (BOUNDS["restore_ms"] / 1000 if member.base_ms else 0)
-        loop.create_task(self.gang_work(dict(gang), run))
-
-    def gang_waited(self, minion, run):
-        if minion.up and minion.runs.get(run.task) is run and run.work_from is None:
-            minion.end(run, "alone")
-
-    async def gang_work(self, gang, run):
-        await asyncio.sleep(max(0, self.duration(run.task) - run.base_ms) / 1000)
-        if all(minion.up and minion.runs.get(task) is member for task, (minion, member) in gang.items()):
-            outcome = {task: self.outcome(minion, member) for task, (minion, member) in gang.items()}
-            failed = [task for task, how in outcome.items() if how == "failed"]
-            for task, (minion, member) in gang.items():
-                if not failed or task in failed:
-                    minion.end(member, outcome[task])
-
-    def gang_ended(self, run, how):
-        """After the end of a member that isn't done, the others are broken."""
-        if how == "done" or not self.step_of(run.task).get("gang"):
-            return
-        job, occurrence, step, _ = run.task.split(".")
-        gang = self.gangs.get((job, occurrence, step, run.run), {})
-        gang.pop(run.task, None)
-        if run.work_from is None:
-            return
-        for minion, member in list(gang.values()):
-            if minion.up and minion.runs.get(member.task) is member:
-                minion.end(member, "broken")
+            minion.end(run, "done")
 
     # The platform.
 
@@ -723,7 +691,6 @@
 duty_per_s = 64.0
 """)
         log = open(os.path.join(self.temp, f"{node.name}.log"), "ab")
-        import subprocess
         node.process = subprocess.Popen(words, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log, env={
             "PATH": os.environ.get("PATH", ""), "COPPERJUNCTION_SETTINGS": path})
         self.note(f"node {node.name} starts at {node.ip}, process {node.process.pid}")
