Move the draining of VMs for maintenance to a module of its own

Cause: wave.rs held the stages of a wave, the evidence for them and the draining of VMs in 450 lines.

Change: vm_drain.rs holds drain_vm, may_interrupt and what they need. No line of their logic changes.

--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -46,6 +46,7 @@
 mod share;
 mod step;
 mod tickets;
+mod vm_drain;
 mod vm_list;
 mod watch;
 mod wave;
