Count the maintenance of a VM for a wave only by the answer that names the wave

Cause: a VM that the list shows in maintenance counted as begun for the one wave with an unanswered request. The list doesn't tell for which wave a VM is off, and is up to 0.6 s old; a request that had just been confirmed, or that a new owner knows as begun, wasn't looked at.

Change: only the answer counts; maintenance.rs has all evidence and what each item proves. One wave's command at a time for a VM. A refusal of an earlier command no longer drains a VM that has begun. choice=maintain names its cause.

maintenance_in_the_vm_list_is_recorded_as_begun asked for the faulty rule. Its replacement asks for more: no record before the answer, the repeated command while the VM is off, the record after the answer, no later command; for an own and for an earlier owner's request.

--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -23,6 +23,7 @@
 mod load;
 mod load_report;
 mod loss_log;
+mod maintenance;
 mod outcome;
 mod ownership;
 mod pace;
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::Cell,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -71,7 +71,7 @@
     pub(super) owner_since: Instant,
     /// VMs whose move or maintenance was answered as done, until a later list of VMs shows whether it took place.
     pub(super) shutdowns: BTreeMap<VmId, VmShutdown>,
-    pub(super) waves: Vec<Wave>,
+    pub(super) waves: VecDeque<Wave>,
     pub(super) pools: PoolPlan,
     /// Services whose workers have all been listed under this ownership, with the time of that initial reconciliation.
     pub(super) reconciled: HashMap<ServiceId, Instant>,
@@ -145,7 +145,7 @@
             vms_requested: now.mono,
             owner_since: now.mono,
             shutdowns: BTreeMap::new(),
-            waves: Vec::new(),
+            waves: VecDeque::new(),
             pools: PoolPlan::default(),
             reconciled: HashMap::new(),
             ownership_horizon,
--- a/crates/cj-sched/src/sched/vm_list.rs
+++ b/crates/cj-sched/src/sched/vm_list.rs
@@ -37,7 +37,6 @@
         self.vms_known = true;
         self.vms_requested = sent;
         self.confirm_shutdowns(sent);
-        self.record_maintained();
         self.end_replaced_incarnations(sent);
         self.place_due = true;
     }
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -11,7 +11,7 @@
 use crate::{
     record::{Record, WaveProgress},
     sched::{
-        event::{Action, VmAnswer, VmRow, VmState, WaveSpec},
+        event::{Action, VmRow, VmState, WaveSpec},
         evidence::Incarnation,
         scheduler::Scheduler,
         watch::CommandGuard,
@@ -40,7 +40,7 @@
 
 /// Stage of a VM in a wave.
 #[derive(Clone, Debug)]
-enum VmStage {
+pub(super) enum VmStage {
     /// Since this time it gets no new tasks, and its running tasks are stopped.
     Draining(Instant),
     /// The request for its maintenance is being recorded in the write batch with this number.
@@ -48,25 +48,26 @@
     /// The command for its maintenance was last sent at this time and isn't answered; it ends this incarnation. The guard
     /// keeps the command wanted.
     Requested(Instant, Option<Incarnation>, CommandGuard),
-    /// Its maintenance was seen to have begun at this time.
+    /// The platform answered at this time that its maintenance has begun.
     InMaintenance(Instant),
 }
 
 /// A maintenance wave that isn't completed.
 #[derive(Clone, Debug)]
 pub(super) struct Wave {
-    spec: WaveSpec,
-    progress: WaveProgress,
+    pub(super) spec: WaveSpec,
+    pub(super) progress: WaveProgress,
     /// When the maintenance of all its VMs has to have begun.
     due: Instant,
     /// Most VMs that may be in maintenance at once.
     cap: usize,
-    stages: BTreeMap<VmId, VmStage>,
+    pub(super) stages: BTreeMap<VmId, VmStage>,
     reported: bool,
 }
 
 impl Wave {
-    fn is_begun(&self, vm: &VmId) -> bool {
+    /// True if the maintenance of the VM has begun for this wave.
+    pub(super) fn is_begun(&self, vm: &VmId) -> bool {
         self.progress.begun.contains(vm)
     }
 
@@ -111,7 +112,7 @@
         let cap = spec.cap as usize;
         let stages = BTreeMap::new();
         let due = self.now.mono + spec.duration;
-        self.waves.push(Wave { spec, progress, due, cap, stages, reported: false });
+        self.waves.push_back(Wave { spec, progress, due, cap, stages, reported: false });
     }
 
     /// Sets how many VMs of a wave may be in maintenance at once, where several schedulers share the cap of the wave.
@@ -122,50 +123,20 @@
         }
     }
 
-    /// Records the maintenance that the VM list shows. The maintenance of such a VM counts as begun if a wave recorded
-    /// a request for it, whoever sent the command and whether or not it was answered: the answer to an earlier owner may not
-    /// have become durable.
-    pub(super) fn record_maintained(&mut self) {
-        let now = self.now.mono;
-        let in_maintenance =
-            |vm: &VmId| self.vms.get(vm).is_some_and(|row| row.state == VmState::Maintenance);
-        let unconfirmed =
-            |wave: &Wave, vm: &VmId| wave.progress.requested.contains(vm) && !wave.is_begun(vm);
-        let mut found = Vec::new();
-        for (index, wave) in self.waves.iter().enumerate() {
-            let requested = wave.progress.requested.iter();
-            found.extend(
-                requested
-                    .filter(|vm| unconfirmed(wave, vm) && in_maintenance(vm))
-                    .map(|vm| (vm.clone(), index)),
-            );
-        }
-        // With open requests of two waves, the VM's state doesn't show which of them was carried out.
-        let is_single =
-            |vm: &VmId| self.waves.iter().filter(|wave| unconfirmed(wave, vm)).count() == 1;
-        found.retain(|(vm, _)| is_single(vm));
-        for (vm, index) in found {
-            let wave = &mut self.waves[index];
-            let number = wave.spec.number;
-            info!(target: "decision", "wave={number} vm={vm} choice=begun cause=\"listed in maintenance\"");
-            wave.stages.insert(vm.clone(), VmStage::InMaintenance(now));
-            wave.progress.begun.push(vm);
-            let record = Record::Wave(number, wave.progress.clone());
-            self.write.add(record, now);
-        }
-    }
-
     /// Advances all waves and drops the completed ones.
     pub(super) fn run_waves(&mut self) {
         if !self.vms_known || !self.may_command() {
             return;
         }
-        for mut wave in std::mem::take(&mut self.waves) {
+        // While a wave is advanced, the queue holds the others.
+        for _ in 0..self.waves.len() {
+            let Some(mut wave) = self.waves.pop_front() else { break };
             self.finish_maintenance(&mut wave);
+            self.confirm_requests(&mut wave);
             self.start_drains(&mut wave);
             self.advance_stages(&mut wave);
             if !self.report_wave(&mut wave) {
-                self.waves.push(wave);
+                self.waves.push_back(wave);
             }
         }
         self.mark_maintenance_due();
@@ -261,94 +232,81 @@
         key.map_or(0, |key| self.workers[*key].runs.len())
     }
 
-    /// Drains the VMs of a wave and requests the maintenance of those that are drained.
+    /// Drains the VMs of a wave and requests the maintenance of those that are drained. While this is called, `self.waves` holds the
+    /// other waves.
     fn advance_stages(&mut self, wave: &mut Wave) {
         let now = self.now.mono;
-        // Commands of an earlier owner may have taken effect too late for an older VM list to show them.
-        let settled =
-            self.vms_requested > self.owner_since + TAKEOVER_COMMAND_DELAY && self.is_sole_owner();
         let vms: Vec<_> =
             wave.stages.iter().map(|(vm, stage)| (vm.clone(), stage.clone())).collect();
         for (vm, stage) in vms {
-            let room = settled && wave.unavailable(&self.vms, &vm) < wave.cap;
             match stage {
                 VmStage::Draining(since) => {
                     let urgent = wave.is_due_within(DEADLINE_MARGIN, now);
-                    if self.drain_vm(&vm, since, urgent) && room {
-                        let batch = self.record_request(wave, &vm);
-                        wave.stages.insert(vm, VmStage::Recording(batch));
+                    if self.drain_vm(&vm, since, urgent) && self.may_request(wave, &vm) {
+                        self.request_or_record(wave, vm);
                     }
                 }
                 VmStage::Recording(batch)
                     if self.write.is_durable(batch) && self.is_sole_owner() =>
                 {
-                    info!(target: "decision", "wave={} vm={vm} choice=maintain", wave.spec.number);
-                    let incarnation = self.incarnation_on(&vm);
-                    self.request_maintenance(wave, vm, incarnation, CommandGuard::default());
+                    self.request_maintenance(wave, vm, "drained");
                 }
-                VmStage::Requested(sent, incarnation, guard)
+                VmStage::Requested(sent, ..)
                     if self.is_sole_owner()
                         && now.saturating_duration_since(sent) > COMMAND_RETRY_INTERVAL
-                        && self.drain_vm(&vm, sent, false) =>
+                        && (self.is_off_for_unknown_wave(&vm)
+                            || self.drain_vm(&vm, sent, false)) =>
                 {
-                    self.request_maintenance(wave, vm, incarnation, guard);
+                    self.request_maintenance(wave, vm, "unanswered");
                 }
                 VmStage::Recording(_) | VmStage::Requested(..) | VmStage::InMaintenance(_) => {}
             }
         }
     }
 
-    /// Sends the command for the maintenance of a VM, which ends this incarnation.
-    fn request_maintenance(
-        &mut self,
-        wave: &mut Wave,
-        vm: VmId,
-        incarnation: Option<Incarnation>,
-        guard: CommandGuard,
-    ) {
-        let command = Action::MaintainVm(vm.clone(), wave.spec.number, guard.watch());
-        self.actions.push(command);
-        wave.stages.insert(vm, VmStage::Requested(self.now.mono, incarnation, guard));
+    /// Repeats the commands of earlier owners for VMs that are in maintenance: the answers to them may not have become durable.
+    fn confirm_requests(&mut self, wave: &mut Wave) {
+        let open = |vm: &&VmId| !wave.is_begun(vm) && !wave.stages.contains_key(*vm);
+        let requested: Vec<_> = wave.progress.requested.iter().filter(open).cloned().collect();
+        for vm in requested {
+            if self.is_off_for_unknown_wave(&vm) && self.may_request(wave, &vm) {
+                self.request_maintenance(wave, vm, "listed in maintenance");
+            }
+        }
+    }
+
+    /// True if a command for the maintenance of a drained VM may be sent now.
+    fn may_request(&self, wave: &Wave, vm: &VmId) -> bool {
+        // Commands of an earlier owner may have taken effect too late for an older VM list to show them.
+        let settled = self.vms_requested > self.owner_since + TAKEOVER_COMMAND_DELAY;
+        settled
+            && self.is_sole_owner()
+            && !self.is_claimed(vm)
+            && wave.unavailable(&self.vms, vm) < wave.cap
     }
 
-    /// Records that the maintenance of a VM will be requested. Returns the number of the write batch.
-    fn record_request(&mut self, wave: &mut Wave, vm: &VmId) -> u64 {
-        if !wave.progress.requested.contains(vm) {
-            wave.progress.requested.push(vm.clone());
+    /// Requests the maintenance of a VM, after recording the request if it isn't recorded already.
+    fn request_or_record(&mut self, wave: &mut Wave, vm: VmId) {
+        if wave.progress.requested.contains(&vm) {
+            return self.request_maintenance(wave, vm, "drained again");
         }
+        wave.progress.requested.push(vm.clone());
         let record = Record::Wave(wave.spec.number, wave.progress.clone());
-        self.write.add(record, self.now.mono)
+        let batch = self.write.add(record, self.now.mono);
+        wave.stages.insert(vm, VmStage::Recording(batch));
     }
 
-    /// Handles the answer to [`Action::MaintainVm`].
-    pub(super) fn maintained(&mut self, vm: &VmId, number: u64, answer: VmAnswer) {
-        let now = self.now.mono;
-        let Some(wave) = self.waves.iter_mut().find(|wave| wave.spec.number == number) else {
-            return;
+    /// Sends the command for the maintenance of a VM. A repeated command is still meant for the incarnation of the first one, which
+    /// that may have ended.
+    fn request_maintenance(&mut self, wave: &mut Wave, vm: VmId, cause: &str) {
+        let number = wave.spec.number;
+        info!(target: "decision", "wave={number} vm={vm} choice=maintain cause=\"{cause}\"");
+        let (incarnation, guard) = match wave.stages.remove(&vm) {
+            Some(VmStage::Requested(_, incarnation, guard)) => (incarnation, guard),
+            _ => (self.incarnation_on(&vm), CommandGuard::default()),
         };
-        info!(target: "decision", "wave={number} vm={vm} answer={answer:?}");
-        match answer {
-            VmAnswer::Done => {
-                let stage = wave.stages.insert(vm.clone(), VmStage::InMaintenance(now));
-                if !wave.is_begun(vm) {
-                    wave.progress.begun.push(vm.clone());
-                }
-                let record = Record::Wave(number, wave.progress.clone());
-                self.write.add(record, now);
-                if let Some(VmStage::Requested(_, incarnation, _)) = stage {
-                    self.expect_shutdown(vm, incarnation);
-                }
-            }
-            VmAnswer::Fenced => self.step_down_now(),
-            VmAnswer::Invalid => {
-                wave.stages.remove(vm);
-                wave.progress.begun.push(vm.clone());
-            }
-            VmAnswer::NotUp => {
-                wave.stages.insert(vm.clone(), VmStage::Draining(now));
-            }
-            VmAnswer::RetryLater | VmAnswer::Unanswered => {}
-        }
+        self.actions.push(Action::MaintainVm(vm.clone(), number, guard.watch()));
+        wave.stages.insert(vm, VmStage::Requested(self.now.mono, incarnation, guard));
     }
 
     /// Reports the state of a wave when it is new or completed. Returns true if it is completed.
--- a/crates/cj-sched/tests/sim/calls.rs
+++ b/crates/cj-sched/tests/sim/calls.rs
@@ -160,7 +160,7 @@
                 }
                 self.crash(index);
                 let (back_at, state) = (now + 1_500, VmState::Moving);
-                self.offline.push(OfflineVm { vm: vm.clone(), pool, back_at, state });
+                self.offline.push(OfflineVm { vm: vm.clone(), pool, back_at, state, wave: None });
                 Some(Event::Moved(vm, VmAnswer::Done))
             }
             Action::MaintainVm(vm, wave, _) => {
@@ -169,8 +169,10 @@
                 }
                 Some(self.maintain(vm, wave, delayed))
             }
-            Action::ReportWave { completed, .. } => {
-                self.wave_completed |= completed;
+            Action::ReportWave { wave, completed } => {
+                if completed {
+                    self.complete_wave(wave);
+                }
                 None
             }
             _ => None,
@@ -199,19 +201,20 @@
 
     fn maintain(&mut self, vm: VmId, wave: u64, delayed: bool) -> Event {
         let index = self.workers.iter().position(|worker| worker.vm == vm).unwrap();
-        if !self.workers[index].alive {
-            return Event::Maintained(vm, wave, VmAnswer::NotUp);
-        }
-        if self.maintained.contains(&vm) {
+        let alive = self.workers[index].alive;
+        let begun = self.maintained.contains(&(wave, vm.clone()));
+        if begun && (alive || !self.refuses_repeats) {
             return Event::Maintained(vm, wave, VmAnswer::Done);
         }
-        self.maintained.insert(vm.clone());
-        let cap = self.wave.as_ref().map_or(0, |wave| wave.cap);
-        let off =
-            self.offline.iter().filter(|off| off.state == VmState::Maintenance).count() as u32;
+        if !alive {
+            return Event::Maintained(vm, wave, VmAnswer::NotUp);
+        }
+        self.maintained.insert((wave, vm.clone()));
+        let cap = self.waves[wave as usize - 1].cap;
+        let off = self.offline.iter().filter(|off| off.wave == Some(wave)).count() as u32;
         assert!(
             off < cap,
-            "maintenance of {vm} at {} ms began while {off} VMs were off, cap {cap}",
+            "maintenance of {vm} at {} ms began while {off} VMs of wave {wave} were off, cap {cap}",
             self.now
         );
         // A call that was delayed in flight may break the limit through no fault of its sender.
@@ -220,10 +223,20 @@
         }
         let (pool, back_at) = (self.workers[index].service.clone(), self.now + 2_000);
         self.crash(index);
-        self.offline.push(OfflineVm { vm: vm.clone(), pool, back_at, state: VmState::Maintenance });
+        let (state, off_for) = (VmState::Maintenance, Some(wave));
+        self.offline.push(OfflineVm { vm: vm.clone(), pool, back_at, state, wave: off_for });
         Event::Maintained(vm, wave, VmAnswer::Done)
     }
 
+    /// Checks that the maintenance of all VMs of a wave that is reported as completed has begun for this wave.
+    fn complete_wave(&mut self, wave: u64) {
+        for vm in &self.waves[wave as usize - 1].vms {
+            let begun = self.maintained.contains(&(wave, vm.clone()));
+            assert!(begun, "wave {wave} is completed at {} without maintenance of {vm}", self.now);
+        }
+        self.completed_waves.insert(wave);
+    }
+
     fn other_workers(&self, index: usize) -> Vec<TaskWorker> {
         let others = self.workers.iter().enumerate().filter(|(other, _)| *other != index);
         others.map(|(_, worker)| worker.clone()).collect()
--- a/crates/cj-sched/tests/sim/cuts.rs
+++ b/crates/cj-sched/tests/sim/cuts.rs
@@ -205,6 +205,9 @@
         if key == 10 && seed % 5 == 1 {
             world.start_wave(2);
         }
+        if seed % 5 == 1 {
+            world.start_overlapping_wave(key, 2);
+        }
         submit(&mut world, key);
         if world.rng.random_bool(0.1) {
             let job = world.rng.random_range(0..=key);
--- a/crates/cj-sched/tests/sim/evidence.rs
+++ b/crates/cj-sched/tests/sim/evidence.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use cj_sched::{
-    Action, Event, Pool, StepSpec,
+    Action, Event, Pool, Record, StepSpec,
     record::WaveProgress,
     sched::{CommandAnswer, ListAnswer, Listing, RunRow, VmAnswer, VmState, WaveSpec, WorkerId},
 };
@@ -137,29 +137,46 @@
     assert!(starts(&actions).iter().all(|(target, _)| target.worker != busy));
 }
 
-/// Guards against draining a VM and requesting its maintenance a second time after the answer to an earlier owner was lost. The
-/// VM's state in the list of VMs shows that the maintenance has begun.
-#[test]
-fn maintenance_in_the_vm_list_is_recorded_as_begun() {
-    let mut scenario = Scenario::new(true);
-    let worker = scenario.worker;
-    scenario.harness.vm_rows[worker].state = VmState::Maintenance;
-    let worker_id = scenario.harness.vm_rows[worker].worker.take();
-    let rows = Event::VmsListed(scenario.harness.now().mono, scenario.harness.vm_rows.clone());
-    scenario.harness.handle(rows);
-    let actions = scenario.harness.poll_after(ROUND_MS);
-    let begun = actions.iter().any(|action| match action {
-        Action::Write(_, records) => records.iter().any(|record| match record {
-            cj_sched::Record::Wave(1, progress) => progress.begun == [vm(worker)],
-            _ => false,
-        }),
+/// True if one of the actions records that the maintenance of this VM has begun.
+fn records_begun(actions: &[Action], vm: &VmId) -> bool {
+    let is_begun = |record: &Record| match record {
+        Record::Wave(1, progress) => progress.begun.contains(vm),
+        _ => false,
+    };
+    actions.iter().any(|action| match action {
+        Action::Write(_, records) => records.iter().any(is_begun),
         _ => false,
-    });
-    assert!(begun, "the start of the maintenance is recorded");
-    scenario.harness.vm_rows[worker].state = VmState::Up;
-    scenario.harness.vm_rows[worker].worker = worker_id;
-    let mut later = (0..150).flat_map(|_| scenario.run_round());
-    assert!(!later.any(|action| matches!(action, Action::MaintainVm(..))));
+    })
+}
+
+/// Guards against draining a VM a second time after the answer to its maintenance command was lost, and against maintenance that counts
+/// as begun because the list of VMs shows some maintenance: the answer to the repeated command tells whether it is for this wave.
+#[test]
+fn maintenance_in_the_vm_list_is_confirmed_by_a_repeated_command() {
+    for by_earlier_owner in [true, false] {
+        let mut scenario = Scenario::new(by_earlier_owner);
+        if !by_earlier_owner {
+            scenario.run_until_maintenance();
+            scenario.answer_maintenance(VmAnswer::Unanswered);
+        }
+        let worker = scenario.worker;
+        scenario.harness.vm_rows[worker].state = VmState::Maintenance;
+        let worker_id = scenario.harness.vm_rows[worker].worker.take();
+        let is_request = |action: &Action| matches!(action, Action::MaintainVm(..));
+        let mut off = (0..15).map(|_| scenario.run_round());
+        let repeated = off.find(|actions| {
+            assert!(!records_begun(actions, &vm(worker)), "no answer tells for which wave it is");
+            actions.iter().any(is_request)
+        });
+        assert!(repeated.is_some(), "the command is repeated while the VM is off");
+        scenario.answer_maintenance(VmAnswer::Done);
+        assert!(records_begun(&scenario.run_round(), &vm(worker)));
+        scenario.harness.vm_rows[worker].state = VmState::Up;
+        scenario.harness.vm_rows[worker].worker = worker_id;
+        scenario.answer_maintenance(VmAnswer::NotUp);
+        let mut later = (0..150).flat_map(|_| scenario.run_round());
+        assert!(!later.any(|action| is_request(&action)));
+    }
 }
 
 /// Guards against a VM that gets no more tasks because its maintenance was answered as done but had no effect on its worker.
--- a/crates/cj-sched/tests/sim/logs.rs
+++ b/crates/cj-sched/tests/sim/logs.rs
@@ -128,7 +128,7 @@
         }
         let vms = Event::VmsListed(self.clocks().mono, self.vm_rows());
         self.schedule(5, SimEvent::Notify { owner, event: vms });
-        if let Some(wave) = self.wave.clone() {
+        for wave in self.waves.clone() {
             let progress = self.job_index.wave(wave.number);
             self.notify(owner, &Event::Wave(wave, progress), 4);
         }
--- a/crates/cj-sched/tests/sim/main.rs
+++ b/crates/cj-sched/tests/sim/main.rs
@@ -34,6 +34,7 @@
 mod takeover_evidence;
 mod vm_lists;
 mod waiting_steps;
+mod waves;
 mod withdrawals;
 mod world;
 
--- a/crates/cj-sched/tests/sim/random.rs
+++ b/crates/cj-sched/tests/sim/random.rs
@@ -74,6 +74,8 @@
     use_accounts: bool,
     /// Listings name few ends, and writes take long now and then, so that ends gather on the workers.
     cut_listings: bool,
+    /// No two maintenance waves name the same VM.
+    without_overlaps: bool,
 }
 
 /// Number of ends that a worker lists at most if listings are cut.
@@ -81,7 +83,7 @@
 
 /// Simulates this number of jobs under random faults.
 fn simulate(seed: u64, conditions: Conditions, jobs: u64) -> World {
-    let Conditions { use_overflow, use_accounts, cut_listings } = conditions;
+    let Conditions { use_overflow, use_accounts, cut_listings, without_overlaps } = conditions;
     let mut world = World::new(seed);
     world.logs.use_overflow = use_overflow;
     if use_accounts {
@@ -106,6 +108,9 @@
         if key == 10 && seed.is_multiple_of(2) {
             world.start_wave(2);
         }
+        if seed.is_multiple_of(4) && !without_overlaps {
+            world.start_overlapping_wave(key, 2);
+        }
         submit(&mut world, key);
         if world.rng.random_bool(0.1) {
             let job = world.rng.random_range(0..=key);
@@ -198,7 +203,7 @@
 fn keeps_caps_of_accounts() {
     for seed in 0..SEEDS {
         let use_overflow = seed.is_multiple_of(3);
-        let conditions = Conditions { use_overflow, use_accounts: true, cut_listings: false };
+        let conditions = Conditions { use_overflow, use_accounts: true, ..Conditions::default() };
         let world = simulate(seed, conditions, JOBS);
         assert_all_jobs_final(&world, seed);
         assert!(world.checks.starts > 50, "seed {seed}: {} starts", world.checks.starts);
@@ -209,7 +214,12 @@
 /// the owner hasn't read yet.
 #[test]
 fn counts_runs_of_unread_submissions_under_every_cap() {
-    let conditions = Conditions { use_overflow: true, use_accounts: true, cut_listings: false };
+    let conditions = Conditions {
+        use_overflow: true,
+        use_accounts: true,
+        cut_listings: false,
+        without_overlaps: true,
+    };
     let world = simulate(288, conditions, JOBS);
     assert_all_jobs_final(&world, 288);
 }
@@ -227,6 +237,7 @@
                 use_overflow: number & 1 != 0,
                 use_accounts: number & 2 != 0,
                 cut_listings: number & 4 != 0,
+                without_overlaps: false,
             };
             let world = simulate(seed, conditions, jobs);
             assert_all_jobs_final(&world, seed);
--- a/crates/cj-sched/tests/sim/regressions.rs
+++ b/crates/cj-sched/tests/sim/regressions.rs
@@ -162,7 +162,7 @@
             world.take_over(seed % 2 == 0);
         }
         world.run_for(60_000);
-        assert!(world.wave_completed, "seed {seed}");
+        assert!(world.completed_waves.contains(&1), "seed {seed}");
     }
 }
 
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, HashMap, HashSet},
+    collections::{BTreeSet, BinaryHeap, HashMap, HashSet},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -117,6 +117,8 @@
     /// When its next worker starts, in ms.
     pub(crate) back_at: u64,
     pub(crate) state: VmState,
+    /// The wave for which it is in maintenance, if it is.
+    pub(crate) wave: Option<u64>,
 }
 
 /// A node that owns the fleet or owned it before.
@@ -169,13 +171,16 @@
     sequence: u64,
     pub(crate) config: Rc<FleetConfig>,
     pub(crate) offline: Vec<OfflineVm>,
-    pub(crate) wave: Option<WaveSpec>,
-    /// VMs whose maintenance in the wave has begun.
-    pub(crate) maintained: HashSet<VmId>,
+    /// The waves that were requested, each at the index before its number.
+    pub(crate) waves: Vec<WaveSpec>,
+    /// VMs whose maintenance has begun, each with the number of the wave.
+    pub(crate) maintained: HashSet<(u64, VmId)>,
+    /// The platform refuses a repeated command for maintenance while the VM is off for it, instead of answering that it is done.
+    pub(crate) refuses_repeats: bool,
     /// Highest fencing token in commands for a VM.
     pub(crate) vm_tokens: HashMap<VmId, u64>,
-    /// An owner reported the wave as completed.
-    pub(crate) wave_completed: bool,
+    /// Waves that an owner reported as completed.
+    pub(crate) completed_waves: BTreeSet<u64>,
     /// Actual run times of tasks, in ms. Those of other tasks are drawn at random around their estimates.
     pub(crate) run_times: HashMap<TaskId, u64>,
     /// Time that VMs spent in pools other than the spare pool, summed over all VMs, in ms.
@@ -262,10 +267,11 @@
             sequence: 0,
             config: Rc::new(config()),
             offline: Vec::new(),
-            wave: None,
+            waves: Vec::new(),
             maintained: HashSet::new(),
+            refuses_repeats: false,
             vm_tokens: HashMap::new(),
-            wave_completed: false,
+            completed_waves: BTreeSet::new(),
             run_times: HashMap::new(),
             pool_vm_ms: 0,
             caps: Caps::default(),
@@ -456,8 +462,28 @@
     /// Starts a maintenance wave over all VMs, with at most `cap` VMs off at a time.
     pub(crate) fn start_wave(&mut self, cap: u32) {
         let vms = self.workers.iter().map(|worker| worker.vm.clone()).collect();
-        let wave = WaveSpec { number: 1, vms, duration: Duration::from_secs(30), cap };
-        self.wave = Some(wave.clone());
+        self.start_wave_of(vms, cap);
+    }
+
+    /// Starts another wave over all VMs with the 12th job, and one over every second VM with the 14th.
+    pub(crate) fn start_overlapping_wave(&mut self, job: u64, cap: u32) {
+        match job {
+            12 => self.start_wave(cap),
+            14 => {
+                let vms = self.workers.iter().step_by(2).map(|worker| worker.vm.clone());
+                let vms = vms.collect();
+                self.start_wave_of(vms, cap);
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts a maintenance wave over these VMs. Returns its number.
+    pub(crate) fn start_wave_of(&mut self, vms: Vec<VmId>, cap: u32) -> u64 {
+        let number = self.waves.len() as u64 + 1;
+        let wave = WaveSpec { number, vms, duration: Duration::from_secs(30), cap };
+        self.waves.push(wave.clone());
         self.notify_owners(&Event::Wave(wave, Default::default()));
+        number
     }
 }
