Take a VM for gone only once two lists of VMs in a row lack it

Operators could see a wave completed without the maintenance of a VM (MIXED), and callers a task that runs twice.

Cause: the list is read in pages, so it may lack a VM by mistake. The removal of unresponsive workers counts with that; three other places took the missing row for evidence: a wave counted the VM as one that doesn't stay, a drain as one on which nothing runs, and an answer "done", which may be for earlier maintenance, as confirmed, which ended the worker's incarnation while it ran on.

Change: the owner keeps the VMs of the list before. A VM counts as gone if neither of the last two lists has it; until then the row tells nothing. The stage of a VM that is gone is dropped, so that it doesn't keep its wave open.

--- a/crates/cj-sched/src/sched/evidence.rs
+++ b/crates/cj-sched/src/sched/evidence.rs
@@ -111,10 +111,14 @@
     }
 
     /// Determines from a list of VMs, requested at `sent`, which incarnations have ended through commands answered
-    /// before.
+    /// before. A list that lacks a VM by mistake doesn't tell.
     pub(super) fn confirm_shutdowns(&mut self, sent: Instant) {
-        let settled: Vec<_> =
-            self.shutdowns.extract_if(.., |_, shutdown| shutdown.answered <= sent).collect();
+        let mut shutdowns = std::mem::take(&mut self.shutdowns);
+        let tells = |vm: &VmId| self.vms.contains_key(vm) || self.is_gone(vm);
+        let is_settled =
+            |vm: &VmId, shutdown: &mut VmShutdown| shutdown.answered <= sent && tells(vm);
+        let settled: Vec<_> = shutdowns.extract_if(.., is_settled).collect();
+        self.shutdowns = shutdowns;
         for (vm, VmShutdown { incarnation, .. }) in settled {
             let stays = |row: &VmRow| {
                 row.state == VmState::Up && row.worker == Some(incarnation.worker.clone())
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::Cell,
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -63,6 +63,8 @@
     pub(super) worker_keys: HashMap<WorkerId, WorkerKey>,
     pub(super) departed: DepartedWorkers,
     pub(super) vms: BTreeMap<VmId, VmRow>,
+    /// VMs of the list before the current one, if this ownership has read two.
+    pub(super) listed_before: Option<BTreeSet<VmId>>,
     /// The list of VMs has been read under this ownership.
     pub(super) vms_known: bool,
     /// When the current list of VMs was requested, or this ownership began.
@@ -141,6 +143,7 @@
             worker_keys: HashMap::new(),
             departed: DepartedWorkers::default(),
             vms: BTreeMap::new(),
+            listed_before: None,
             vms_known: false,
             vms_requested: now.mono,
             owner_since: now.mono,
--- a/crates/cj-sched/src/sched/vm_drain.rs
+++ b/crates/cj-sched/src/sched/vm_drain.rs
@@ -24,7 +24,7 @@
     /// Drains the worker of a VM. Returns true if nothing runs there, or if only finite tasks do and the drain has timed out or is
     /// `urgent`.
     pub(super) fn drain_vm(&mut self, vm: &VmId, since: Instant, urgent: bool) -> bool {
-        let Some(row) = self.vms.get(vm) else { return true };
+        let Some(row) = self.vms.get(vm) else { return false };
         if row.state != VmState::Up {
             return false;
         }
--- a/crates/cj-sched/src/sched/vm_list.rs
+++ b/crates/cj-sched/src/sched/vm_list.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use cj_types::VmId;
+
 use crate::sched::{
     event::{VmRow, VmState},
     evidence::IncarnationEvidence,
@@ -33,7 +35,9 @@
         if rows.is_empty() || sent < self.vms_requested {
             return;
         }
-        self.vms = rows.into_iter().map(|row| (row.vm.clone(), row)).collect();
+        let rows = rows.into_iter().map(|row| (row.vm.clone(), row)).collect();
+        let previous = std::mem::replace(&mut self.vms, rows);
+        self.listed_before = self.vms_known.then(|| previous.into_keys().collect());
         self.vms_known = true;
         self.vms_requested = sent;
         self.confirm_shutdowns(sent);
@@ -41,6 +45,12 @@
         self.place_due = true;
     }
 
+    /// True if neither of the last two lists has the VM. A list is read in pages, so one of them may lack a VM by mistake.
+    pub(super) fn is_gone(&self, vm: &VmId) -> bool {
+        let listed_before = self.listed_before.as_ref();
+        !self.vms.contains_key(vm) && listed_before.is_some_and(|vms| !vms.contains(vm))
+    }
+
     /// Ends the incarnations of unresponsive workers that no running VM names any more, whatever their leases say.
     fn end_replaced_incarnations(&mut self, sent: Instant) {
         let up = self.vms.values().filter(|row| row.state == VmState::Up);
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -150,18 +150,18 @@
         }
     }
 
-    /// Removes the stages of VMs that are back from their maintenance; these count as done.
+    /// Removes the stages of VMs that are back from their maintenance, which count as done, and of VMs that are gone.
     fn finish_maintenance(&mut self, wave: &mut Wave) {
         let now = self.now.mono;
         let back = |vm: &VmId, since: Instant| {
-            let row = self.vms.get(vm);
-            let up = row.is_none_or(|row| row.state == VmState::Up);
+            let up = self.vms.get(vm).is_some_and(|row| row.state == VmState::Up);
             up && now.saturating_duration_since(since)
                 > self.limits.maintenance_time + COMMAND_RETRY_INTERVAL
         };
-        wave.stages.retain(
-            |vm, stage| !matches!(stage, VmStage::InMaintenance(since) if back(vm, *since)),
-        );
+        let is_over = |vm: &VmId, stage: &VmStage| {
+            matches!(stage, VmStage::InMaintenance(since) if back(vm, *since)) || self.is_gone(vm)
+        };
+        wave.stages.retain(|vm, stage| !is_over(vm, stage));
     }
 
     /// Starts to drain the next VMs of a wave, at most a share of each pool at once.
@@ -311,9 +311,8 @@
 
     /// Reports the state of a wave when it is new or completed. Returns true if it is completed.
     fn report_wave(&mut self, wave: &mut Wave) -> bool {
-        let completed =
-            wave.spec.vms.iter().all(|vm| wave.is_begun(vm) || !self.vms.contains_key(vm))
-                && wave.stages.is_empty();
+        let is_over = |vm: &VmId| wave.is_begun(vm) || self.is_gone(vm);
+        let completed = wave.spec.vms.iter().all(is_over) && wave.stages.is_empty();
         if completed || !wave.reported {
             wave.reported = true;
             self.actions.push(Action::ReportWave { wave: wave.spec.number, completed });
--- a/crates/cj-sched/tests/sim/evidence.rs
+++ b/crates/cj-sched/tests/sim/evidence.rs
@@ -253,6 +253,59 @@
     assert_eq!(starts(&harness.poll_after(100)).len(), 1, "two lists in a row lack it");
 }
 
+/// Guards against a wave that is reported as completed because a list of VMs, which is read in pages, lacks a VM by mistake.
+#[test]
+fn one_list_of_vms_without_a_vm_does_not_complete_its_wave() {
+    let mut harness = Harness::new(&["r0", "r0"], None);
+    harness.list_all();
+    harness.handle(Event::Wave(wave(vec![vm(1)]), WaveProgress::default()));
+    let mut completed_after = |lists: usize| {
+        let is_report =
+            |action: &Action| matches!(action, Action::ReportWave { completed: true, .. });
+        (0..lists).any(|_| {
+            let rows = harness.vm_rows[..1].to_vec();
+            harness.handle(Event::VmsListed(harness.now().mono, rows));
+            harness.poll_after(ROUND_MS).iter().any(is_report)
+        })
+    };
+    assert!(!completed_after(1));
+    assert!(completed_after(2), "two lists in a row lack it");
+}
+
+/// Guards against a task that runs twice: the platform answers "done" for earlier maintenance, the worker goes on, and the next list
+/// of VMs lacks its VM by mistake.
+#[test]
+fn one_list_of_vms_without_a_vm_does_not_confirm_its_maintenance() {
+    let mut scenario = Scenario::new(true);
+    scenario.run_until_maintenance();
+    scenario.answer_maintenance(VmAnswer::Done);
+    let mut rows = scenario.harness.vm_rows.clone();
+    rows.remove(scenario.worker);
+    scenario.harness.handle(Event::VmsListed(scenario.harness.now().mono, rows));
+    assert!(starts(&scenario.harness.poll_after(ROUND_MS)).is_empty());
+    assert_eq!(scenario.count_starts(60), 0);
+}
+
+/// Guards against maintenance that ends tasks, because a list of VMs lacks by mistake the VM on which they run.
+#[test]
+fn one_list_of_vms_without_a_vm_does_not_end_its_drain() {
+    let mut scenario = Scenario::new(false);
+    // The owner requests maintenance from 1 s after its takeover on.
+    for _ in 0..15 {
+        scenario.run_round();
+    }
+    let mut rows = scenario.harness.vm_rows.clone();
+    rows.remove(scenario.worker);
+    scenario.harness.handle(Event::VmsListed(scenario.harness.now().mono, rows));
+    let actions = scenario.harness.poll_after(ROUND_MS);
+    let is_request = |record: &Record| matches!(record, Record::Wave(..));
+    let requests = |action: &Action| match action {
+        Action::Write(_, records) => records.iter().any(is_request),
+        _ => false,
+    };
+    assert!(!actions.iter().any(requests), "its task is far from its end");
+}
+
 /// Guards against tasks of a lost worker that wait although a list of VMs shows that another one runs on its VM.
 #[test]
 fn a_list_of_vms_with_another_worker_on_the_vm_ends_the_runs_at_once() {
