Count a VM as no part of a wave only by the refusal that says so

Operators could see a wave completed without the maintenance of a VM (MIXED).

Cause: each refusal of a maintenance command but "fence" and "busy", also one without a reason and status 400, was read as "not of this wave", and the VM counted as maintained. Its worker stayed drained and got no more tasks.

Change: "wave" has an answer of its own, NotInWave, and ends the drain. Other refusals prove nothing: the command is repeated while the VM is listed.

--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -214,7 +214,9 @@
     /// The VM isn't up.
     #[debug("Busy")]
     NotUp,
-    /// The command isn't valid for this VM.
+    /// The VM isn't part of the wave.
+    NotInWave,
+    /// The command isn't valid for this VM, or was refused for an unknown reason.
     Invalid,
     /// Too many requests, or the platform is unavailable. Nothing was done.
     #[debug("Later")]
--- a/crates/cj-sched/src/sched/maintenance.rs
+++ b/crates/cj-sched/src/sched/maintenance.rs
@@ -5,6 +5,8 @@
 //! - The answer "done" names the wave and proves that its maintenance has begun, by this command or by an earlier one, of any owner.
 //!   The VM may be back from it.
 //! - The answer that the VM isn't part of the wave proves that there is nothing to do.
+//! - An answer that says nothing else, such as that the command isn't valid, proves nothing: the command is repeated while the list of
+//!   VMs has the VM.
 //! - The answer that the VM isn't up proves that this command had no effect. The VM may be off for another wave.
 //! - A recorded request without an answer, also of an earlier owner, may be carried out at any time. It proves nothing, and counts
 //!   against the cap of the wave until a repeated command is answered.
@@ -12,7 +14,7 @@
 //!   nothing runs on a VM in maintenance, so that needs no drain.
 
 use cj_types::VmId;
-use log::info;
+use log::{info, warn};
 
 use crate::{
     record::Record,
@@ -39,8 +41,11 @@
         match answer {
             VmAnswer::Done => self.begin_maintenance(vm, number),
             VmAnswer::Fenced => self.step_down_now(),
-            VmAnswer::Invalid => self.exclude_from_wave(vm, number),
+            VmAnswer::NotInWave => self.exclude_from_wave(vm, number),
             VmAnswer::NotUp => self.drain_again(vm, number),
+            VmAnswer::Invalid => {
+                warn!(target: "decision", "wave={number} vm={vm} choice=repeat cause=\"invalid command\"");
+            }
             VmAnswer::RetryLater | VmAnswer::Unanswered => {}
         }
     }
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -458,7 +458,7 @@
                 self.expect_shutdown(vm, incarnation);
             }
             VmAnswer::Fenced => self.step_down_now(),
-            VmAnswer::NotUp | VmAnswer::Invalid => self.abort_move(vm),
+            VmAnswer::NotUp | VmAnswer::NotInWave | VmAnswer::Invalid => self.abort_move(vm),
             VmAnswer::RetryLater | VmAnswer::Unanswered => {}
         }
     }
--- a/crates/cj-sched/tests/sim/evidence.rs
+++ b/crates/cj-sched/tests/sim/evidence.rs
@@ -179,6 +179,23 @@
     }
 }
 
+/// Guards against a wave that is reported as completed after a refusal that doesn't say that the VM isn't part of it, and against a VM
+/// that gets no more tasks after one that does.
+#[test]
+fn only_a_refusal_that_names_the_wave_excludes_a_vm_from_it() {
+    for (answer, completes) in [(VmAnswer::Invalid, false), (VmAnswer::NotInWave, true)] {
+        let mut scenario = Scenario::new(false);
+        scenario.run_until_maintenance();
+        scenario.answer_maintenance(answer);
+        let is_report =
+            |action: &Action| matches!(action, Action::ReportWave { completed: true, .. });
+        assert_eq!(scenario.run_round().iter().any(is_report), completes, "{answer:?}");
+        let large = StepSpec { spread: Some(1), ..step(2, 6_000, 500) };
+        scenario.harness.submit(2, vec![large], None);
+        assert_eq!(scenario.count_starts(40), if completes { 2 } else { 1 }, "{answer:?}");
+    }
+}
+
 /// Guards against a VM that gets no more tasks because its maintenance was answered as done but had no effect on its worker.
 #[test]
 fn a_vm_that_stayed_up_accepts_tasks_again() {
