Count the answer to a move only for the pool that its command named

A VM could count as moved to a pool where it isn't, or as refused while it moves, so that tasks are started on a worker that is about to end.

Cause: the answer named only the VM. It was taken for that of the present move, also if it answered a command for an earlier destination (a move is dropped when tasks run on the VM, and another may follow while the call is open), or a repeated command of a move that was done.

Change: the answer names the pool, and counts only for an open move to that pool that isn't answered as done. A lost fence still ends the ownership.

--- a/crates/cj-bench/src/admission/surge.rs
+++ b/crates/cj-bench/src/admission/surge.rs
@@ -411,8 +411,8 @@
                     self.workers[n].crash();
                 }
                 self.listings.retain(|listing| listing.worker != n);
-                self.moving.push((n, pool, self.now + 1_500));
-                self.events.push(Event::Moved(vm, VmAnswer::Done));
+                self.moving.push((n, pool.clone(), self.now + 1_500));
+                self.events.push(Event::Moved(vm, pool, VmAnswer::Done));
             }
             Action::Write(number, _) => self.events.push(Event::Written(number)),
             _ => {}
--- a/crates/cj-entry/src/dispatch.rs
+++ b/crates/cj-entry/src/dispatch.rs
@@ -105,8 +105,8 @@
                 });
             }
             Action::MoveVm(vm, pool, watch) => {
-                let vm_id = vm.clone();
-                let event = move |answer| Event::Moved(vm_id, answer);
+                let (vm_id, destination) = (vm.clone(), pool.clone());
+                let event = move |answer| Event::Moved(vm_id, destination, answer);
                 let send_check = self.check_command(LeaseBound::Sole, watch);
                 self.call(event, VmAnswer::RetryLater, send_check.clone(), async move |_| {
                     node.platform.move_vm(&vm, &pool, &send_check).await
--- a/crates/cj-sched/src/sched/event.rs
+++ b/crates/cj-sched/src/sched/event.rs
@@ -284,8 +284,8 @@
     Advised(StepKey, Vec<WorkerId>, AdviceAnswer),
     /// The batch of records with this number is durable.
     Written(u64),
-    /// Answer to [`Action::MoveVm`].
-    Moved(VmId, VmAnswer),
+    /// Answer to [`Action::MoveVm`], with the pool that the command named.
+    Moved(VmId, ServiceId, VmAnswer),
     /// Answer to [`Action::MaintainVm`].
     Maintained(VmId, u64, VmAnswer),
 }
--- a/crates/cj-sched/src/sched/pool.rs
+++ b/crates/cj-sched/src/sched/pool.rs
@@ -441,13 +441,18 @@
         self.actions.push(Action::MoveVm(vm, to.clone(), watch));
     }
 
-    /// Handles the answer to [`Action::MoveVm`].
-    pub(super) fn moved(&mut self, vm: &VmId, answer: VmAnswer) {
+    /// Handles the answer to a command that moves a VM to `pool`. Only the first definite answer to a move that is still wanted counts:
+    /// a repeated command is refused while the VM moves, and an answer may come after the VM got another destination.
+    pub(super) fn moved(&mut self, vm: &VmId, pool: &ServiceId, answer: VmAnswer) {
         let now = self.now.mono;
-        info!(target: "decision", "vm={vm} choice=move answer={answer:?}");
+        info!(target: "decision", "vm={vm} choice=move to={pool} answer={answer:?}");
+        if answer == VmAnswer::Fenced {
+            return self.step_down_now();
+        }
+        let open = |moving: &&mut Move| moving.to == *pool && moving.done_at.is_none();
+        let Some(moving) = self.pools.moves.get_mut(vm).filter(open) else { return };
         match answer {
             VmAnswer::Done => {
-                let Some(moving) = self.pools.moves.get_mut(vm) else { return };
                 moving.done_at = Some(now);
                 let incarnation = moving.incarnation.clone();
                 if let Some(row) = self.vms.get_mut(vm) {
@@ -457,9 +462,8 @@
                 }
                 self.expect_shutdown(vm, incarnation);
             }
-            VmAnswer::Fenced => self.step_down_now(),
             VmAnswer::NotUp | VmAnswer::NotInWave | VmAnswer::Invalid => self.abort_move(vm),
-            VmAnswer::RetryLater | VmAnswer::Unanswered => {}
+            VmAnswer::Fenced | VmAnswer::RetryLater | VmAnswer::Unanswered => {}
         }
     }
 
--- a/crates/cj-sched/src/sched/scheduler.rs
+++ b/crates/cj-sched/src/sched/scheduler.rs
@@ -222,7 +222,7 @@
             Event::Listed(worker, sent, answer) => self.listed(&worker, sent, answer),
             Event::Advised(step, named, answer) => self.advised(step, &named, answer),
             Event::Written(batch) => self.written(batch),
-            Event::Moved(vm, answer) => self.moved(&vm, answer),
+            Event::Moved(vm, pool, answer) => self.moved(&vm, &pool, answer),
             Event::Maintained(vm, wave, answer) => self.maintained(&vm, wave, answer),
         }
     }
--- a/crates/cj-sched/tests/sim/calls.rs
+++ b/crates/cj-sched/tests/sim/calls.rs
@@ -145,10 +145,10 @@
             Action::MoveVm(vm, pool, _) => {
                 let index = self.workers.iter().position(|worker| worker.vm == vm)?;
                 if !self.workers[index].alive {
-                    return Some(Event::Moved(vm, VmAnswer::NotUp));
+                    return Some(Event::Moved(vm, pool, VmAnswer::NotUp));
                 }
                 if self.workers[index].service == pool {
-                    return Some(Event::Moved(vm, VmAnswer::Done));
+                    return Some(Event::Moved(vm, pool, VmAnswer::Done));
                 }
                 if !delayed {
                     self.check_vm_command(&vm, token);
@@ -160,8 +160,10 @@
                 }
                 self.crash(index);
                 let (back_at, state) = (now + 1_500, VmState::Moving);
-                self.offline.push(OfflineVm { vm: vm.clone(), pool, back_at, state, wave: None });
-                Some(Event::Moved(vm, VmAnswer::Done))
+                let off =
+                    OfflineVm { vm: vm.clone(), pool: pool.clone(), back_at, state, wave: None };
+                self.offline.push(off);
+                Some(Event::Moved(vm, pool, VmAnswer::Done))
             }
             Action::MaintainVm(vm, wave, _) => {
                 if !delayed {
@@ -275,7 +277,9 @@
         Action::List { target, .. } => {
             Some(Event::Listed(target.worker.clone(), sent, ListAnswer::Unanswered))
         }
-        Action::MoveVm(vm, ..) => Some(Event::Moved(vm.clone(), VmAnswer::Unanswered)),
+        Action::MoveVm(vm, pool, _) => {
+            Some(Event::Moved(vm.clone(), pool.clone(), VmAnswer::Unanswered))
+        }
         Action::MaintainVm(vm, wave, _) => {
             Some(Event::Maintained(vm.clone(), *wave, VmAnswer::Unanswered))
         }
--- a/crates/cj-sched/tests/sim/evidence.rs
+++ b/crates/cj-sched/tests/sim/evidence.rs
@@ -355,7 +355,7 @@
         }
         assert!(harness.elapsed_ms < 5_000, "no idle VM moves");
     };
-    harness.handle(Event::Moved(vm.clone(), VmAnswer::Unanswered));
+    harness.handle(Event::Moved(vm.clone(), service("spare"), VmAnswer::Unanswered));
     let worker = harness.vm_rows.iter().position(|row| row.vm == vm).unwrap();
     harness.register_start(worker, 2);
     harness.list_started(worker, 2);
--- a/crates/cj-sched/tests/sim/late_calls.rs
+++ b/crates/cj-sched/tests/sim/late_calls.rs
@@ -103,7 +103,7 @@
     });
     let vm = moving.expect("idle VMs move to the spare pool");
     let worker = harness.vm_rows.iter().position(|row| row.vm == vm).unwrap();
-    harness.handle(Event::Moved(vm.clone(), VmAnswer::Unanswered));
+    harness.handle(Event::Moved(vm.clone(), service("spare"), VmAnswer::Unanswered));
     harness.register_start(worker, 2);
     harness.list_started(worker, 2);
     harness.submit(1, vec![step(4, 8_000, 60_000)], None);
--- a/crates/cj-sched/tests/sim/placement_query.rs
+++ b/crates/cj-sched/tests/sim/placement_query.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     decisions::{Harness, config, starts},
-    world::step,
+    world::{service, step},
 };
 
 fn query(steps: Vec<StepSpec>) -> PlacementQuery {
@@ -185,7 +185,9 @@
     assert_eq!((moved.arriving, moved.arriving_m, moved.spare), (3, 24_000, 0));
     assert_eq!(moved.next_arrival_ms, Some(1_500));
     let rows = harness.vm_rows.clone();
-    rows[1..].iter().for_each(|row| harness.handle(Event::Moved(row.vm.clone(), VmAnswer::Done)));
+    for row in &rows[1..] {
+        harness.handle(Event::Moved(row.vm.clone(), service("red"), VmAnswer::Done));
+    }
     harness.poll_after(1_000);
     assert_eq!((pool(&harness).arriving, pool(&harness).next_arrival_ms), (3, Some(500)));
     harness.register(1, "r1", 8_000);
--- a/crates/cj-sched/tests/sim/pool_sizes.rs
+++ b/crates/cj-sched/tests/sim/pool_sizes.rs
@@ -28,7 +28,7 @@
     for _ in 0..ms / 50 {
         for action in harness.poll_after(50) {
             if let Action::MoveVm(vm, to, _) = action {
-                harness.handle(Event::Moved(vm.clone(), VmAnswer::Done));
+                harness.handle(Event::Moved(vm.clone(), to.clone(), VmAnswer::Done));
                 moved.push((vm, to.to_string()));
             }
         }
@@ -73,8 +73,8 @@
     let mut refused = Vec::new();
     for _ in 0..20 {
         for action in harness.poll_after(50) {
-            if let Action::MoveVm(vm, ..) = action {
-                harness.handle(Event::Moved(vm.clone(), VmAnswer::NotUp));
+            if let Action::MoveVm(vm, to, _) = action {
+                harness.handle(Event::Moved(vm.clone(), to, VmAnswer::NotUp));
                 refused.push(vm);
             }
         }
--- a/crates/cj-sched/tests/sim/takeover_evidence.rs
+++ b/crates/cj-sched/tests/sim/takeover_evidence.rs
@@ -88,8 +88,8 @@
     let mut moved = Vec::new();
     for _ in 0..30 {
         for action in harness.poll_after(100) {
-            if let Action::MoveVm(vm, ..) = action {
-                harness.handle(Event::Moved(vm.clone(), VmAnswer::Done));
+            if let Action::MoveVm(vm, to, _) = action {
+                harness.handle(Event::Moved(vm.clone(), to, VmAnswer::Done));
                 moved.push(vm);
             }
         }
