Answer 410 to a cancellation only once the logs are read up to its request

It needed no disturbance.

Cause: a node answered from its index while the last complete read of the logs was less than 2.6 s old, and a record that was just appended isn't in the index yet, at the accepting node neither. What wasn't read was taken for what isn't there. Ruled out: a lost record, the job runs.

Change: a cancellation of a job that isn't in the index waits until the job is read, or until all logs of the cell are read up to the time of the request. After 1.8 s, or while the store isn't reachable, the answer is 503.

Result: cancels_a_job_that_was_just_accepted failed before.

--- a/crates/cj-entry/src/api.rs
+++ b/crates/cj-entry/src/api.rs
@@ -38,6 +38,10 @@
 /// Time reserved for the response to reach the caller.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
 
+/// How long the cancellation of a job that isn't in the job index waits until the logs are read up to its request. It is above the
+/// time that a read of an idle log takes (1.5 s) and the pause after it.
+const MAX_LOOKUP_WAIT: Duration = Duration::from_millis(1_800);
+
 /// Time limit for reading the log up to date before a job is refused. It allows several reads of a busy log.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(450);
 
@@ -395,6 +399,30 @@
         }
     }
 
+    /// The state of a job by all records that were appended before this call. A job that was just accepted, by this node or another
+    /// one, may not have been read yet, so one that isn't in the index is gone only once the logs are read up to now.
+    async fn look_up(&self, job: JobKey, access: &Access, deadline: Instant) -> JobStatus {
+        let requested_at = self.node.clock.now();
+        let status = || match self.known_job(job, access) {
+            Some(KnownJob::Visible) => self.local_job_status(job, access),
+            Some(KnownJob::OfOtherAccount) => JobStatus::Gone,
+            None if self.is_read_until(requested_at) => JobStatus::Gone,
+            None => JobStatus::UNAVAILABLE,
+        };
+        let search = async {
+            loop {
+                let status = status();
+                if !matches!(status, JobStatus::Unavailable(_)) || !self.is_store_reachable() {
+                    return status;
+                }
+                tokio::time::sleep(CATCH_UP_POLL_INTERVAL).await;
+            }
+        };
+        let left = deadline.saturating_duration_since(requested_at + RESPONSE_MARGIN);
+        let found = tokio::time::timeout(left.min(MAX_LOOKUP_WAIT), search).await;
+        found.unwrap_or(JobStatus::UNAVAILABLE)
+    }
+
     /// Cancels a job if it is in the job index of this node.
     pub(crate) async fn cancel_locally(
         &self,
@@ -402,16 +430,11 @@
         access: &Access,
         deadline: Instant,
     ) -> CancelOutcome {
-        if self.known_job(job, access) == Some(KnownJob::OfOtherAccount) {
-            return CancelOutcome::Gone;
-        }
-        let state = self.job_index.borrow().job(job).map(|entry| entry.state());
-        match state {
-            Some(state) if state.is_final() => return CancelOutcome::Done,
-            Some(_) if !self.is_store_reachable() => return CancelOutcome::UNREACHABLE,
-            Some(_) => {}
-            None if self.is_caught_up() => return CancelOutcome::Gone,
-            None => return CancelOutcome::UNREACHABLE,
+        match self.look_up(job, access, deadline).await {
+            JobStatus::State(state) if state.is_final() => return CancelOutcome::Done,
+            JobStatus::State(_) if self.is_store_reachable() => {}
+            JobStatus::Gone => return CancelOutcome::Gone,
+            JobStatus::State(_) | JobStatus::Unavailable(_) => return CancelOutcome::UNREACHABLE,
         }
         let is_cancelled =
             || self.job_index.borrow().job(job).is_some_and(|entry| entry.cancelled.is_some());
--- a/crates/cj-entry/src/member.rs
+++ b/crates/cj-entry/src/member.rs
@@ -120,6 +120,12 @@
         self.job_log.is_fresh(now) && self.overflow_logs.iter().all(|state| state.is_fresh(now))
     }
 
+    /// True when all records of the cell's logs that were appended before `moment` have been read.
+    pub(crate) fn is_read_until(&self, moment: Instant) -> bool {
+        let mut logs = std::iter::once(&self.job_log).chain(&self.overflow_logs);
+        logs.all(|state| state.is_read_until(moment))
+    }
+
     /// Whether each of the cells has no VM left to maintain for a wave. For this cell, the state of its own scheduler is
     /// used; for the others, the heartbeats of their owners.
     pub(crate) fn cells_completed(&self, wave: u64, cells: u16) -> Vec<bool> {
--- a/crates/cj-entry/tests/entry/api.rs
+++ b/crates/cj-entry/tests/entry/api.rs
@@ -228,6 +228,39 @@
     ));
 }
 
+/// Guards against a cancellation that is answered with 410 while the job runs on: it was accepted just before, and the node hasn't read
+/// its record.
+#[actix_rt::test]
+async fn cancels_a_job_that_was_just_accepted() {
+    let node = node(vec![after(4, Ok(0)), after(4, Ok(1))]).await;
+    assert_eq!(submit(&node).await, SubmitOutcome::Accepted);
+    let deadline = node.clock.now() + Duration::from_secs(3);
+    let read = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let (key, value) = codec::entry(&Record::Submission(JobKey(1), Box::new(submission())));
+        let page = Page { records: vec![record(0, &key, value)], next: 1, end: 1 };
+        node.platform.reads.borrow_mut().push_back(after(1, Ok(page)));
+    };
+    let (answer, ()) = futures::join!(node.cancel(JobKey(1), &Access::Open, deadline), read);
+    assert_eq!(answer, CancelOutcome::Done);
+    assert_eq!(node.platform.appended.get(), 2, "the cancellation is stored");
+}
+
+/// Guards against a cancellation of a job that doesn't exist that is never answered as such.
+#[actix_rt::test]
+async fn a_job_that_no_log_has_up_to_now_is_gone() {
+    let node = node(Vec::new()).await;
+    node.clock.advance(Duration::from_millis(10));
+    node.platform.answers_overflow.set(true);
+    node.platform
+        .reads
+        .borrow_mut()
+        .extend([after(0, Ok(Page::default())), after(0, Ok(Page::default()))]);
+    let deadline = node.clock.now() + Duration::from_secs(3);
+    assert_eq!(node.cancel(JobKey(9), &Access::Open, deadline).await, CancelOutcome::Gone);
+    assert_eq!(node.platform.appended.get(), 0, "nothing is stored");
+}
+
 #[actix_rt::test]
 async fn refuses_a_job_with_a_step_that_depends_on_itself() {
     let node = node(Vec::new()).await;
--- a/crates/cj-entry/tests/entry/platform.rs
+++ b/crates/cj-entry/tests/entry/platform.rs
@@ -60,6 +60,8 @@
     pub(crate) registrations: RefCell<Vec<WorkerRegistration>>,
     /// Number of listings that were requested from workers.
     pub(crate) listings: Cell<usize>,
+    /// Overflow logs answer each read.
+    pub(crate) answers_overflow: Cell<bool>,
     /// Overflow logs and the operator's topic, if they were read; they are empty, and answer one read each.
     empty_topics_read: RefCell<HashSet<Topic>>,
 }
@@ -79,6 +81,7 @@
             peer_requests: RefCell::default(),
             registrations: RefCell::default(),
             listings: Cell::default(),
+            answers_overflow: Cell::default(),
             empty_topics_read: RefCell::default(),
         }
     }
@@ -127,6 +130,12 @@
             {
                 Ok(Page::default())
             }
+            Topic::Jobs(..) => {
+                while !self.answers_overflow.get() {
+                    tokio::time::sleep(SCRIPT_POLL_INTERVAL).await;
+                }
+                Ok(Page::default())
+            }
             _ => std::future::pending().await,
         }
     }
