Count the failed runs of a gang together

The members of a run share its number.

Change: the distinct numbers of failed runs count, over all members. Records stay as they are.

Result: failed_runs_of_a_gang_count_together failed before (a third start of two).

--- a/crates/cj-sched/src/sched/outcome.rs
+++ b/crates/cj-sched/src/sched/outcome.rs
@@ -47,17 +47,20 @@
         self.jobs[at.job].set_phase(at, Phase::Done);
     }
 
-    /// Counts a failed run of a task, and fails the occurrence and its job after too many.
+    /// Counts a failed run of a task, and fails the occurrence and its job after too many. The failed runs of a gang count together,
+    /// whichever members failed.
     pub(super) fn fail_task(&mut self, at: TaskRef, run: u64, key: WorkerKey) {
         let max_attempts = self.jobs[at.job].submission.max_attempts;
-        let long_running = self.jobs[at.job].step_spec(at.step).long_running;
+        let spec = self.jobs[at.job].step_spec(at.step);
+        let (long_running, gang) = (spec.long_running, spec.gang);
         let task = self.task_mut(at);
         task.avoid = Some(key);
         if long_running || task.is_done() || task.failed_runs.contains(&run) {
             return;
         }
         task.failed_runs.push(run);
-        let failures = task.failed_runs.len();
+        let failures =
+            if gang { self.jobs[at.job].step(at).failed_runs() } else { task.failed_runs.len() };
         self.mark_changed(at);
         if failures >= max_attempts as usize {
             self.fail_occurrence(at, "attempts", failures);
--- a/crates/cj-sched/src/sched/step.rs
+++ b/crates/cj-sched/src/sched/step.rs
@@ -75,6 +75,12 @@
         self.open_tasks() == 0
     }
 
+    /// Number of runs in which at least one task failed. The members of a gang share their run numbers.
+    pub(super) fn failed_runs(&self) -> usize {
+        let runs = self.tasks.iter().flat_map(|task| &task.failed_runs);
+        runs.collect::<BTreeSet<_>>().len()
+    }
+
     /// The placed tasks.
     pub(super) fn placed_tasks(&self) -> impl Iterator<Item = &Task> {
         self.placed.iter().map(|index| &self.tasks[*index as usize])
--- a/crates/cj-sched/tests/sim/decisions.rs
+++ b/crates/cj-sched/tests/sim/decisions.rs
@@ -293,6 +293,38 @@
     assert!(started.iter().all(|(target, _)| target.worker.0 != "w2"), "one rack has room for all");
 }
 
+/// Guards against a gang that runs more often than its queue allows, because its runs fail at different members.
+#[test]
+fn failed_runs_of_a_gang_count_together() {
+    let mut harness = Harness::new(&["r1", "r1"], None);
+    harness.submit(1, vec![StepSpec { gang: true, ..step(2, 5_000, 500) }], None);
+    for attempt in 1..=2 {
+        let actions = harness.poll_after(200);
+        let started = starts(&actions);
+        assert_eq!(started.len(), 2, "attempt {attempt} of two");
+        for (index, (target, command)) in started.into_iter().enumerate() {
+            let done = CommandAnswer::Done;
+            let worker = target.worker.clone();
+            harness.handle(Event::Started(worker.clone(), command.task, command.run, done));
+            let kind = if index + 1 == attempt { EndKind::Failed } else { EndKind::GangBroken };
+            let (task, run) = (command.task, command.run);
+            let ended =
+                vec![EndRow { number: attempt as u64, task, run, kind, checkpoint: "".into() }];
+            let clock = 1_000 + harness.elapsed_ms;
+            let listing = Listing {
+                started_at: Some(1),
+                clock,
+                ended,
+                ends_complete: true,
+                ..Listing::default()
+            };
+            let sent = harness.now().mono;
+            harness.handle(Event::Listed(worker, sent, ListAnswer::Listed(listing)));
+        }
+    }
+    assert!(starts(&harness.poll_after(200)).is_empty(), "a third attempt");
+}
+
 /// Guards against starts on workers that the policy service hasn't allowed.
 #[test]
 fn steps_wait_for_advice() {
