--- a/crates/cj-sched/src/sched/mod.rs
+++ b/crates/cj-sched/src/sched/mod.rs
@@ -49,6 +49,7 @@
 mod tickets;
 mod vm_drain;
 mod vm_list;
+mod vm_move;
 mod watch;
 mod wave;
 mod work;
