--- a/crates/cj-entry/src/api.rs
+++ b/crates/cj-entry/src/api.rs
@@ -36,17 +36,13 @@
 const READ_BACK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time reserved for the response to reach the caller.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
-
-/// How long the cancellation of a job that isn't in the job index waits until the logs are read up to its request. It is above the
-/// time that a read of an idle log takes (1.5 s) and the pause after it.
-const MAX_LOOKUP_WAIT: Duration = Duration::from_millis(1_800);
+pub(crate) const RESPONSE_MARGIN: Duration = Duration::from_millis(150);
 
 /// Time limit for reading the log up to date before a job is refused. It allows several reads of a busy log.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// Time between two checks whether the log is up to date.
-const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(10);
+pub(crate) const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Maximum age of an owner's heartbeat for counting waiting jobs. The count was up to 0.5 s old when the heartbeat was
 /// read.
@@ -101,7 +97,7 @@
 
 /// A job in the job index, as far as a caller may know about it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum KnownJob {
+pub(crate) enum KnownJob {
     /// The caller may see the job.
     Visible,
     /// The job belongs to another account.
@@ -331,7 +327,7 @@
     }
 
     /// What a caller has to know about a job in the job index of this node; `None` if it isn't there.
-    fn known_job(&self, job: JobKey, access: &Access) -> Option<KnownJob> {
+    pub(crate) fn known_job(&self, job: JobKey, access: &Access) -> Option<KnownJob> {
         let job_index = self.job_index.borrow();
         let visible = job_index.job(job)?.is_visible_to(access);
         Some(if visible { KnownJob::Visible } else { KnownJob::OfOtherAccount })
@@ -381,78 +377,6 @@
         }
     }
 
-    /// Cancels a job: on this node if the cell is followed, else through the owner.
-    async fn cancel(&self, job: JobKey, access: &Access, deadline: Instant) -> CancelOutcome {
-        if self.is_followed() {
-            return self.cancel_locally(job, access, deadline).await;
-        }
-        match self.ask_owner(PeerRequest::Cancel(job, access.clone())).await {
-            Some(PeerResponse::Cancelled(answer @ (CancelOutcome::Done | CancelOutcome::Gone))) => {
-                answer
-            }
-            // If the owner doesn't answer, the cancellation is stored all the same; it takes effect when it is read. That
-            // needs access to all jobs, since this node can't tell to which account the job belongs.
-            _ if *access == Access::Open && self.is_store_reachable() => {
-                self.append_cancel(job, deadline, || false).await
-            }
-            _ => CancelOutcome::UNREACHABLE,
-        }
-    }
-
-    /// The state of a job by all records that were appended before this call. A job that was just accepted, by this node or another
-    /// one, may not have been read yet, so one that isn't in the index is gone only once the logs are read up to now.
-    async fn look_up(&self, job: JobKey, access: &Access, deadline: Instant) -> JobStatus {
-        let requested_at = self.node.clock.now();
-        let status = || match self.known_job(job, access) {
-            Some(KnownJob::Visible) => self.local_job_status(job, access),
-            Some(KnownJob::OfOtherAccount) => JobStatus::Gone,
-            None if self.is_read_until(requested_at) => JobStatus::Gone,
-            None => JobStatus::UNAVAILABLE,
-        };
-        let search = async {
-            loop {
-                let status = status();
-                if !matches!(status, JobStatus::Unavailable(_)) || !self.is_store_reachable() {
-                    return status;
-                }
-                tokio::time::sleep(CATCH_UP_POLL_INTERVAL).await;
-            }
-        };
-        let left = deadline.saturating_duration_since(requested_at + RESPONSE_MARGIN);
-        let found = tokio::time::timeout(left.min(MAX_LOOKUP_WAIT), search).await;
-        found.unwrap_or(JobStatus::UNAVAILABLE)
-    }
-
-    /// Cancels a job if it is in the job index of this node.
-    pub(crate) async fn cancel_locally(
-        &self,
-        job: JobKey,
-        access: &Access,
-        deadline: Instant,
-    ) -> CancelOutcome {
-        match self.look_up(job, access, deadline).await {
-            JobStatus::State(state) if state.is_final() => return CancelOutcome::Done,
-            JobStatus::State(_) if self.is_store_reachable() => {}
-            JobStatus::Gone => return CancelOutcome::Gone,
-            JobStatus::State(_) | JobStatus::Unavailable(_) => return CancelOutcome::UNREACHABLE,
-        }
-        let is_cancelled =
-            || self.job_index.borrow().job(job).is_some_and(|entry| entry.cancelled.is_some());
-        self.append_cancel(job, deadline, is_cancelled).await
-    }
-
-    async fn append_cancel<F>(&self, job: JobKey, deadline: Instant, is_read: F) -> CancelOutcome
-    where
-        F: Fn() -> bool,
-    {
-        let record = Record::Cancel(job, self.node.clock.wall());
-        match self.append(&record, deadline, is_read).await {
-            AppendOutcome::Durable => CancelOutcome::Done,
-            AppendOutcome::Refused => CancelOutcome::UNREACHABLE,
-            AppendOutcome::Unknown => CancelOutcome::Unknown,
-        }
-    }
-
     /// The topic whose reads show whether the store is reachable.
     fn follow_state(&self) -> &FollowState {
         if self.is_followed() { &self.job_log } else { &self.node.cells_topic }
@@ -466,7 +390,12 @@
 
     /// Appends an idempotent record. Returns when the result is known, when the record is read from the log, or when it
     /// is better for the caller to retry elsewhere.
-    async fn append<F>(&self, record: &Record, deadline: Instant, is_read: F) -> AppendOutcome
+    pub(crate) async fn append<F>(
+        &self,
+        record: &Record,
+        deadline: Instant,
+        is_read: F,
+    ) -> AppendOutcome
     where
         F: Fn() -> bool,
     {
--- a/crates/cj-entry/src/lib.rs
+++ b/crates/cj-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod access;
 pub mod admission;
 pub mod api;
+mod cancellation;
 mod claim;
 mod clock;
 mod command_slots;
