--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -296,8 +296,8 @@
         wave.stages.insert(vm, VmStage::Recording(batch));
     }
 
-    /// Sends the command for the maintenance of a VM. A repeated command is still meant for the incarnation of the first one, which
-    /// that may have ended.
+    /// Sends the command for the maintenance of a VM. A repeated command keeps the incarnation for which the first one was meant: that
+    /// one may have ended it.
     fn request_maintenance(&mut self, wave: &mut Wave, vm: VmId, cause: &str) {
         let number = wave.spec.number;
         info!(target: "decision", "wave={number} vm={vm} choice=maintain cause=\"{cause}\"");
