Keep the cap of a wave while other waves take its VMs off

Operators could see more VMs of a wave off at once than its cap allows, where another wave names them too (PROTOCOL.md: "with at most that many at once").

A VM goes off only within the caps of all waves that name it. The condition that a VM may be off for a wave stood in two places; now it stands once (may_keep_off).

Result: with the check restored six tests of waves, random and cuts failed (such as "began while 2 VMs of wave 1 were off, cap 2"); all pass now.

--- a/crates/cj-sched/src/sched/maintenance.rs
+++ b/crates/cj-sched/src/sched/maintenance.rs
@@ -26,8 +26,8 @@
 };
 
 impl Wave {
-    /// True if the VM may be off for this wave: its maintenance was answered as done and the VM isn't back, or a command for it is
-    /// unanswered.
+    /// True if the VM may be off for this wave: its maintenance was answered as done and the VM isn't back, or a command for it was
+    /// recorded and isn't answered.
     fn may_keep_off(&self, vm: &VmId) -> bool {
         let in_maintenance = matches!(self.stages.get(vm), Some(VmStage::InMaintenance(_)));
         in_maintenance || (self.progress.requested.contains(vm) && !self.is_begun(vm))
@@ -111,6 +111,18 @@
         is_off && !self.waves.iter().any(|other| other.may_keep_off(vm))
     }
 
+    /// True if the VM may go off for `wave` without exceeding the cap of any wave that names it. `self.waves` holds the other waves.
+    pub(super) fn has_wave_room(&self, wave: &Wave, vm: &VmId) -> bool {
+        let waves = || self.waves.iter().chain([wave]);
+        let is_listed =
+            |vm: &VmId| self.vms.get(vm).is_some_and(|row| row.state == VmState::Maintenance);
+        let may_be_off = |other: &&VmId| {
+            *other != vm && (is_listed(other) || waves().any(|wave| wave.may_keep_off(other)))
+        };
+        let mut naming = waves().filter(|wave| wave.spec.vms.contains(vm));
+        naming.all(|wave| wave.spec.vms.iter().filter(may_be_off).count() < wave.cap)
+    }
+
     fn wave_mut(&mut self, number: u64) -> Option<&mut Wave> {
         self.waves.iter_mut().find(|wave| wave.spec.number == number)
     }
--- a/crates/cj-sched/src/sched/wave.rs
+++ b/crates/cj-sched/src/sched/wave.rs
@@ -60,7 +60,7 @@
     /// When the maintenance of all its VMs has to have begun.
     due: Instant,
     /// Most VMs that may be in maintenance at once.
-    cap: usize,
+    pub(super) cap: usize,
     pub(super) stages: BTreeMap<VmId, VmStage>,
     reported: bool,
 }
@@ -80,22 +80,6 @@
     pub(super) fn is_busy(&self, vm: &VmId) -> bool {
         self.stages.contains_key(vm)
     }
-
-    /// Number of VMs of the wave, other than `except`, that are or may be in maintenance.
-    fn unavailable(&self, rows: &BTreeMap<VmId, VmRow>, except: &VmId) -> usize {
-        let past_drain = |vm: &VmId| {
-            matches!(
-                self.stages.get(vm),
-                Some(VmStage::Recording(_) | VmStage::Requested(..) | VmStage::InMaintenance(_))
-            )
-        };
-        let requested = |vm: &VmId| self.progress.requested.contains(vm) && !self.is_begun(vm);
-        let in_maintenance =
-            |vm: &VmId| rows.get(vm).is_some_and(|row| row.state == VmState::Maintenance);
-        let counts =
-            |vm: &&VmId| *vm != except && (past_drain(vm) || requested(vm) || in_maintenance(vm));
-        self.spec.vms.iter().filter(counts).count()
-    }
 }
 
 impl Scheduler {
@@ -279,10 +263,7 @@
     fn may_request(&self, wave: &Wave, vm: &VmId) -> bool {
         // Commands of an earlier owner may have taken effect too late for an older VM list to show them.
         let settled = self.vms_requested > self.owner_since + TAKEOVER_COMMAND_DELAY;
-        settled
-            && self.is_sole_owner()
-            && !self.is_claimed(vm)
-            && wave.unavailable(&self.vms, vm) < wave.cap
+        settled && self.is_sole_owner() && !self.is_claimed(vm) && self.has_wave_room(wave, vm)
     }
 
     /// Requests the maintenance of a VM, after recording the request if it isn't recorded already.
--- a/crates/cj-sched/tests/sim/calls.rs
+++ b/crates/cj-sched/tests/sim/calls.rs
@@ -4,7 +4,7 @@
 
 use cj_sched::{
     Action, Event, TaskId,
-    sched::{CommandAnswer, ListAnswer, Refusal, Target, VmAnswer, VmState, WorkerId},
+    sched::{CommandAnswer, ListAnswer, Refusal, Target, VmAnswer, VmState, WaveSpec, WorkerId},
 };
 use cj_standin::task_worker::TaskWorker;
 use cj_types::VmId;
@@ -160,8 +160,7 @@
                 }
                 self.crash(index);
                 let (back_at, state) = (now + 1_500, VmState::Moving);
-                let off =
-                    OfflineVm { vm: vm.clone(), pool: pool.clone(), back_at, state, wave: None };
+                let off = OfflineVm { vm: vm.clone(), pool: pool.clone(), back_at, state };
                 self.offline.push(off);
                 Some(Event::Moved(vm, pool, VmAnswer::Done))
             }
@@ -212,10 +211,11 @@
             return Event::Maintained(vm, wave, VmAnswer::NotUp);
         }
         self.maintained.insert((wave, vm.clone()));
-        let cap = self.waves[wave as usize - 1].cap;
-        let off = self.offline.iter().filter(|off| off.wave == Some(wave)).count() as u32;
+        let WaveSpec { vms, cap, .. } = &self.waves[wave as usize - 1];
+        let is_off = |off: &&OfflineVm| off.state == VmState::Maintenance && vms.contains(&off.vm);
+        let off = self.offline.iter().filter(is_off).count() as u32;
         assert!(
-            off < cap,
+            off < *cap,
             "maintenance of {vm} at {} ms began while {off} VMs of wave {wave} were off, cap {cap}",
             self.now
         );
@@ -225,8 +225,7 @@
         }
         let (pool, back_at) = (self.workers[index].service.clone(), self.now + 2_000);
         self.crash(index);
-        let (state, off_for) = (VmState::Maintenance, Some(wave));
-        self.offline.push(OfflineVm { vm: vm.clone(), pool, back_at, state, wave: off_for });
+        self.offline.push(OfflineVm { vm: vm.clone(), pool, back_at, state: VmState::Maintenance });
         Event::Maintained(vm, wave, VmAnswer::Done)
     }
 
--- a/crates/cj-sched/tests/sim/world.rs
+++ b/crates/cj-sched/tests/sim/world.rs
@@ -117,8 +117,6 @@
     /// When its next worker starts, in ms.
     pub(crate) back_at: u64,
     pub(crate) state: VmState,
-    /// The wave for which it is in maintenance, if it is.
-    pub(crate) wave: Option<u64>,
 }
 
 /// A node that owns the fleet or owned it before.
